--- /dev/null
+++ b/crates/agent/src/admin.rs
@@ -0,0 +1,65 @@
+//! The agent's end points for operators: JSON over HTTP, read only.
+
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use http_types::{Response, Url};
+use wingbridge_http::server::{ServerSettings, json_response, serve, text_response};
+use wingbridge_process::metrics::render_metrics;
+
+use crate::exchange::AgentEvent;
+
+/// What can be asked of the exchange.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum AdminQuestion {
+    /// How the box is.
+    Status,
+    /// Targets that are not simply healthy.
+    Targets,
+    /// The boxes that are known.
+    Boxes,
+    /// Keys, their versions, and what is in force.
+    Keys {
+        /// What their names start with.
+        prefix: String,
+    },
+    /// The time line.
+    TimeLine,
+}
+
+/// Answers operators until the task is dropped.
+pub(crate) async fn serve_admin(listener: TcpListener, events: Sender<AgentEvent>) {
+    serve(listener, ServerSettings::default(), move |request| {
+        let events = events.clone();
+        async move { answer(&events, request.incoming.request.url()).await }
+    })
+    .await;
+}
+
+async fn answer(events: &Sender<AgentEvent>, url: &Url) -> Response {
+    let question = match url.path() {
+        "/metrics" => return text_response(200, &render_metrics()),
+        "/v1/status" => AdminQuestion::Status,
+        "/v1/targets" => AdminQuestion::Targets,
+        "/v1/boxes" => AdminQuestion::Boxes,
+        "/v1/keys" => {
+            let found = url.query_pairs().find(|(name, _)| name == "prefix");
+            AdminQuestion::Keys {
+                prefix: found.map(|(_, value)| value.into()).unwrap_or_default(),
+            }
+        }
+        "/v1/timeline" => AdminQuestion::TimeLine,
+        _ => return text_response(404, "no such end point"),
+    };
+    let (reply, answered) = async_channel::bounded(1);
+    if events
+        .send(AgentEvent::Asked { question, reply })
+        .await
+        .is_err()
+    {
+        return text_response(503, "the agent is stopping");
+    }
+    match answered.recv().await {
+        Ok(json) => json_response(200, json),
+        Err(_) => text_response(503, "the agent is stopping"),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/bin/wingbridge-agent.rs
@@ -0,0 +1,26 @@
+//! The agent as a program.
+
+use std::process::ExitCode;
+
+use wingbridge_agent::{agent_command, resolve, run};
+use wingbridge_process::logs::start_logs;
+use wingbridge_process::metrics::start_metrics;
+use wingbridge_process::stop::stop_on_signals;
+use wingbridge_process::{Outcome, exit_code};
+
+fn main() -> ExitCode {
+    exit_code("wingbridge-agent", start())
+}
+
+fn start() -> eyre::Result<Outcome> {
+    let settings = resolve(&agent_command().get_matches())?;
+    let _logs = start_logs(&settings.log_level)?;
+    start_metrics();
+    let stop = stop_on_signals()?;
+    run(&settings, &stop, |addresses| {
+        println!(
+            "agent peers={} proxy={} admin={}",
+            addresses.peers, addresses.proxy, addresses.admin
+        );
+    })
+}
--- /dev/null
+++ b/crates/agent/src/exchange.rs
@@ -0,0 +1,594 @@
+//! The exchange: the one thread that decides for the agent.
+//!
+//! It drives the pure cores ([`SpreadCore`] for configuration and membership,
+//! [`JudgeCore`] for evidence) with what connections, the store, the timer and
+//! operators put into its ring, and sends what they command.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use serde::Serialize;
+use wingbridge_config::{HAND_PREFIX, POLICY_PREFIX, SERVICE_PREFIX, parse_service};
+use wingbridge_decide::{EvidenceBatch, JudgeCore, Name, TimePoint};
+use wingbridge_process::ProcessClock;
+use wingbridge_spread::core::SpreadEvent;
+use wingbridge_spread::gossip::HeardNews;
+use wingbridge_spread::map::key_stamp;
+use wingbridge_spread::{BoxIdentity, MemberState, SpreadCommand, SpreadCore};
+use wingbridge_trace::TimeLine;
+use wingbridge_wire::convert::{batches_of, service_evidence, verdict_message};
+use wingbridge_wire::{
+    CaughtUp, Digest, Entries, Entry, Events, Evidence, FrameBody, KeyStamp, Leaving, ProxyState,
+    Readiness, Stamp, VerdictMessage, Verdicts,
+};
+
+use crate::admin::AdminQuestion;
+use crate::links::{PeerLinks, SEED_PREFIX};
+use crate::self_suspicion::SelfSuspicion;
+use crate::store_duty::StoreOrders;
+use crate::views::{BoxView, KeyView, StatusView, TargetView};
+
+/// Period of the exchange's timer.
+pub(crate) const TICK: Duration = Duration::from_millis(50);
+/// Pieces of news that are remembered as heard.
+const HEARD: usize = 4096;
+/// Verdicts and leavings are told to boxes that join within this time.
+const RECENT: Duration = Duration::from_secs(60);
+/// Bytes of entries in one message to the proxy.
+const ENTRIES_AT_ONCE: usize = 64;
+
+/// Events into the exchange.
+#[derive(Clone)]
+pub(crate) enum AgentEvent {
+    /// Time has passed.
+    TimerFired,
+    /// The store was called.
+    StoreRead {
+        entries: Vec<Entry>,
+        reachable: bool,
+    },
+    /// A peer connected.
+    PeerConnected {
+        peer: Arc<str>,
+        ring: Sender<FrameBody>,
+    },
+    /// A connection to a peer ended.
+    PeerClosed { peer: Arc<str> },
+    /// A peer, or this box's proxy, sent something.
+    Received { from: Arc<str>, body: FrameBody },
+    /// This box's proxy connected.
+    ProxyConnected { ring: Sender<FrameBody> },
+    /// An operator asked.
+    Asked {
+        question: AdminQuestion,
+        reply: Sender<String>,
+    },
+}
+
+/// What the exchange is made of.
+pub(crate) struct ExchangeParts {
+    pub(crate) identity: BoxIdentity,
+    pub(crate) core: SpreadCore,
+    pub(crate) links: PeerLinks,
+    pub(crate) line: TimeLine,
+    pub(crate) clock: ProcessClock,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) orders: StoreOrders,
+}
+
+/// The state of the exchange.
+pub(crate) struct Exchange {
+    parts: ExchangeParts,
+    judge: JudgeCore,
+    suspicion: SelfSuspicion,
+    proxy: Option<Sender<FrameBody>>,
+    proxy_state: ProxyState,
+    in_force: HashMap<String, Stamp>,
+    outgoing: BTreeMap<Arc<str>, Vec<EvidenceBatch>>,
+    heard: HeardNews<NewsKey>,
+    recent: Vec<(TimePoint, FrameBody)>,
+    leavings: u64,
+    store_reachable: Option<bool>,
+    whole: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum NewsKey {
+    Verdict {
+        service: String,
+        target: u64,
+        stamp: u64,
+        convicted: bool,
+    },
+    Leaving {
+        origin: String,
+        number: u64,
+    },
+}
+
+impl Exchange {
+    pub(crate) fn new(mut parts: ExchangeParts) -> Exchange {
+        let seeds = parts
+            .seeds
+            .iter()
+            .map(|seed| Arc::from(format!("{SEED_PREFIX}{seed}")));
+        parts.core.set_extra_peers(seeds.collect());
+        let judge = JudgeCore::pooled(&parts.identity.data_centre);
+        Exchange {
+            parts,
+            judge,
+            suspicion: SelfSuspicion::default(),
+            proxy: None,
+            proxy_state: ProxyState::default(),
+            in_force: HashMap::new(),
+            outgoing: BTreeMap::new(),
+            heard: HeardNews::new(HEARD),
+            recent: Vec::new(),
+            leavings: 0,
+            store_reachable: None,
+            whole: false,
+        }
+    }
+
+    /// Works until the ring closes.
+    pub(crate) fn run(mut self, events: &Receiver<AgentEvent>) {
+        while let Ok(event) = events.recv_blocking() {
+            let now = TimePoint::from_micros(self.parts.clock.micros());
+            self.handle(now, event);
+        }
+    }
+
+    fn handle(&mut self, now: TimePoint, event: AgentEvent) {
+        match event {
+            AgentEvent::TimerFired => self.tick(now),
+            AgentEvent::StoreRead { entries, reachable } => {
+                self.note_store(reachable);
+                if reachable {
+                    self.drive_core(now, SpreadEvent::StoreRead(entries));
+                }
+            }
+            AgentEvent::PeerConnected { peer, ring } => self.welcome(now, peer, ring),
+            AgentEvent::PeerClosed { peer } => self.parts.links.close(&peer),
+            AgentEvent::Received { from, body } => self.receive(now, &from, body),
+            AgentEvent::ProxyConnected { ring } => self.welcome_proxy(ring),
+            AgentEvent::Asked { question, reply } => {
+                // A closed reply is an operator who went away.
+                let _ = reply.try_send(self.answer(question));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: TimePoint) {
+        self.drive_core(now, SpreadEvent::TimerFired);
+        let identity = &self.parts.identity;
+        let watches = self.parts.core.members().watches(identity);
+        self.parts.orders.watch.store(watches, Ordering::Release);
+        self.send_evidence();
+        for verdict in self.judge.tick(now) {
+            let message = verdict_message(&verdict);
+            self.parts.line.note(
+                "target-judged",
+                &[
+                    ("service", &verdict.service),
+                    ("target", &format!("{:016x}", verdict.target.0)),
+                    (
+                        "verdict",
+                        if message.convicted {
+                            "convicted"
+                        } else {
+                            "acquitted"
+                        },
+                    ),
+                    ("scope", scope_name(message.scope)),
+                ],
+            );
+            self.pass_on_verdict(now, None, message);
+        }
+        if let Some(sick) = self.suspicion.tick(now) {
+            self.set_readiness(!sick);
+        }
+        self.recent.retain(|(at, _)| now.since(*at) < RECENT);
+        self.parts.links.close_idle();
+    }
+
+    fn drive_core(&mut self, now: TimePoint, event: SpreadEvent) {
+        let mut commands = Vec::new();
+        self.parts
+            .core
+            .handle(now.as_micros(), event, &mut commands);
+        let mut applied = Vec::new();
+        for command in commands {
+            match command {
+                SpreadCommand::Send { to, body } => self.send(&to, body),
+                SpreadCommand::Apply(entry) => applied.push(entry),
+            }
+        }
+        if !applied.is_empty() {
+            self.apply(&applied);
+        }
+        if !self.whole && self.parts.core.is_whole() {
+            self.whole = true;
+            self.parts.line.note("box-whole", &[]);
+            self.to_proxy(FrameBody::CaughtUp(CaughtUp { whole: true }));
+        }
+    }
+
+    fn apply(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            if let Some(name) = entry.key.strip_prefix(SERVICE_PREFIX) {
+                self.configure_judge(name, entry);
+            }
+            if is_config(&entry.key) {
+                let generation = entry.stamp.generation.to_string();
+                let fields = [
+                    ("key", entry.key.as_str()),
+                    ("generation", generation.as_str()),
+                ];
+                self.parts.line.note("config-received", &fields);
+            }
+        }
+        let config: Vec<Entry> = entries
+            .iter()
+            .filter(|entry| is_config(&entry.key))
+            .cloned()
+            .collect();
+        for part in config.chunks(ENTRIES_AT_ONCE) {
+            let entries = part.to_vec();
+            self.to_proxy(FrameBody::Entries(Entries {
+                entries,
+                push: false,
+            }));
+        }
+    }
+
+    fn configure_judge(&mut self, name: &str, entry: &Entry) {
+        if entry.deleted {
+            self.judge.remove(name);
+            return;
+        }
+        match parse_service(&entry.text) {
+            Ok(service) => self.judge.configure(&service.setup),
+            Err(error) => {
+                log::error!(key = entry.key.as_str(), reason:% = error; "config-refused");
+            }
+        }
+    }
+
+    fn receive(&mut self, now: TimePoint, from: &Arc<str>, body: FrameBody) {
+        if **from == *self.parts.identity.box_id {
+            return self.receive_from_proxy(now, body);
+        }
+        match body {
+            FrameBody::Evidence(evidence) => self.take_evidence(now, &evidence),
+            FrameBody::Verdicts(verdicts) => {
+                for verdict in verdicts.verdicts {
+                    self.pass_on_verdict(now, Some(from), verdict);
+                }
+            }
+            FrameBody::Leaving(leaving) => self.pass_on_leaving(now, Some(from), leaving),
+            body => {
+                if let FrameBody::Digest(Digest { failing, .. }) = &body {
+                    self.suspicion.note_peer(now, from, *failing);
+                }
+                self.drive_core(
+                    now,
+                    SpreadEvent::Received {
+                        from: from.clone(),
+                        body,
+                    },
+                );
+            }
+        }
+    }
+
+    fn receive_from_proxy(&mut self, now: TimePoint, body: FrameBody) {
+        match body {
+            FrameBody::Evidence(evidence) => self.route_evidence(now, &evidence),
+            FrameBody::Leaving(mut leaving) => {
+                self.leavings += 1;
+                leaving.origin = self.parts.identity.box_id.to_string();
+                // The start's time makes numbers of a box that was replaced new ones.
+                leaving.number = now.as_micros().wrapping_add(self.leavings);
+                self.pass_on_leaving(now, None, leaving);
+            }
+            FrameBody::InForce(stamps) => {
+                for KeyStamp { key, stamp } in stamps.stamps {
+                    self.in_force.insert(key, stamp);
+                }
+            }
+            FrameBody::ProxyState(state) => {
+                self.suspicion.note_own(state.failing);
+                self.parts.core.set_failing(state.failing);
+                self.proxy_state = state;
+            }
+            FrameBody::Events(events) => self.keep_events(events),
+            _ => {}
+        }
+    }
+
+    fn keep_events(&self, events: Events) {
+        for event in events.events {
+            if let Ok(event) = serde_json::from_str(&event) {
+                self.parts.line.keep_foreign(event);
+            }
+        }
+    }
+
+    /// Hands this box's evidence to the judges of each service.
+    fn route_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
+        let (_, batches) = batches_of(evidence);
+        let identity = self.parts.identity.clone();
+        for batch in batches {
+            let judges = self
+                .parts
+                .core
+                .members()
+                .judges(&batch.service, &identity.data_centre);
+            let mut judged_here = judges.is_empty();
+            for judge in judges {
+                if judge == identity.box_id {
+                    judged_here = true;
+                } else if !self.parts.links.is_down(&judge) {
+                    self.outgoing.entry(judge).or_default().push(batch.clone());
+                }
+            }
+            if judged_here {
+                let source = source_of(&identity);
+                self.judge.take(now, &source, &batch);
+            }
+        }
+    }
+
+    fn send_evidence(&mut self) {
+        let identity = self.parts.identity.clone();
+        for (judge, batches) in std::mem::take(&mut self.outgoing) {
+            let evidence = Evidence {
+                box_id: identity.box_id.to_string(),
+                data_centre: identity.data_centre.to_string(),
+                services: batches.iter().map(service_evidence).collect(),
+            };
+            self.send(&judge, FrameBody::Evidence(evidence));
+        }
+    }
+
+    fn take_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
+        let (source, batches) = batches_of(evidence);
+        for batch in batches {
+            self.judge.take(now, &source, &batch);
+        }
+    }
+
+    /// Verdicts go round in the data centre that they were found for.
+    fn pass_on_verdict(
+        &mut self,
+        now: TimePoint,
+        from: Option<&Arc<str>>,
+        verdict: VerdictMessage,
+    ) {
+        let news = NewsKey::Verdict {
+            service: verdict.service.clone(),
+            target: verdict.target,
+            stamp: verdict.stamp,
+            convicted: verdict.convicted,
+        };
+        if !self.heard.note(news) {
+            return;
+        }
+        let body = FrameBody::Verdicts(Verdicts {
+            verdicts: vec![verdict],
+        });
+        self.to_proxy(body.clone());
+        self.recent.push((now, body.clone()));
+        let own = self.parts.identity.data_centre.clone();
+        for peer in self.parts.core.neighbours(now.as_micros()) {
+            let member = self.parts.core.members().get(&peer);
+            if Some(&peer) != from && member.is_some_and(|member| *member.data_centre == *own) {
+                self.send(&peer, body.clone());
+            }
+        }
+    }
+
+    /// That a target leaves is true everywhere.
+    fn pass_on_leaving(&mut self, now: TimePoint, from: Option<&Arc<str>>, leaving: Leaving) {
+        let news = NewsKey::Leaving {
+            origin: leaving.origin.clone(),
+            number: leaving.number,
+        };
+        if !self.heard.note(news) {
+            return;
+        }
+        let body = FrameBody::Leaving(leaving);
+        if from.is_some() {
+            self.to_proxy(body.clone());
+        }
+        self.recent.push((now, body.clone()));
+        for peer in self.parts.core.neighbours(now.as_micros()) {
+            if Some(&peer) != from {
+                self.send(&peer, body.clone());
+            }
+        }
+    }
+
+    fn welcome(&mut self, now: TimePoint, peer: Arc<str>, ring: Sender<FrameBody>) {
+        let same_centre = self
+            .parts
+            .core
+            .members()
+            .get(&peer)
+            .is_none_or(|member| *member.data_centre == *self.parts.identity.data_centre);
+        for (at, body) in &self.recent {
+            let for_all = matches!(body, FrameBody::Leaving(_));
+            if now.since(*at) < RECENT && (for_all || same_centre) {
+                let _ = ring.try_send(body.clone());
+            }
+        }
+        self.parts.links.accept(peer, ring);
+    }
+
+    fn welcome_proxy(&mut self, ring: Sender<FrameBody>) {
+        self.proxy = Some(ring);
+        self.in_force.clear();
+        self.parts.line.note("proxy-connected", &[]);
+        let entries: Vec<Entry> = self.parts.core.map().entries().cloned().collect();
+        let config: Vec<Entry> = entries
+            .into_iter()
+            .filter(|entry| is_config(&entry.key))
+            .collect();
+        for part in config.chunks(ENTRIES_AT_ONCE) {
+            let entries = part.to_vec();
+            self.to_proxy(FrameBody::Entries(Entries {
+                entries,
+                push: false,
+            }));
+        }
+        for (_, body) in self.recent.clone() {
+            self.to_proxy(body);
+        }
+        let standing: Vec<VerdictMessage> =
+            self.judge.standing().iter().map(verdict_message).collect();
+        if !standing.is_empty() {
+            self.to_proxy(FrameBody::Verdicts(Verdicts { verdicts: standing }));
+        }
+        self.to_proxy(FrameBody::CaughtUp(CaughtUp { whole: self.whole }));
+    }
+
+    fn to_proxy(&self, body: FrameBody) {
+        let Some(proxy) = &self.proxy else { return };
+        // The proxy's ring is drained by a writer of its own; when it stays full the proxy
+        // is stuck, and what it misses it gets whole on its next connection.
+        if let Err(async_channel::TrySendError::Full(_)) = proxy.try_send(body) {
+            proxy.close();
+        }
+    }
+
+    fn set_readiness(&self, allowed: bool) {
+        let why = if allowed {
+            ""
+        } else {
+            "most attempts fail here and not in other boxes"
+        };
+        self.parts.line.note(
+            if allowed {
+                "box-well-again"
+            } else {
+                "box-holds-itself-sick"
+            },
+            &[],
+        );
+        log::warn!(allowed; "box-readiness-changed");
+        self.to_proxy(FrameBody::Readiness(Readiness {
+            allowed,
+            why: why.into(),
+        }));
+    }
+
+    fn send(&mut self, to: &Arc<str>, body: FrameBody) {
+        let address = match to.strip_prefix(SEED_PREFIX) {
+            Some(address) => address.parse().ok(),
+            None => {
+                let member = self.parts.core.members().get(to);
+                member.and_then(|member| member.address.parse().ok())
+            }
+        };
+        self.parts.links.send(to, address, body);
+    }
+
+    fn note_store(&mut self, reachable: bool) {
+        if self.store_reachable == Some(reachable) {
+            return;
+        }
+        self.store_reachable = Some(reachable);
+        let kind = if reachable {
+            "store-reached"
+        } else {
+            "store-lost"
+        };
+        self.parts.line.note(kind, &[]);
+        log::info!(reachable; "store-reachability-changed");
+    }
+
+    fn answer(&self, question: AdminQuestion) -> String {
+        match question {
+            AdminQuestion::Status => to_json(&self.status()),
+            AdminQuestion::Targets => {
+                let targets = self.proxy_state.targets.iter().map(TargetView::of);
+                to_json(&targets.collect::<Vec<_>>())
+            }
+            AdminQuestion::Boxes => to_json(&self.boxes()),
+            AdminQuestion::Keys { prefix } => to_json(&self.keys(&prefix)),
+            AdminQuestion::TimeLine => to_json(&self.parts.line.events()),
+        }
+    }
+
+    fn status(&self) -> StatusView {
+        let proxy_connected = self.proxy.as_ref().is_some_and(|ring| !ring.is_closed());
+        let lacking = self.keys("").into_iter().filter(|key| !key.in_force);
+        StatusView {
+            box_id: self.parts.identity.box_id.to_string(),
+            data_centre: self.parts.identity.data_centre.to_string(),
+            whole: self.whole,
+            store_reachable: self.store_reachable.unwrap_or(false),
+            watches_store: self.parts.orders.watch.load(Ordering::Acquire),
+            proxy_connected,
+            proxy_ready: proxy_connected && self.proxy_state.ready,
+            holds_itself_sick: self.suspicion.own_failing(),
+            requests_held: self.proxy_state.requests_held,
+            boxes_known: self.parts.core.members().len(),
+            peers_connected: self.parts.links.connected().count(),
+            root: format!("{:016x}", self.parts.core.map().root()),
+            not_in_force: lacking.map(|key| key.key).collect(),
+        }
+    }
+
+    fn boxes(&self) -> Vec<BoxView> {
+        let members = self.parts.core.members().iter();
+        let view = |(box_id, member): (&Name, &wingbridge_spread::MemberValue)| BoxView {
+            box_id: box_id.to_string(),
+            data_centre: member.data_centre.clone(),
+            admin: member.admin.clone(),
+            leaving: member.state == MemberState::Leaving,
+        };
+        members.map(view).collect()
+    }
+
+    fn keys(&self, prefix: &str) -> Vec<KeyView> {
+        let entries = self.parts.core.map().entries();
+        let entries =
+            entries.filter(|entry| is_config(&entry.key) && entry.key.starts_with(prefix));
+        let view = |entry: &Entry| {
+            let in_force = self.in_force.get(&entry.key) == Some(&entry.stamp);
+            KeyView::of(&key_stamp(entry), entry.deleted, in_force)
+        };
+        entries.map(view).collect()
+    }
+}
+
+/// Whether a key is the operators' configuration, which proxies put in force.
+fn is_config(key: &str) -> bool {
+    [SERVICE_PREFIX, POLICY_PREFIX, HAND_PREFIX]
+        .iter()
+        .any(|prefix| key.starts_with(prefix))
+}
+
+fn source_of(identity: &BoxIdentity) -> wingbridge_decide::EvidenceSource {
+    wingbridge_decide::EvidenceSource {
+        box_id: identity.box_id.clone(),
+        data_centre: identity.data_centre.clone(),
+    }
+}
+
+fn scope_name(scope: u32) -> &'static str {
+    match scope {
+        0 => "path",
+        1 => "data centre",
+        _ => "target",
+    }
+}
+
+fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_else(|_| "null".into())
+}
--- /dev/null
+++ b/crates/agent/src/links.rs
@@ -0,0 +1,337 @@
+//! Connections to other agents and to this box's proxy.
+//!
+//! Each connection has a bounded ring to its writer. A ring that is full loses the
+//! message: whatever matters is repeated by digests or by the next report, and one
+//! slow peer must not hold up the exchange.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use wingbridge_trace::TimeLine;
+use wingbridge_wire::handshake::prove;
+use wingbridge_wire::{
+    FleetKey, Frame, FrameBody, FrameReader, FrameWriter, HandshakeSide, Hello, WireError,
+    split_stream,
+};
+
+use crate::exchange::AgentEvent;
+
+/// Messages that wait for one connection.
+const RING: usize = 256;
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// After a failed connection the peer is left alone for so long.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// A connection on which nothing was sent for so long is closed.
+const IDLE_TIME: Duration = Duration::from_secs(120);
+/// Prefix of the name that a seed peer has until it is on the box list.
+pub(crate) const SEED_PREFIX: &str = "seed@";
+
+/// A one-way cut for tests: messages from these boxes are dropped when they arrive.
+#[derive(Debug, Clone, Default)]
+pub struct CutSwitch {
+    cut: Arc<Mutex<HashSet<String>>>,
+}
+
+impl CutSwitch {
+    /// Drops what comes from `box_id` from now on.
+    pub fn cut(&self, box_id: &str) {
+        self.boxes().insert(box_id.to_string());
+    }
+
+    /// Drops nothing more.
+    pub fn heal(&self) {
+        self.boxes().clear();
+    }
+
+    fn drops(&self, box_id: &str) -> bool {
+        self.boxes().contains(box_id)
+    }
+
+    fn boxes(&self) -> std::sync::MutexGuard<'_, HashSet<String>> {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What every connection needs.
+#[derive(Clone)]
+pub(crate) struct LinkContext {
+    pub(crate) hello: Hello,
+    pub(crate) key: FleetKey,
+    pub(crate) line: TimeLine,
+    pub(crate) events: Sender<AgentEvent>,
+    pub(crate) cuts: CutSwitch,
+}
+
+/// The connections to peers, as the exchange holds them.
+pub(crate) struct PeerLinks {
+    context: LinkContext,
+    links: HashMap<Arc<str>, PeerLink>,
+    failed: HashMap<Arc<str>, Instant>,
+}
+
+struct PeerLink {
+    ring: Sender<FrameBody>,
+    used: Instant,
+}
+
+impl PeerLinks {
+    pub(crate) fn new(context: LinkContext) -> PeerLinks {
+        PeerLinks {
+            context,
+            links: HashMap::new(),
+            failed: HashMap::new(),
+        }
+    }
+
+    /// Sends to a peer, over a new connection to `address` if there is none.
+    pub(crate) fn send(&mut self, to: &Arc<str>, address: Option<SocketAddr>, body: FrameBody) {
+        let lost = match self.links.get_mut(to) {
+            Some(link) => {
+                link.used = Instant::now();
+                match link.ring.try_send(body) {
+                    Ok(()) => return,
+                    Err(async_channel::TrySendError::Full(_)) => None,
+                    Err(async_channel::TrySendError::Closed(body)) => Some(body),
+                }
+            }
+            None => Some(body),
+        };
+        let (Some(body), Some(address)) = (lost, address) else {
+            metrics::counter!("wingbridge_messages_dropped").increment(1);
+            return;
+        };
+        let waits = |failed: &Instant| failed.elapsed() < RETRY_AFTER;
+        if self.failed.get(to).is_some_and(waits) {
+            metrics::counter!("wingbridge_messages_dropped").increment(1);
+            return;
+        }
+        let (ring, messages) = async_channel::bounded(RING);
+        let _ = ring.try_send(body);
+        self.links.insert(
+            to.clone(),
+            PeerLink {
+                ring,
+                used: Instant::now(),
+            },
+        );
+        task::spawn(connect_peer(
+            self.context.clone(),
+            to.clone(),
+            address,
+            messages,
+        ));
+    }
+
+    /// A peer connected to us.
+    pub(crate) fn accept(&mut self, peer: Arc<str>, ring: Sender<FrameBody>) {
+        self.failed.remove(&peer);
+        self.links.insert(
+            peer,
+            PeerLink {
+                ring,
+                used: Instant::now(),
+            },
+        );
+    }
+
+    /// A connection ended; a newer one to the same peer stays.
+    pub(crate) fn close(&mut self, peer: &Arc<str>) {
+        if self
+            .links
+            .get(peer)
+            .is_some_and(|link| link.ring.is_closed())
+        {
+            self.links.remove(peer);
+        }
+        self.failed.insert(peer.clone(), Instant::now());
+    }
+
+    /// Whether the last connection to `peer` failed and none stands now.
+    pub(crate) fn is_down(&self, peer: &str) -> bool {
+        self.failed.contains_key(peer) && !self.links.contains_key(peer)
+    }
+
+    /// The peers that are connected.
+    pub(crate) fn connected(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.links
+            .iter()
+            .filter(|(_, link)| !link.ring.is_closed())
+            .map(|(peer, _)| peer)
+    }
+
+    /// Closes what has not been used for long.
+    pub(crate) fn close_idle(&mut self) {
+        self.links.retain(|_, link| link.used.elapsed() < IDLE_TIME);
+        self.failed.retain(|_, failed| failed.elapsed() < IDLE_TIME);
+    }
+}
+
+/// Takes connections of other agents until the task is dropped.
+pub(crate) async fn accept_peers(listener: TcpListener, context: LinkContext) {
+    accept_all(listener, context, |context, hello, ring| {
+        AgentEvent::PeerConnected {
+            peer: Arc::from(hello.box_id.as_str()),
+            ring,
+        }
+        .send(context)
+    })
+    .await;
+}
+
+/// Takes connections of this box's proxy until the task is dropped.
+pub(crate) async fn accept_proxy(listener: TcpListener, context: LinkContext) {
+    accept_all(listener, context, |context, _, ring| {
+        AgentEvent::ProxyConnected { ring }.send(context)
+    })
+    .await;
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    context: LinkContext,
+    connected: fn(&LinkContext, &Hello, Sender<FrameBody>),
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let context = context.clone();
+        task::spawn(async move {
+            if let Err(error) = serve_link(stream, &context, connected).await {
+                log::debug!(reason:% = error; "peer-connection-ended");
+            }
+        });
+    }
+}
+
+async fn serve_link(
+    mut stream: TcpStream,
+    context: &LinkContext,
+    connected: fn(&LinkContext, &Hello, Sender<FrameBody>),
+) -> Result<(), WireError> {
+    stream.set_nodelay(true)?;
+    prove(&mut stream, &context.key, HandshakeSide::Server).await?;
+    let (mut reader, mut writer) = split_stream(stream);
+    writer
+        .send(&context.frame(FrameBody::Hello(context.hello.clone())))
+        .await?;
+    let Some(Frame {
+        body: Some(FrameBody::Hello(hello)),
+        ..
+    }) = reader.next().await?
+    else {
+        return Ok(());
+    };
+    let (ring, messages) = async_channel::bounded(RING);
+    connected(context, &hello, ring.clone());
+    let peer = Arc::from(hello.box_id.as_str());
+    carry(context, &peer, reader, writer, messages).await
+}
+
+async fn connect_peer(
+    context: LinkContext,
+    peer: Arc<str>,
+    address: SocketAddr,
+    messages: Receiver<FrameBody>,
+) {
+    let result = open_link(&context, address).await;
+    let result = match result {
+        Ok((reader, writer)) => carry(&context, &peer, reader, writer, messages.clone()).await,
+        Err(error) => Err(error),
+    };
+    messages.close();
+    if let Err(error) = result {
+        log::debug!(peer:% = peer, reason:% = error; "peer-connection-ended");
+    }
+    let _ = context.events.send(AgentEvent::PeerClosed { peer }).await;
+}
+
+async fn open_link(
+    context: &LinkContext,
+    address: SocketAddr,
+) -> Result<(FrameReader, FrameWriter), WireError> {
+    let connect = async_std::future::timeout(CONNECT_TIME, TcpStream::connect(address));
+    let mut stream = connect
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    prove(&mut stream, &context.key, HandshakeSide::Client).await?;
+    let (mut reader, mut writer) = split_stream(stream);
+    writer
+        .send(&context.frame(FrameBody::Hello(context.hello.clone())))
+        .await?;
+    reader.next().await?;
+    Ok((reader, writer))
+}
+
+/// Carries messages both ways until either side ends.
+async fn carry(
+    context: &LinkContext,
+    peer: &Arc<str>,
+    mut reader: FrameReader,
+    mut writer: FrameWriter,
+    messages: Receiver<FrameBody>,
+) -> Result<(), WireError> {
+    let sent = metrics::counter!("wingbridge_bytes_sent");
+    let outgoing = async {
+        while let Ok(body) = messages.recv().await {
+            let bytes = writer.send(&context.frame(body)).await?;
+            sent.increment(bytes as u64);
+        }
+        Ok(())
+    };
+    let incoming = async {
+        while let Some(frame) = reader.next().await? {
+            context.line.clock().observe(frame.clock);
+            let Some(body) = frame.body else { continue };
+            if !context.cuts.drops(peer) {
+                AgentEvent::Received {
+                    from: peer.clone(),
+                    body,
+                }
+                .deliver(context)
+                .await;
+            }
+        }
+        Ok(())
+    };
+    let result = {
+        let outgoing = std::pin::pin!(outgoing);
+        let incoming = std::pin::pin!(incoming);
+        futures::future::select(outgoing, incoming)
+            .await
+            .factor_first()
+            .0
+    };
+    messages.close();
+    result
+}
+
+impl LinkContext {
+    fn frame(&self, body: FrameBody) -> Frame {
+        Frame {
+            clock: self.line.clock().tick(),
+            body: Some(body),
+        }
+    }
+}
+
+impl AgentEvent {
+    fn send(self, context: &LinkContext) {
+        // A full ring of events is an exchange that is far behind: the link waits for it
+        // by sending from its own task.
+        let events = context.events.clone();
+        task::spawn(async move { events.send(self).await });
+    }
+
+    async fn deliver(self, context: &LinkContext) {
+        // Closed: the agent is stopping, and the connection ends with it.
+        let _ = context.events.send(self).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/store_duty.rs
@@ -0,0 +1,182 @@
+//! The store: read at the start, watched by a few boxes, called within a budget.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_std::task;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use wingbridge_platform::{
+    Backoff, BoxListing, BoxRecord, CallBudget, KeyListing, StoreClient, StoreError, StoredValue,
+};
+use wingbridge_process::StopSignal;
+use wingbridge_spread::members::{BOX_PREFIX, MemberState, MemberValue};
+use wingbridge_wire::{Entry, Stamp};
+
+use crate::exchange::AgentEvent;
+
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause of a box that does not watch, before it looks whether it should.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+const CALLS_PER_SECOND: f64 = 2.0;
+const CALL_BURST: f64 = 10.0;
+const FIRST_WAIT: Duration = Duration::from_millis(200);
+const MOST_WAIT: Duration = Duration::from_secs(10);
+
+/// What the duty shares with the exchange.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StoreOrders {
+    /// Whether this box watches.
+    pub(crate) watch: Arc<AtomicBool>,
+}
+
+/// Reads and watches until `stop`.
+pub(crate) struct StoreDuty {
+    pub(crate) client: StoreClient,
+    pub(crate) events: Sender<AgentEvent>,
+    pub(crate) orders: StoreOrders,
+    pub(crate) resync_period: Duration,
+    pub(crate) stop: StopSignal,
+    pub(crate) seed: u64,
+}
+
+impl StoreDuty {
+    /// Does the duty. The keys and the box list are watched side by side.
+    pub(crate) async fn work(self) {
+        let keys = self.follow(ListKind::Keys);
+        let boxes = self.follow(ListKind::Boxes);
+        let both = std::pin::pin!(futures::future::join(keys, boxes));
+        let stopped = std::pin::pin!(self.stop.wait());
+        futures::future::select(both, stopped).await;
+    }
+
+    async fn follow(&self, kind: ListKind) {
+        let mut random = StdRng::seed_from_u64(self.seed ^ kind as u64);
+        let mut backoff = Backoff::new(FIRST_WAIT, MOST_WAIT);
+        let mut budget = CallBudget::new(CALLS_PER_SECOND, CALL_BURST);
+        let started = Instant::now();
+        let mut cursor = ListCursor::default();
+        loop {
+            if cursor.read_once && !self.orders.watch.load(Ordering::Acquire) {
+                task::sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            if let Err(wait) = budget.take(started.elapsed()) {
+                task::sleep(wait).await;
+                continue;
+            }
+            match self.read(kind, &mut cursor).await {
+                Ok(entries) => {
+                    backoff.succeed();
+                    let event = AgentEvent::StoreRead {
+                        entries,
+                        reachable: true,
+                    };
+                    if self.events.send(event).await.is_err() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    log::debug!(reason:% = error; "store-call-failed");
+                    let event = AgentEvent::StoreRead {
+                        entries: Vec::new(),
+                        reachable: false,
+                    };
+                    if self.events.send(event).await.is_err() {
+                        return;
+                    }
+                    task::sleep(backoff.fail(&mut random)).await;
+                }
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        kind: ListKind,
+        cursor: &mut ListCursor,
+    ) -> Result<Vec<Entry>, StoreError> {
+        let whole = cursor
+            .whole_at
+            .is_none_or(|at| at.elapsed() >= self.resync_period);
+        let (after, wait) = if whole {
+            (0, Duration::ZERO)
+        } else {
+            (cursor.after, WATCH_WAIT)
+        };
+        let (revision, entries) = match kind {
+            ListKind::Keys => read_keys(self.client.list(after, wait).await?),
+            ListKind::Boxes => read_boxes(&self.client.list_boxes(after, wait).await?),
+        };
+        if whole || revision < cursor.after {
+            // Behind what it showed before, the store went back: all of it is read next.
+            cursor.whole_at = whole.then(Instant::now);
+        }
+        cursor.after = revision;
+        cursor.read_once = true;
+        Ok(entries)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListKind {
+    Keys = 0,
+    Boxes = 1,
+}
+
+#[derive(Debug, Default)]
+struct ListCursor {
+    after: u64,
+    whole_at: Option<Instant>,
+    read_once: bool,
+}
+
+fn read_keys(listing: KeyListing) -> (u64, Vec<Entry>) {
+    let mut entries = Vec::new();
+    for record in listing.entries {
+        match StoredValue::from_json(&record.value) {
+            Ok(value) => entries.push(value.to_entry(&record.key, record.revision)),
+            Err(error) => {
+                log::error!(key = record.key.as_str(), reason:% = error; "store-value-foreign");
+            }
+        }
+    }
+    (listing.revision, entries)
+}
+
+fn read_boxes(listing: &BoxListing) -> (u64, Vec<Entry>) {
+    (
+        listing.revision,
+        listing.boxes.iter().map(box_entry).collect(),
+    )
+}
+
+/// A box as an entry of the exchange; the list's revision is its version.
+pub(crate) fn box_entry(record: &BoxRecord) -> Entry {
+    let state = if record.state == "leaving" {
+        MemberState::Leaving
+    } else {
+        MemberState::Live
+    };
+    let member = MemberValue {
+        address: record.address.clone(),
+        admin: record.admin.clone(),
+        data_centre: record.data_centre.clone(),
+        state,
+    };
+    let revision = record.revision;
+    Entry {
+        key: format!("{BOX_PREFIX}{}", record.box_id),
+        stamp: Stamp {
+            generation: revision,
+            revision,
+            change: String::new(),
+        },
+        deleted: record.state == "gone",
+        text: serde_json::to_string(&member).unwrap_or_default(),
+        author: "platform".into(),
+        changed_at: 0,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,252 @@
+//! The configuration of services and targets: a TOML file, checked.
+//!
+//! Raw values are read first and then resolved into a [`ServiceConfig`] that
+//! can't be wrong any more; everything behind it takes that type. In the store
+//! each service has a key of its own, with one `[[service]]` block as its value.
+
+mod raw;
+pub mod routes;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wingbridge_decide::{HandOrder, HandOrderKind, LimitSetup, ServiceSetup, TargetSetup};
+
+pub use routes::RouteTable;
+
+use crate::raw::{RawFile, RawHand, RawService};
+
+/// Prefix of a service's key in the store.
+pub const SERVICE_PREFIX: &str = "service/";
+/// Prefix of a policy's key in the store.
+pub const POLICY_PREFIX: &str = "policy/";
+/// Prefix of the key with a service's orders by hand in the store.
+pub const HAND_PREFIX: &str = "hand/";
+
+/// Target-days between two false ejections that `bias = "careful"` stands for.
+pub const CAREFUL_DAYS: f64 = 10_000.0;
+/// Target-days between two false ejections that `bias = "quick"` stands for.
+pub const QUICK_DAYS: f64 = 100.0;
+
+/// One service, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceConfig {
+    /// What decisions are made by.
+    pub setup: ServiceSetup,
+    /// Path prefixes whose requests its policy plans.
+    pub routes: Vec<String>,
+    /// The policy's name.
+    pub policy: String,
+    /// The block as it stands in the store.
+    pub text: String,
+}
+
+/// Reads a file with any number of `[[service]]` blocks.
+///
+/// # Errors
+/// The first thing that is wrong, with the service, the setting, its value and
+/// what is allowed.
+pub fn parse_services(text: &str) -> Result<Vec<ServiceConfig>, ConfigError> {
+    let file: RawFile = toml::from_str(text).map_err(|error| ConfigError(error.to_string()))?;
+    let mut services = Vec::new();
+    for raw in file.service {
+        services.push(resolve(raw)?);
+    }
+    check_across(&services)?;
+    Ok(services)
+}
+
+/// Reads one service's value from the store.
+///
+/// # Errors
+/// The value is not exactly one sound `[[service]]` block.
+pub fn parse_service(text: &str) -> Result<ServiceConfig, ConfigError> {
+    let mut services = parse_services(text)?;
+    match (services.pop(), services.is_empty()) {
+        (Some(service), true) => Ok(service),
+        _ => Err(ConfigError("exactly one [[service]] is needed".into())),
+    }
+}
+
+/// Reads the orders by hand for one service.
+///
+/// # Errors
+/// The text is not a list of orders.
+pub fn parse_hand(text: &str) -> Result<Vec<HandOrder>, ConfigError> {
+    let raw: RawHand = toml::from_str(text).map_err(|error| ConfigError(error.to_string()))?;
+    let order = |kind: HandOrderKind| {
+        move |target: String| HandOrder {
+            target: target.into(),
+            kind,
+        }
+    };
+    let ejected = raw.eject.into_iter().map(order(HandOrderKind::Eject));
+    let drained = raw.drain.into_iter().map(order(HandOrderKind::Drain));
+    Ok(ejected.chain(drained).collect())
+}
+
+/// Writes orders by hand as they stand in the store.
+pub fn hand_text(orders: &[HandOrder]) -> String {
+    let of = |kind: HandOrderKind| {
+        let some = orders.iter().filter(|order| order.kind == kind);
+        some.map(|order| order.target.to_string()).collect()
+    };
+    let raw = RawHand {
+        eject: of(HandOrderKind::Eject),
+        drain: of(HandOrderKind::Drain),
+    };
+    toml::to_string(&raw).expect("a list of strings can be written as TOML")
+}
+
+/// What is wrong with a configuration, in one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.trim_end())
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn resolve(raw: RawService) -> Result<ServiceConfig, ConfigError> {
+    let text = toml::to_string(&RawFile {
+        service: vec![raw.clone()],
+    })
+    .map_err(|error| ConfigError(error.to_string()))?;
+    let name = raw.name.clone();
+    let wrong = |setting: &str, value: &dyn fmt::Display, allowed: &str| {
+        ConfigError(format!(
+            "service '{name}': {setting} = {value}: allowed is {allowed}"
+        ))
+    };
+    if !is_name(&raw.name) {
+        return Err(wrong(
+            "name",
+            &raw.name,
+            "lower-case letters, digits and '-', 1 to 63",
+        ));
+    }
+    if !is_name(&raw.policy) {
+        return Err(wrong(
+            "policy",
+            &raw.policy,
+            "lower-case letters, digits and '-', 1 to 63",
+        ));
+    }
+    if raw.targets.is_empty() {
+        return Err(wrong("targets", &"[]", "at least one address"));
+    }
+    if !(0.0..=1.0).contains(&raw.floor) {
+        return Err(wrong("floor", &raw.floor, "a share from 0.0 to 1.0"));
+    }
+    if !(1..=10_000).contains(&raw.slots) {
+        return Err(wrong("slots", &raw.slots, "1 to 10000"));
+    }
+    if !(0.0..=1.0).contains(&raw.retry_share) {
+        return Err(wrong(
+            "retry_share",
+            &raw.retry_share,
+            "a share from 0.0 to 1.0",
+        ));
+    }
+    if !(1..=100_000).contains(&raw.open) {
+        return Err(wrong("open", &raw.open, "1 to 100000"));
+    }
+    if raw.queued > 100_000 {
+        return Err(wrong("queued", &raw.queued, "0 to 100000"));
+    }
+    if raw.backoff_s == 0 || raw.backoff_s > raw.backoff_most_s {
+        return Err(wrong("backoff_s", &raw.backoff_s, "1 to backoff_most_s"));
+    }
+    if raw.warm_up_s == 0 {
+        return Err(wrong("warm_up_s", &raw.warm_up_s, "1 or more"));
+    }
+    let Some(false_alarm_days) = bias_days(&raw.bias) else {
+        return Err(wrong(
+            "bias",
+            &raw.bias,
+            "\"careful\", \"quick\" or target-days as \"500\"",
+        ));
+    };
+    for route in &raw.routes {
+        if !route.starts_with('/') {
+            return Err(wrong("routes", route, "a path that starts with '/'"));
+        }
+    }
+    let mut targets: Vec<TargetSetup> = Vec::new();
+    for address in &raw.targets {
+        if address.parse::<SocketAddr>().is_err() {
+            return Err(wrong("targets", address, "an IP number and a port"));
+        }
+        if targets.iter().any(|known| *known.address == **address) {
+            return Err(wrong("targets", address, "each address once"));
+        }
+        targets.push(TargetSetup {
+            address: address.as_str().into(),
+            slots: raw.slots,
+        });
+    }
+    let limits = LimitSetup {
+        open: raw.open,
+        queued: raw.queued,
+        retry_share: raw.retry_share,
+        backoff: Duration::from_secs(raw.backoff_s),
+        backoff_most: Duration::from_secs(raw.backoff_most_s),
+        warm_up: Duration::from_secs(raw.warm_up_s),
+        ..LimitSetup::default()
+    };
+    let setup = ServiceSetup {
+        name: name.into(),
+        targets,
+        floor: raw.floor,
+        false_alarm_days,
+        limits,
+    };
+    Ok(ServiceConfig {
+        setup,
+        routes: raw.routes,
+        policy: raw.policy,
+        text,
+    })
+}
+
+fn check_across(services: &[ServiceConfig]) -> Result<(), ConfigError> {
+    for (index, service) in services.iter().enumerate() {
+        let name = &service.setup.name;
+        for earlier in &services[..index] {
+            if earlier.setup.name == *name {
+                return Err(ConfigError(format!("service '{name}' stands twice")));
+            }
+            if let Some(route) = service
+                .routes
+                .iter()
+                .find(|route| earlier.routes.contains(route))
+            {
+                let other = &earlier.setup.name;
+                return Err(ConfigError(format!(
+                    "service '{name}': routes = {route}: service '{other}' has it already"
+                )));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn bias_days(bias: &str) -> Option<f64> {
+    match bias {
+        "careful" => Some(CAREFUL_DAYS),
+        "quick" => Some(QUICK_DAYS),
+        days => days
+            .parse()
+            .ok()
+            .filter(|days: &f64| (0.001..=1e9).contains(days)),
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let known = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    (1..=63).contains(&name.len()) && name.bytes().all(known)
+}
--- /dev/null
+++ b/crates/ctl/src/changes.rs
@@ -0,0 +1,245 @@
+//! Changes of configuration: accepted, then in force.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use eyre::{bail, eyre};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use similar::TextDiff;
+use wingbridge_platform::{ChangeOutcome, ChangeRequest, StoreClient, StoredValue, submit_change};
+use wingbridge_process::Outcome;
+use wingbridge_trace::clock::wall_millis;
+
+use crate::fleet::{BoxAnswer, BoxView, FleetClient, KeyView};
+
+/// Tries against the store before a change is given up.
+const TRIES: u32 = 8;
+const POLL: Duration = Duration::from_millis(100);
+/// Data centres whose agents must hold a change before it counts as accepted.
+const ACCEPTING_CENTRES: usize = 2;
+
+/// Makes changes.
+#[derive(Debug, Clone)]
+pub struct Changer {
+    /// The store.
+    pub store: StoreClient,
+    /// The agents.
+    pub fleet: FleetClient,
+    /// Who asks.
+    pub author: String,
+    /// How long to wait until it is in force everywhere.
+    pub wait: Duration,
+}
+
+/// How a change went.
+#[derive(Debug, Clone, Serialize)]
+pub struct ChangeReport {
+    /// The key.
+    pub key: String,
+    /// Its generation.
+    pub generation: u64,
+    /// The store's revision.
+    pub revision: u64,
+    /// Whether it stands in the store and agents of two data centres (or of all) hold it.
+    pub accepted: bool,
+    /// Boxes that have it in force.
+    pub in_force: usize,
+    /// Boxes in all.
+    pub boxes: usize,
+    /// Boxes that lack it, and why.
+    pub lacking: Vec<(String, String)>,
+    /// Time from the store's acceptance until in force everywhere, or until the wait ended.
+    pub waited_ms: u64,
+}
+
+impl ChangeReport {
+    /// How the command ends for it.
+    pub fn outcome(&self) -> Outcome {
+        if self.accepted && self.lacking.is_empty() {
+            Outcome::Done
+        } else {
+            Outcome::Partial
+        }
+    }
+
+    /// In words.
+    pub fn as_text(&self) -> String {
+        let ChangeReport {
+            key,
+            generation,
+            in_force,
+            boxes,
+            waited_ms,
+            ..
+        } = self;
+        let accepted = if self.accepted {
+            "accepted"
+        } else {
+            "in the store, not yet with two data centres"
+        };
+        let mut text = format!(
+            "{key}: {accepted} as generation {generation}, in force in {in_force} of {boxes} boxes after {waited_ms} ms"
+        );
+        for (box_id, why) in &self.lacking {
+            text.push_str(&format!("\n  {box_id}: {why}"));
+        }
+        text
+    }
+}
+
+impl Changer {
+    /// Puts `text` under `key` (`None` deletes it) and waits until it is in force.
+    ///
+    /// # Errors
+    /// It was not accepted, with what stands there instead if another change came first.
+    pub async fn change(
+        &self,
+        key: &str,
+        text: Option<String>,
+        expected: Option<u64>,
+    ) -> eyre::Result<ChangeReport> {
+        let fleet_generation = self.fleet_generation(key).await;
+        let request = ChangeRequest {
+            key: key.to_string(),
+            text: text.clone(),
+            author: self.author.clone(),
+            change: new_change_id()?,
+            changed_at: wall_millis(),
+            fleet_generation,
+            expected,
+            tries: TRIES,
+        };
+        let mut random = StdRng::from_os_rng();
+        match submit_change(&self.store, &request, &mut random).await {
+            ChangeOutcome::Accepted {
+                revision,
+                generation,
+            } => Ok(self.watch_spread(key, generation, revision).await),
+            ChangeOutcome::Conflict { current } => Err(conflict(key, text.as_deref(), current)),
+            ChangeOutcome::Refused(why) => Err(eyre!("{key} was not changed: {why}")),
+            ChangeOutcome::Unclear(why) => Err(eyre!(
+                "{key}: whether it was changed is not known: {why}. Ask with 'history' when the \
+                 store answers; making the same change again does no harm"
+            )),
+        }
+    }
+
+    /// The highest generation of a key that boxes hold. It exceeds the store's own after
+    /// the store went back to an older state.
+    async fn fleet_generation(&self, key: &str) -> u64 {
+        let Ok(boxes) = self.fleet.boxes().await else {
+            return 0;
+        };
+        let asked = one_of_each_centre(&boxes);
+        let answers: Vec<BoxAnswer<Vec<KeyView>>> =
+            self.fleet.ask_all(&asked, &keys_path(key)).await;
+        let views = answers
+            .into_iter()
+            .filter_map(|answer| answer.answer.ok())
+            .flatten();
+        let generations = views
+            .filter(|view| view.key == key)
+            .map(|view| view.generation);
+        generations.max().unwrap_or(0)
+    }
+
+    async fn watch_spread(&self, key: &str, generation: u64, revision: u64) -> ChangeReport {
+        let started = Instant::now();
+        loop {
+            let mut report = self.look(key, generation, revision).await;
+            report.waited_ms = started.elapsed().as_millis() as u64;
+            let done = report.accepted && report.lacking.is_empty();
+            if done || started.elapsed() >= self.wait {
+                return report;
+            }
+            task::sleep(POLL).await;
+        }
+    }
+
+    async fn look(&self, key: &str, generation: u64, revision: u64) -> ChangeReport {
+        let mut report = ChangeReport {
+            key: key.to_string(),
+            generation,
+            revision,
+            accepted: false,
+            in_force: 0,
+            boxes: 0,
+            lacking: Vec::new(),
+            waited_ms: 0,
+        };
+        let Ok(boxes) = self.fleet.boxes().await else {
+            return report;
+        };
+        report.boxes = boxes.len();
+        let mut centres: BTreeSet<String> = BTreeSet::new();
+        let answers: Vec<BoxAnswer<Vec<KeyView>>> =
+            self.fleet.ask_all(&boxes, &keys_path(key)).await;
+        for BoxAnswer { asked, answer } in answers {
+            let view = answer.map(|views| views.into_iter().find(|view| view.key == key));
+            let why = match view {
+                Err(error) => format!("its agent does not answer: {error}"),
+                Ok(Some(view)) if view.generation >= generation => {
+                    centres.insert(asked.data_centre);
+                    if view.in_force {
+                        report.in_force += 1;
+                        continue;
+                    }
+                    "its agent has it, its proxy has not put it in force".into()
+                }
+                Ok(Some(view)) => format!("it still has generation {}", view.generation),
+                Ok(None) => "it has not heard of it".into(),
+            };
+            report.lacking.push((asked.box_id, why));
+        }
+        let all: BTreeSet<&String> = boxes.iter().map(|one| &one.data_centre).collect();
+        report.accepted = !centres.is_empty() && centres.len() >= all.len().min(ACCEPTING_CENTRES);
+        report
+    }
+}
+
+fn keys_path(key: &str) -> String {
+    format!("/v1/keys?prefix={key}")
+}
+
+fn one_of_each_centre(boxes: &[BoxView]) -> Vec<BoxView> {
+    let mut seen = BTreeSet::new();
+    let first = boxes
+        .iter()
+        .filter(|one| seen.insert(one.data_centre.clone()));
+    first.cloned().collect()
+}
+
+fn new_change_id() -> eyre::Result<String> {
+    let mut bytes = [0; 12];
+    getrandom::fill(&mut bytes).map_err(|error| eyre!("no random bytes: {error}"))?;
+    Ok(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+}
+
+fn conflict(key: &str, text: Option<&str>, current: Option<StoredValue>) -> eyre::Report {
+    let Some(current) = current else {
+        return eyre!("{key} was not changed: another change came first and deleted it");
+    };
+    let version = &current.current;
+    let diff = TextDiff::from_lines(version.text.as_str(), text.unwrap_or_default());
+    eyre!(
+        "{key} was not changed: {} changed it first (generation {}). The difference to yours:\n{}",
+        version.author,
+        version.generation,
+        diff.unified_diff().header("in the store", "yours")
+    )
+}
+
+/// Reads a key's value.
+///
+/// # Errors
+/// The store does not answer, or the value is foreign.
+pub async fn read_value(store: &StoreClient, key: &str) -> eyre::Result<(u64, StoredValue)> {
+    let Some(record) = store.read_key(key).await? else {
+        bail!("there is no {key}");
+    };
+    let value = StoredValue::from_json(&record.value)?;
+    Ok((record.revision, value))
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,19 @@
+//! `wingctl`, the operators' command line.
+//!
+//! It talks to the platform's store, where configuration lasts, and to the agents'
+//! end points, where it is seen what is in force. It never writes to a box.
+
+pub mod boxes;
+pub mod changes;
+pub mod commands;
+pub mod fleet;
+pub mod hands;
+pub mod output;
+pub mod run;
+pub mod settings;
+pub mod timeline;
+
+pub use changes::{ChangeReport, Changer};
+pub use fleet::FleetClient;
+pub use run::run;
+pub use settings::{CtlSettings, ctl_command};
--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,142 @@
+//! From the parsed command line to the command.
+
+use async_std::task;
+use clap::ArgMatches;
+use eyre::eyre;
+use wingbridge_config::{POLICY_PREFIX, SERVICE_PREFIX};
+use wingbridge_decide::HandOrderKind;
+use wingbridge_platform::StoreClient;
+use wingbridge_process::{Outcome, SettingError};
+
+use crate::boxes::{show_boxes, show_status, show_targets};
+use crate::changes::Changer;
+use crate::commands::{
+    check_config, check_policy, delete, diff_policy, get, history, list, put_config, put_policy,
+    show_reports,
+};
+use crate::fleet::FleetClient;
+use crate::hands;
+use crate::settings::{CtlSettings, ctl_command, resolve};
+use crate::timeline;
+
+/// Runs the command that `matches` names.
+///
+/// # Errors
+/// It could not be done; the message says why and what stands now.
+pub fn run(matches: &ArgMatches) -> eyre::Result<Outcome> {
+    let settings = resolve(matches)?;
+    task::block_on(run_command(&settings, matches))
+}
+
+async fn run_command(settings: &CtlSettings, matches: &ArgMatches) -> eyre::Result<Outcome> {
+    let fleet = FleetClient::new(settings.agents.iter().map(ToString::to_string).collect());
+    let json = settings.json;
+    let Some((command, matches)) = matches.subcommand() else {
+        return Err(eyre!("no command was given"));
+    };
+    match command {
+        "policy" => run_policy(settings, fleet, matches).await,
+        "config" => run_config(settings, fleet, matches).await,
+        "status" => show_status(&fleet, json).await,
+        "targets" => show_targets(&fleet, json).await,
+        "boxes" => show_boxes(&fleet, json).await,
+        "eject" => order(settings, fleet, matches, Some(HandOrderKind::Eject)).await,
+        "drain" => order(settings, fleet, matches, Some(HandOrderKind::Drain)).await,
+        "restore" => order(settings, fleet, matches, None).await,
+        "timeline" => {
+            let html = matches.get_one::<String>("html").map(String::as_str);
+            timeline::show(&fleet, json, html).await
+        }
+        "completions" => print_completions(matches),
+        "man" => print_manual(),
+        other => Err(eyre!("unknown command {other}")),
+    }
+}
+
+async fn run_policy(
+    settings: &CtlSettings,
+    fleet: FleetClient,
+    matches: &ArgMatches,
+) -> eyre::Result<Outcome> {
+    let json = settings.json;
+    match matches.subcommand() {
+        Some(("check", matches)) => check_policy(matches),
+        Some(("put", matches)) => put_policy(&changer(settings, fleet)?, matches, json).await,
+        Some(("get", matches)) => get(&store(settings)?, POLICY_PREFIX, matches, json).await,
+        Some(("delete", matches)) => {
+            delete(&changer(settings, fleet)?, POLICY_PREFIX, matches, json).await
+        }
+        Some(("list", _)) => list(&store(settings)?, POLICY_PREFIX, json).await,
+        Some(("diff", matches)) => diff_policy(&store(settings)?, matches).await,
+        Some(("history", matches)) => {
+            history(&store(settings)?, POLICY_PREFIX, matches, json).await
+        }
+        _ => Err(eyre!("no command was given")),
+    }
+}
+
+async fn run_config(
+    settings: &CtlSettings,
+    fleet: FleetClient,
+    matches: &ArgMatches,
+) -> eyre::Result<Outcome> {
+    let json = settings.json;
+    match matches.subcommand() {
+        Some(("check", matches)) => check_config(matches),
+        Some(("put", matches)) => put_config(&changer(settings, fleet)?, matches, json).await,
+        Some(("get", matches)) => get(&store(settings)?, SERVICE_PREFIX, matches, json).await,
+        Some(("delete", matches)) => {
+            delete(&changer(settings, fleet)?, SERVICE_PREFIX, matches, json).await
+        }
+        Some(("list", _)) => list(&store(settings)?, SERVICE_PREFIX, json).await,
+        Some(("history", matches)) => {
+            history(&store(settings)?, SERVICE_PREFIX, matches, json).await
+        }
+        _ => Err(eyre!("no command was given")),
+    }
+}
+
+async fn order(
+    settings: &CtlSettings,
+    fleet: FleetClient,
+    matches: &ArgMatches,
+    kind: Option<HandOrderKind>,
+) -> eyre::Result<Outcome> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let changer = changer(settings, fleet)?;
+    let report = hands::order(&changer, &text("service"), &text("target"), kind).await?;
+    Ok(show_reports(&[report], settings.json))
+}
+
+fn print_completions(matches: &ArgMatches) -> eyre::Result<Outcome> {
+    if let Some(shell) = matches.get_one::<clap_complete::Shell>("shell") {
+        clap_complete::generate(
+            *shell,
+            &mut ctl_command(),
+            "wingctl",
+            &mut std::io::stdout(),
+        );
+    }
+    Ok(Outcome::Done)
+}
+
+fn print_manual() -> eyre::Result<Outcome> {
+    clap_mangen::Man::new(ctl_command()).render(&mut std::io::stdout())?;
+    Ok(Outcome::Done)
+}
+
+fn store(settings: &CtlSettings) -> Result<StoreClient, SettingError> {
+    let missing = || SettingError::new("store", "", "an IP number and a port");
+    let address = settings.store.ok_or_else(missing)?;
+    Ok(StoreClient::new(&address.to_string()))
+}
+
+fn changer(settings: &CtlSettings, fleet: FleetClient) -> Result<Changer, SettingError> {
+    let author = settings.author.clone();
+    Ok(Changer {
+        store: store(settings)?,
+        fleet,
+        author,
+        wait: settings.wait,
+    })
+}
--- /dev/null
+++ b/crates/decide/src/core.rs
@@ -0,0 +1,976 @@
+//! The core of a box: events in, commands out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::evidence::{EvidenceBatch, EvidenceSource, SampleKind, TargetSamples};
+use crate::floor::EjectionRank;
+use crate::health::{Ejection, HealthChart, HealthState};
+use crate::judge::{JUDGE_WINDOW, JudgeCore};
+use crate::messages::{
+    AttemptOutcome, BoxCommand, BoxEvent, Conclusion, HealthNotice, RefuseReason, ReportedState,
+    RequestId, RequestPlan, TargetReport, Verdict, VerdictKind, VerdictScope,
+};
+use crate::names::{Name, TargetKey};
+use crate::pick::{PickContext, pick_target};
+use crate::requests::{OpenAttempt, RequestPhase, RequestState, RequestTable, TimedCheck};
+use crate::selfcheck::SelfCheck;
+use crate::service::{ServiceState, says_leaving};
+use crate::setup::{HandOrder, HandOrderKind, ServiceSetup};
+use crate::sketch::LatencyBucket;
+use crate::time::TimePoint;
+
+/// How long good news waits for more before it is sent; bad news goes with the next window.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two probes of a leaving target.
+const PROBE_PERIOD: Duration = Duration::from_secs(2);
+/// What a request is taken to need while nothing is known.
+const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
+/// The shortest time that a refused caller is told to stay away.
+const RETRY_AFTER_LEAST: Duration = Duration::from_secs(1);
+/// Over how much longer the return of refused callers is spread.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_secs(4);
+
+/// The decisions of one box.
+#[derive(Debug)]
+pub struct BoxCore {
+    source: EvidenceSource,
+    chart: HealthChart,
+    services: HashMap<Name, ServiceState>,
+    requests: RequestTable,
+    local: JudgeCore,
+    batches: BTreeMap<Name, PendingBatch>,
+    window_at: TimePoint,
+    self_check: SelfCheck,
+    random: SmallRng,
+}
+
+/// Evidence of one service that waits to be sent.
+#[derive(Debug, Default)]
+struct PendingBatch {
+    targets: Vec<TargetSamples>,
+    since: TimePoint,
+    urgent: bool,
+}
+
+impl BoxCore {
+    /// A core for the box `source`, which draws from a random source seeded with `seed`.
+    pub fn new(source: EvidenceSource, chart: HealthChart, seed: u64) -> BoxCore {
+        let local = JudgeCore::local(&source.data_centre);
+        BoxCore {
+            source,
+            chart,
+            services: HashMap::new(),
+            requests: RequestTable::default(),
+            local,
+            batches: BTreeMap::new(),
+            window_at: TimePoint::default(),
+            self_check: SelfCheck::default(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes an event at `now` and adds the commands that follow from it.
+    pub fn handle(&mut self, now: TimePoint, event: BoxEvent, commands: &mut Vec<BoxCommand>) {
+        match event {
+            BoxEvent::ServiceConfigured(setup) => self.configure(now, setup),
+            BoxEvent::ServiceRemoved(service) => self.remove_service(&service, commands),
+            BoxEvent::HandOrdersSet { service, orders } => {
+                self.set_hand(now, &service, &orders, commands);
+            }
+            BoxEvent::RequestArrived { request, plan } => self.arrive(now, request, plan, commands),
+            BoxEvent::AttemptEnded {
+                request,
+                attempt,
+                outcome,
+            } => {
+                self.end_attempt(now, request, attempt, outcome, commands);
+            }
+            BoxEvent::RequestCancelled(request) => self.cancel(now, request, commands),
+            BoxEvent::AnswerBroken { service, target } => {
+                let open = OpenAttempt {
+                    target,
+                    started: now,
+                    overdue: false,
+                };
+                self.add_evidence(now, &service, &open, SampleKind::Error, commands);
+            }
+            BoxEvent::VerdictReceived(verdict) => self.take_verdict(now, &verdict, commands),
+            BoxEvent::LeavingReceived { service, target } => {
+                self.note_leaving(now, &service, target, false, commands);
+            }
+            BoxEvent::ProbeEnded {
+                service,
+                target,
+                state,
+            } => {
+                self.end_probe(now, &service, target, state, commands);
+            }
+            BoxEvent::TimerFired => self.tick(now, commands),
+        }
+    }
+
+    /// A service's state, for status pages and tests.
+    pub fn service(&self, name: &str) -> Option<&ServiceState> {
+        self.services.get(name)
+    }
+
+    /// All services, for status pages.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceState> {
+        self.services.values()
+    }
+
+    /// Requests that are open or wait.
+    pub fn requests_held(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn configure(&mut self, now: TimePoint, setup: ServiceSetup) {
+        self.local.configure(&setup);
+        match self.services.get_mut(&setup.name) {
+            Some(service) => service.configure(setup, now),
+            None => {
+                let service = ServiceState::new(setup, now);
+                self.services.insert(service.setup().name.clone(), service);
+            }
+        }
+    }
+
+    fn remove_service(&mut self, name: &str, commands: &mut Vec<BoxCommand>) {
+        self.local.remove(name);
+        let Some(mut service) = self.services.remove(name) else {
+            return;
+        };
+        while let Some(request) = service.queue.pop() {
+            self.requests.remove(request);
+            let retry_after = self.retry_after();
+            commands.push(not_run(request, RefuseReason::UnknownService, retry_after));
+        }
+    }
+
+    fn set_hand(
+        &mut self,
+        now: TimePoint,
+        service: &str,
+        orders: &[HandOrder],
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        let chart = &self.chart;
+        for index in service.set_hand(orders) {
+            let changed = |health: &mut crate::health::TargetHealth| health.come_back(chart, now);
+            change_health(service, index, "restored by hand", commands, changed);
+        }
+        for index in 0..service.targets().len() {
+            if service.target(index).hand == Some(HandOrderKind::Drain) {
+                let changed = |health: &mut crate::health::TargetHealth| health.leave(chart, now);
+                change_health(service, index, "drained by hand", commands, changed);
+            }
+        }
+        service.rebuild();
+    }
+
+    fn arrive(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        plan: RequestPlan,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        if let Some(reason) = self.refusal(now, &plan) {
+            let retry_after = self.retry_after();
+            commands.push(not_run(request, reason, retry_after));
+            return;
+        }
+        let Some(service) = self.services.get_mut(&plan.service) else {
+            return;
+        };
+        service.budget.earn();
+        service.queue.hold(plan.caller);
+        self.requests
+            .check_at(plan.deadline, request, TimedCheck::Deadline);
+        let full = service.open >= service.setup().limits.open;
+        let mut state = RequestState {
+            plan,
+            phase: RequestPhase::Open(OpenAttempt::none(now)),
+            attempts: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+        };
+        if full {
+            let place = service.queue.push(request, state.plan.priority);
+            state.phase = RequestPhase::Queued(place);
+            self.requests.insert(request, state);
+            return;
+        }
+        service.open += 1;
+        self.requests.insert(request, state);
+        self.send_first(now, request, commands);
+    }
+
+    /// Why a request can't be taken, if it can't.
+    fn refusal(&self, now: TimePoint, plan: &RequestPlan) -> Option<RefuseReason> {
+        let Some(service) = self.services.get(&plan.service) else {
+            return Some(RefuseReason::UnknownService);
+        };
+        if service.eligible().is_empty() {
+            return Some(RefuseReason::NoTarget);
+        }
+        let held = service.queue.held_by(plan.caller);
+        if plan.caller_limit > 0 && held >= plan.caller_limit {
+            return Some(RefuseReason::CallerLimit);
+        }
+        let limits = &service.setup().limits;
+        let needed = self.service_time(&plan.service);
+        if service.open < limits.open {
+            return (now + needed / 2 > plan.deadline).then_some(RefuseReason::Deadline);
+        }
+        if service.queue.len() >= limits.queued {
+            return Some(RefuseReason::Overloaded);
+        }
+        // Under overload no caller holds more than its part of all there is room for.
+        let share = service.queue.fair_share(limits.open + limits.queued);
+        if held >= share {
+            return Some(RefuseReason::CallerLimit);
+        }
+        let rounds = 1.0 + (service.queue.len() + 1) as f64 / limits.open as f64;
+        let ready = now + needed.mul_f64(rounds);
+        (ready > plan.deadline).then_some(RefuseReason::Deadline)
+    }
+
+    fn service_time(&self, service: &str) -> Duration {
+        self.local
+            .usual_time(service)
+            .unwrap_or(ASSUMED_SERVICE_TIME)
+    }
+
+    fn send_first(&mut self, now: TimePoint, request: RequestId, commands: &mut Vec<BoxCommand>) {
+        if !self.send(now, request, commands) {
+            self.conclude_failed(now, request, RefuseReason::NoTarget, commands);
+        }
+    }
+
+    /// Sends a request to a target that it has not been to; false if there is none.
+    fn send(&mut self, now: TimePoint, request: RequestId, commands: &mut Vec<BoxCommand>) -> bool {
+        let Some(state) = self.requests.get_mut(request) else {
+            return false;
+        };
+        let Some(service) = self.services.get_mut(&state.plan.service) else {
+            return false;
+        };
+        let tried: Vec<usize> = state
+            .tried
+            .iter()
+            .filter_map(|key| service.find(*key))
+            .collect();
+        let repeatable = state.plan.repeatable;
+        let context = PickContext {
+            now,
+            tried: &tried,
+            repeatable,
+        };
+        let Some(index) = pick_target(service, &context, &mut self.random) else {
+            return false;
+        };
+        let target = service.target_mut(index);
+        target.open += 1;
+        let key = target.setup.key();
+        state.attempts += 1;
+        state.tried.push(key);
+        state.phase = RequestPhase::Open(OpenAttempt {
+            target: key,
+            started: now,
+            overdue: false,
+        });
+        commands.push(BoxCommand::Send {
+            request,
+            attempt: state.attempts,
+            target: target.setup.address.clone(),
+            fresh_connection: !repeatable,
+        });
+        if let Some(after) = self.local.overdue_after(&state.plan.service) {
+            let check = TimedCheck::Overdue {
+                attempt: state.attempts,
+            };
+            self.requests.check_at(now + after, request, check);
+        }
+        true
+    }
+
+    fn end_attempt(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        attempt: u32,
+        outcome: AttemptOutcome,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        let RequestPhase::Open(open) = state.phase.clone() else {
+            return;
+        };
+        if state.attempts != attempt {
+            // An earlier attempt, given up in favour of this request's present one.
+            return;
+        }
+        let ran = !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Shed(_));
+        state.may_have_run |= ran;
+        let service = state.plan.service.clone();
+        self.close_attempt(&service, open.target);
+        if let AttemptOutcome::Answered(report)
+        | AttemptOutcome::AnsweredError(report)
+        | AttemptOutcome::Shed(report) = outcome
+        {
+            self.note_report(now, &service, open.target, &report, commands);
+        }
+        self.note_outcome(now, &service, &open, outcome, commands);
+        self.go_on(now, request, outcome, commands);
+    }
+
+    /// What follows for the request after an attempt of it ended.
+    fn go_on(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        outcome: AttemptOutcome,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let repeatable = state.plan.repeatable;
+        let elsewhere = match outcome {
+            AttemptOutcome::Answered(_) => false,
+            AttemptOutcome::AnsweredError(_) | AttemptOutcome::Broken => repeatable,
+            AttemptOutcome::Shed(_) | AttemptOutcome::NotSent => true,
+        };
+        if elsewhere && self.retry(now, request, commands) {
+            return;
+        }
+        match outcome {
+            AttemptOutcome::Answered(_) | AttemptOutcome::AnsweredError(_) => {
+                self.finish(now, request, Conclusion::Answered, commands);
+            }
+            _ => self.conclude_failed(now, request, RefuseReason::Refused, commands),
+        }
+    }
+
+    /// Sends a request once more, if attempts, budget and targets allow it.
+    fn retry(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        commands: &mut Vec<BoxCommand>,
+    ) -> bool {
+        let Some(state) = self.requests.get(request) else {
+            return false;
+        };
+        if state.attempts >= state.plan.attempts || now >= state.plan.deadline {
+            return false;
+        }
+        let name = state.plan.service.clone();
+        let Some(service) = self.services.get_mut(&name) else {
+            return false;
+        };
+        if !service.budget.spend() {
+            return false;
+        }
+        if self.send(now, request, commands) {
+            return true;
+        }
+        // Nobody was asked, so nothing was spent.
+        if let Some(service) = self.services.get_mut(&name) {
+            service.budget.give_back();
+        }
+        false
+    }
+
+    fn conclude_failed(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        reason: RefuseReason,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let retry_after = self.retry_after();
+        let may_have_run = self
+            .requests
+            .get(request)
+            .is_some_and(|state| state.may_have_run);
+        let conclusion = if may_have_run {
+            Conclusion::Unknown { retry_after }
+        } else {
+            Conclusion::NotRun {
+                reason,
+                retry_after,
+            }
+        };
+        self.finish(now, request, conclusion, commands);
+    }
+
+    fn finish(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        conclusion: Conclusion,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        commands.push(BoxCommand::Conclude {
+            request,
+            conclusion,
+        });
+        self.drop_request(now, request, commands);
+    }
+
+    /// Takes a request off the books and lets the next one in.
+    fn drop_request(&mut self, now: TimePoint, request: RequestId, commands: &mut Vec<BoxCommand>) {
+        let Some(state) = self.requests.remove(request) else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(&state.plan.service) else {
+            return;
+        };
+        service.queue.release(state.plan.caller);
+        if let RequestPhase::Queued(place) = state.phase {
+            service.queue.remove(place);
+            return;
+        }
+        service.open = service.open.saturating_sub(1);
+        if service.open >= service.setup().limits.open {
+            return;
+        }
+        if let Some(next) = service.queue.pop() {
+            service.open += 1;
+            self.send_first(now, next, commands);
+        }
+    }
+
+    fn cancel(&mut self, now: TimePoint, request: RequestId, commands: &mut Vec<BoxCommand>) {
+        self.abandon_attempt(request);
+        self.drop_request(now, request, commands);
+    }
+
+    /// Counts an attempt that is still open as closed; the driver drops its connection.
+    fn abandon_attempt(&mut self, request: RequestId) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        if let RequestPhase::Open(open) = &state.phase {
+            let (service, target) = (state.plan.service.clone(), open.target);
+            self.close_attempt(&service, target);
+        }
+    }
+
+    fn close_attempt(&mut self, service: &str, target: TargetKey) {
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(index) = service.find(target) else {
+            return;
+        };
+        let target = service.target_mut(index);
+        target.open = target.open.saturating_sub(1);
+    }
+
+    fn note_report(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        report: &TargetReport,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let chart = &self.chart;
+        if service.note_report(index, now, report) {
+            self.local.forget(name, key);
+            change_health(
+                service,
+                index,
+                "another target answers there",
+                commands,
+                |health| {
+                    health.replace(now);
+                    true
+                },
+            );
+            service.rebuild();
+        } else if report.state == ReportedState::Cold {
+            change_health(service, index, "it says it is cold", commands, |health| {
+                health.note_cold(chart, now)
+            });
+            service.rebuild();
+        }
+        if says_leaving(report) {
+            self.note_leaving(now, name, key, true, commands);
+        }
+    }
+
+    fn note_leaving(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        first_hand: bool,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let chart = &self.chart;
+        let why = if first_hand {
+            "it says it is leaving"
+        } else {
+            "a peer saw it leaving"
+        };
+        let left = change_health(service, index, why, commands, |health| {
+            health.leave(chart, now)
+        });
+        if !left {
+            return;
+        }
+        service.target_mut(index).probed_at = now;
+        service.rebuild();
+        if first_hand {
+            commands.push(BoxCommand::AnnounceLeaving {
+                service: name.into(),
+                target: key,
+            });
+        }
+    }
+
+    fn end_probe(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        state: Option<ReportedState>,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let back = matches!(state, Some(ReportedState::Ready | ReportedState::Cold));
+        if !back || service.target(index).hand == Some(HandOrderKind::Drain) {
+            return;
+        }
+        let chart = &self.chart;
+        change_health(service, index, "it says it is back", commands, |health| {
+            health.come_back(chart, now)
+        });
+        service.rebuild();
+    }
+
+    /// Turns an outcome into evidence.
+    fn note_outcome(
+        &mut self,
+        now: TimePoint,
+        service: &Name,
+        open: &OpenAttempt,
+        outcome: AttemptOutcome,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let kind = match outcome {
+            // What was overdue has been counted, and is not made good by arriving late.
+            _ if open.overdue => return,
+            AttemptOutcome::Shed(_) => return,
+            AttemptOutcome::Answered(_) => SampleKind::Good,
+            AttemptOutcome::AnsweredError(report) if says_leaving(&report) => return,
+            AttemptOutcome::AnsweredError(_) | AttemptOutcome::NotSent | AttemptOutcome::Broken => {
+                SampleKind::Error
+            }
+        };
+        self.add_evidence(now, service, open, kind, commands);
+    }
+
+    fn add_evidence(
+        &mut self,
+        now: TimePoint,
+        name: &Name,
+        open: &OpenAttempt,
+        kind: SampleKind,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        self.self_check.note(kind != SampleKind::Good);
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(open.target) else {
+            return;
+        };
+        if service.target(index).health.state() == HealthState::Leaving {
+            return;
+        }
+        let bucket = LatencyBucket::of(now.since(open.started));
+        let batch = self.batches.entry(name.clone()).or_default();
+        batch.add(now, open.target, kind, bucket);
+        let chart = &self.chart;
+        let good = kind == SampleKind::Good;
+        let mut failed = false;
+        change_health(service, index, "its trial went well", commands, |health| {
+            failed = health.note_trial(chart, now, good);
+            true
+        });
+        if failed {
+            let rank = EjectionRank {
+                source: 2,
+                stamp: now.as_micros(),
+                key: open.target.0,
+            };
+            let ejection = Ejection {
+                rank,
+                scope: VerdictScope::Path,
+            };
+            self.convict(
+                now,
+                name,
+                open.target,
+                ejection,
+                0,
+                "its trial failed here",
+                commands,
+            );
+        }
+    }
+
+    fn take_verdict(&mut self, now: TimePoint, verdict: &Verdict, commands: &mut Vec<BoxCommand>) {
+        let key = verdict.target;
+        let rank = EjectionRank {
+            source: 1,
+            stamp: verdict.stamp,
+            key: key.0,
+        };
+        let ejection = Ejection {
+            rank,
+            scope: verdict.scope,
+        };
+        match verdict.kind {
+            VerdictKind::Convicted => {
+                let why = "a judge found it failing";
+                self.convict(
+                    now,
+                    &verdict.service,
+                    key,
+                    ejection,
+                    verdict.flaps,
+                    why,
+                    commands,
+                );
+            }
+            VerdictKind::Acquitted => self.acquit(now, &verdict.service, key, commands),
+        }
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one private step, called from three places"
+    )]
+    fn convict(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        ejection: Ejection,
+        flaps: u32,
+        why: &'static str,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let chart = &self.chart;
+        let limits = service.setup().limits.clone();
+        change_health(service, index, why, commands, |health| {
+            health.convict(chart, now, ejection, flaps, &limits)
+        });
+        service.rebuild();
+    }
+
+    fn acquit(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let scope = service
+            .target(index)
+            .health
+            .ejection()
+            .map(|ejection| ejection.scope);
+        if scope == Some(VerdictScope::Path) {
+            // Others reach it; whether this box does, its own trial shows.
+            return;
+        }
+        let chart = &self.chart;
+        change_health(
+            service,
+            index,
+            "a judge saw its trial go well",
+            commands,
+            |health| health.acquit(chart, now),
+        );
+        service.rebuild();
+    }
+
+    fn tick(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        while let Some((request, check)) = self.requests.take_due(now) {
+            match check {
+                TimedCheck::Overdue { attempt } => {
+                    self.check_overdue(now, request, attempt, commands);
+                }
+                TimedCheck::Deadline => self.pass_deadline(now, request, commands),
+            }
+        }
+        if now.since(self.window_at) < JUDGE_WINDOW {
+            return;
+        }
+        self.window_at = now;
+        self.tick_health(now, commands);
+        self.send_reports(now, commands);
+        self.judge_locally(now, commands);
+        if let Some(suspected) = self.self_check.tick(now) {
+            commands.push(BoxCommand::SelfSuspected(suspected));
+        }
+    }
+
+    /// An attempt that is open for longer than nearly all counts against its target
+    /// now, before any deadline, and a request that may be repeated goes elsewhere.
+    fn check_overdue(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        attempt: u32,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        let current = state.attempts == attempt;
+        let RequestPhase::Open(open) = &mut state.phase else {
+            return;
+        };
+        if !current || open.overdue {
+            return;
+        }
+        open.overdue = true;
+        let open = open.clone();
+        let service = state.plan.service.clone();
+        let repeatable = state.plan.repeatable;
+        self.add_evidence(now, &service, &open, SampleKind::Overdue, commands);
+        if repeatable && self.retry(now, request, commands) {
+            self.close_attempt(&service, open.target);
+            if let Some(state) = self.requests.get_mut(request) {
+                state.may_have_run = true;
+            }
+        }
+    }
+
+    fn pass_deadline(
+        &mut self,
+        now: TimePoint,
+        request: RequestId,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        if let RequestPhase::Open(open) = state.phase.clone() {
+            state.may_have_run = true;
+            let service = state.plan.service.clone();
+            let unjudged = self.local.overdue_after(&service).is_none();
+            if !open.overdue && unjudged {
+                self.add_evidence(now, &service, &open, SampleKind::Overdue, commands);
+            }
+        }
+        self.abandon_attempt(request);
+        self.conclude_failed(now, request, RefuseReason::Deadline, commands);
+    }
+
+    fn tick_health(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        let chart = &self.chart;
+        for service in self.services.values_mut() {
+            let mut changed = false;
+            for index in 0..service.targets().len() {
+                let health = &service.target(index).health;
+                match health.state() {
+                    HealthState::Healthy => continue,
+                    HealthState::Leaving => probe_leaving(service, index, now, commands),
+                    _ => {
+                        let limits = service.setup().limits.clone();
+                        changed |=
+                            change_health(service, index, "time passed", commands, |health| {
+                                health.tick(chart, now, &limits)
+                            });
+                    }
+                }
+            }
+            if changed {
+                service.rebuild();
+            }
+        }
+    }
+
+    fn send_reports(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        let due = |batch: &PendingBatch| batch.urgent || now.since(batch.since) >= REPORT_PERIOD;
+        let ready = self.batches.iter().filter(|(_, batch)| due(batch));
+        let ready: Vec<Name> = ready.map(|(name, _)| name.clone()).collect();
+        for service in ready {
+            if let Some(batch) = self.batches.remove(&service) {
+                let batch = EvidenceBatch {
+                    service,
+                    targets: batch.targets,
+                };
+                self.local.take(now, &self.source, &batch);
+                commands.push(BoxCommand::Report(batch));
+            }
+        }
+    }
+
+    fn judge_locally(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        for verdict in self.local.tick(now) {
+            if verdict.kind == VerdictKind::Acquitted {
+                continue;
+            }
+            let key = verdict.target;
+            let rank = EjectionRank {
+                source: 2,
+                stamp: verdict.stamp,
+                key: key.0,
+            };
+            let ejection = Ejection {
+                rank,
+                scope: VerdictScope::Path,
+            };
+            let why = "it fails from here";
+            self.convict(
+                now,
+                &verdict.service,
+                key,
+                ejection,
+                verdict.flaps,
+                why,
+                commands,
+            );
+        }
+    }
+
+    fn retry_after(&mut self) -> Duration {
+        let spread = RETRY_AFTER_SPREAD.mul_f64(self.random.random());
+        RETRY_AFTER_LEAST + spread
+    }
+}
+
+impl PendingBatch {
+    fn add(&mut self, now: TimePoint, target: TargetKey, kind: SampleKind, bucket: LatencyBucket) {
+        if self.targets.is_empty() {
+            self.since = now;
+        }
+        self.urgent |= kind != SampleKind::Good;
+        let known = self
+            .targets
+            .iter()
+            .position(|samples| samples.target == target);
+        let index = known.unwrap_or_else(|| {
+            self.targets.push(TargetSamples {
+                target,
+                samples: Vec::new(),
+            });
+            self.targets.len() - 1
+        });
+        self.targets[index].add(kind, bucket);
+    }
+}
+
+impl OpenAttempt {
+    /// The place of an attempt that is about to be made.
+    fn none(now: TimePoint) -> OpenAttempt {
+        OpenAttempt {
+            target: TargetKey(0),
+            started: now,
+            overdue: false,
+        }
+    }
+}
+
+fn not_run(request: RequestId, reason: RefuseReason, retry_after: Duration) -> BoxCommand {
+    BoxCommand::Conclude {
+        request,
+        conclusion: Conclusion::NotRun {
+            reason,
+            retry_after,
+        },
+    }
+}
+
+/// Changes a target's health and notes the change if there was one.
+fn change_health(
+    service: &mut ServiceState,
+    index: usize,
+    why: &'static str,
+    commands: &mut Vec<BoxCommand>,
+    change: impl FnOnce(&mut crate::health::TargetHealth) -> bool,
+) -> bool {
+    let name = service.setup().name.clone();
+    let target = service.target_mut(index);
+    let from = target.health.state();
+    let changed = change(&mut target.health);
+    let to = target.health.state();
+    if from != to {
+        let target = target.setup.address.clone();
+        commands.push(BoxCommand::HealthChanged(HealthNotice {
+            service: name,
+            target,
+            from,
+            to,
+            why,
+        }));
+    }
+    changed && from != to
+}
+
+fn probe_leaving(
+    service: &mut ServiceState,
+    index: usize,
+    now: TimePoint,
+    commands: &mut Vec<BoxCommand>,
+) {
+    let name = service.setup().name.clone();
+    let target = service.target_mut(index);
+    let drained = target.hand == Some(HandOrderKind::Drain);
+    if drained || now.since(target.probed_at) < PROBE_PERIOD {
+        return;
+    }
+    target.probed_at = now;
+    commands.push(BoxCommand::Probe {
+        service: name,
+        target: target.setup.address.clone(),
+    });
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,38 @@
+//! The decision core: who is failing, who gets the next request, what is
+//! retried, queued or refused.
+//!
+//! There is no I/O here, no thread, no clock and no global state. Time and the
+//! seed of the random source are handed in, events come in, commands go out, and
+//! the same events give the same commands. The proxy drives [`BoxCore`], the
+//! agent drives [`JudgeCore`], the measurements drive both; nothing decides
+//! beside them.
+
+pub mod budget;
+pub mod core;
+pub mod evidence;
+mod flaps;
+pub mod floor;
+pub mod health;
+pub mod judge;
+pub mod messages;
+pub mod names;
+pub mod pick;
+pub mod queue;
+mod requests;
+mod selfcheck;
+pub mod service;
+pub mod setup;
+pub mod sketch;
+pub mod time;
+
+pub use crate::core::BoxCore;
+pub use evidence::{EvidenceBatch, EvidenceSource, Sample, SampleKind, TargetSamples};
+pub use health::{HealthChart, HealthState};
+pub use judge::JudgeCore;
+pub use messages::{
+    AttemptOutcome, BoxCommand, BoxEvent, Conclusion, RefuseReason, ReportedState, RequestId,
+    RequestPlan, TargetReport, Verdict, VerdictKind, VerdictScope,
+};
+pub use names::{Name, TargetKey};
+pub use setup::{HandOrder, HandOrderKind, LimitSetup, ServiceSetup, TargetSetup};
+pub use time::TimePoint;
--- /dev/null
+++ b/crates/demo/src/bin/wingbridge-demo.rs
@@ -0,0 +1,93 @@
+//! The demonstration.
+
+use std::process::ExitCode;
+
+use wingbridge_demo::SmallSystem;
+use wingbridge_demo::experiment::{ExperimentReport, run_experiment};
+use wingbridge_demo::settings::{demo_command, demo_setup};
+use wingbridge_process::metrics::start_metrics;
+use wingbridge_process::settings::number;
+use wingbridge_process::stop::stop_on_signals;
+use wingbridge_process::{Outcome, exit_code};
+use wingctl::output::table;
+
+fn main() -> ExitCode {
+    exit_code("wingbridge-demo", start())
+}
+
+fn start() -> eyre::Result<Outcome> {
+    let matches = demo_command().get_matches();
+    let seconds = number(&matches, "seconds", 0..=600)?;
+    let json = matches.get_flag("json");
+    start_metrics();
+    let mut system = SmallSystem::start(demo_setup())?;
+    if !json {
+        introduce(&system);
+    }
+    if seconds == 0 {
+        async_std::task::block_on(stop_on_signals()?.wait());
+        return Ok(Outcome::Done);
+    }
+    let report = run_experiment(&mut system, seconds.max(4))?;
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{}", as_table(&report));
+    }
+    Ok(if report.broken.is_empty() {
+        Outcome::Done
+    } else {
+        Outcome::CheckFailed
+    })
+}
+
+fn introduce(system: &SmallSystem) {
+    println!("store      {}", system.store_address);
+    for one in &system.boxes {
+        println!(
+            "{:<10} callers {}  agent {}",
+            one.box_id, one.proxy.callers, one.agent.admin
+        );
+    }
+    for target in &system.targets {
+        println!("target     {}  {}", target.address, target.service);
+    }
+    let first = &system.boxes[0];
+    println!(
+        "\ntry:  curl -i http://{}/availability/tatra",
+        first.proxy.callers
+    );
+    let (store, agent) = (system.store_address, first.agent.admin);
+    println!("      wingctl --store {store} --agents {agent} status\n");
+}
+
+fn as_table(report: &ExperimentReport) -> String {
+    let row = |name: &str, value: String| vec![name.to_string(), value];
+    let detection = report
+        .detection_ms
+        .map_or("missed".into(), |millis| format!("{millis} ms"));
+    let rows = [
+        row("requests", report.requests.to_string()),
+        row("whole answers", report.whole.to_string()),
+        row("not run", report.not_run.to_string()),
+        row("unknown", report.unknown.to_string()),
+        row("doubled orders", report.doubled.to_string()),
+        row("requests cut", report.cut.to_string()),
+        row("wrong answers", report.wrong_answer.to_string()),
+        row("detection time of the stall", detection),
+        row("false ejections", report.false_ejections.to_string()),
+        row(
+            "added latency, median",
+            format!("{:.2} ms", report.added_p50_ms),
+        ),
+        row(
+            "added latency, 99 in 100",
+            format!("{:.2} ms", report.added_p99_ms),
+        ),
+    ];
+    let mut text = table(&["what", "count"], &rows);
+    for what in &report.broken {
+        text.push_str(&format!("\nDID NOT HOLD: {what}"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/demo/src/caller.rs
@@ -0,0 +1,162 @@
+//! A caller that keeps its connection and looks closely at each answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request, Url};
+use wingbridge_http::client::encoder;
+use wingbridge_http::{AnswerBody, HttpError, MessageLimits, MessageReader};
+
+/// Longest answer that is looked at, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// A request to make.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers beside those the library sets.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl CallerRequest {
+    /// A `GET` of `path`.
+    pub fn get(path: &str) -> CallerRequest {
+        let path = path.to_string();
+        CallerRequest {
+            method: Method::Get,
+            path,
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// The same with one more header.
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> CallerRequest {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct CallerAnswer {
+    /// The status code.
+    pub status: u16,
+    /// The outcome that the proxy states.
+    pub outcome: String,
+    /// `Retry-After`, if there is one.
+    pub retry_after: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// One caller with one connection.
+#[derive(Debug)]
+pub struct LoadCaller {
+    address: SocketAddr,
+    connection: Option<(MessageReader, TcpStream)>,
+}
+
+impl LoadCaller {
+    /// A caller of `address`, not connected yet.
+    pub fn new(address: SocketAddr) -> LoadCaller {
+        LoadCaller {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Calls another address from now on.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        if self.address != address {
+            self.address = address;
+            self.connection = None;
+        }
+    }
+
+    /// Makes a request and reads the answer to its end. After an error the connection is
+    /// given up.
+    ///
+    /// # Errors
+    /// No whole answer came within `timeout`.
+    pub async fn call(
+        &mut self,
+        request: &CallerRequest,
+        timeout: Duration,
+    ) -> Result<CallerAnswer, HttpError> {
+        let result = async_std::future::timeout(timeout, self.exchange(request)).await;
+        let result = result.unwrap_or_else(|_| {
+            Err(HttpError::new(
+                wingbridge_http::ErrorKind::TimedOut,
+                "no answer in time",
+            ))
+        });
+        if result.is_err() {
+            self.connection = None;
+        }
+        result
+    }
+
+    async fn exchange(&mut self, request: &CallerRequest) -> Result<CallerAnswer, HttpError> {
+        let bytes = encode(self.address, request).await?;
+        if self.connection.is_none() {
+            let stream = TcpStream::connect(self.address).await?;
+            stream.set_nodelay(true)?;
+            self.connection = Some((MessageReader::new(stream.clone()), stream));
+        }
+        let Some((reader, writer)) = &mut self.connection else {
+            return Err(HttpError::new(
+                wingbridge_http::ErrorKind::Io,
+                "not connected",
+            ));
+        };
+        writer.write_all(&bytes).await?;
+        let limits = MessageLimits {
+            body: ANSWER_BYTES,
+            chunked: ANSWER_BYTES,
+            ..MessageLimits::default()
+        };
+        let answer = reader.read_answer(request.method.as_ref(), &limits).await?;
+        if !answer.keep_alive {
+            self.connection = None;
+        }
+        let text = |name: &str| {
+            answer
+                .response
+                .header(name)
+                .map_or("", |values| values.last().as_str())
+                .to_string()
+        };
+        Ok(CallerAnswer {
+            status: answer.response.status() as u16,
+            outcome: text("x-wingbridge-outcome"),
+            retry_after: text("retry-after").parse().ok(),
+            body: match answer.body {
+                AnswerBody::Whole(bytes) => bytes,
+                AnswerBody::Absent(_) | AnswerBody::Waiting(_) => Vec::new(),
+            },
+        })
+    }
+}
+
+async fn encode(address: SocketAddr, request: &CallerRequest) -> Result<Vec<u8>, HttpError> {
+    let url = Url::parse(&format!("http://{address}{}", request.path));
+    let url = url.map_err(|error| {
+        HttpError::new(wingbridge_http::ErrorKind::Malformed, error.to_string())
+    })?;
+    let mut outgoing = Request::new(request.method, url);
+    for (name, value) in &request.headers {
+        outgoing.insert_header(*name, value.as_str());
+    }
+    outgoing.set_body(request.body.clone());
+    let mut bytes = Vec::new();
+    encoder(outgoing).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/demo/src/experiment.rs
@@ -0,0 +1,415 @@
+//! The demonstration's experiment: load, then a stall, a cut and a planned stop.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use eyre::eyre;
+use hdrhistogram::Histogram;
+use http_types::Method;
+use serde::Serialize;
+use wingbridge_standin::TargetFaults;
+use wingbridge_trace::TraceEvent;
+
+use crate::caller::{CallerRequest, LoadCaller};
+use crate::ledger::CallerLedger;
+use crate::system::SmallSystem;
+
+const CALL_TIME: Duration = Duration::from_secs(20);
+/// Callers of each kind.
+const BROWSERS: usize = 24;
+const KEEPERS: usize = 6;
+const CLUBS: usize = 2;
+/// Pause of a caller between two requests.
+const THINK: Duration = Duration::from_millis(40);
+const WATCH_STEP: Duration = Duration::from_millis(5);
+/// A target that got nothing for so long is taken to be found failing.
+const QUIET: Duration = Duration::from_millis(700);
+
+/// What the experiment found.
+#[derive(Debug, Clone, Serialize)]
+pub struct ExperimentReport {
+    /// Requests made.
+    pub requests: u64,
+    /// Whole answers of targets.
+    pub whole: u64,
+    /// Requests that were said not to have run.
+    pub not_run: u64,
+    /// Requests of which it was said that they may have run.
+    pub unknown: u64,
+    /// Orders that ran more than once.
+    pub doubled: u64,
+    /// Connections that broke without a whole answer.
+    pub cut: u64,
+    /// Answers that were another request's, or in part.
+    pub wrong_answer: u64,
+    /// Time from the stall until the target got its last request of the first episode.
+    pub detection_ms: Option<u64>,
+    /// Ejections of targets with nothing wrong.
+    pub false_ejections: u64,
+    /// Median of what the proxy adds.
+    pub added_p50_ms: f64,
+    /// What the proxy adds for 99 in 100.
+    pub added_p99_ms: f64,
+    /// Invariants that did not hold.
+    pub broken: Vec<String>,
+}
+
+/// Runs the experiment over `seconds`.
+///
+/// # Errors
+/// A part of the system ended badly.
+pub fn run_experiment(system: &mut SmallSystem, seconds: u64) -> eyre::Result<ExperimentReport> {
+    let ledger = CallerLedger::default();
+    let entry = Arc::new(BalancerView::new(system));
+    let latency = Arc::new(LatencyPair::new());
+    let callers = start_callers(system, &entry, &ledger, &latency);
+    let quarter = Duration::from_secs(seconds) / 4;
+    let faulty = fault_targets(system);
+    task::block_on(task::sleep(quarter));
+    latency.closed.store(true, Ordering::Release);
+    let stalled = system.targets[faulty.stalled].handle.clone();
+    stalled.set_faults(TargetFaults {
+        stall: true,
+        ..TargetFaults::default()
+    });
+    let detection = task::block_on(watch_quiet(&stalled, quarter));
+    let cut_from = vec![system.boxes[1].box_id.clone()];
+    let cut = system.targets[faulty.cut].handle.clone();
+    cut.set_faults(TargetFaults {
+        cut_from,
+        ..TargetFaults::default()
+    });
+    task::block_on(task::sleep(quarter));
+    cut.set_faults(TargetFaults::default());
+    let events_before = events_of(system)?;
+    entry.remove(system.boxes[1].proxy.callers);
+    system.stop_box(1)?;
+    task::block_on(task::sleep(quarter));
+    entry.stop();
+    for caller in callers {
+        task::block_on(caller);
+    }
+    let mut events = events_before;
+    events.extend(events_of(system)?);
+    Ok(report(
+        system, &ledger, &latency, &faulty, detection, &events,
+    ))
+}
+
+/// Which targets get faults, by index.
+struct FaultTargets {
+    stalled: usize,
+    cut: usize,
+}
+
+fn fault_targets(system: &SmallSystem) -> FaultTargets {
+    let service = system.setup.services[0].name;
+    let of_service = |index: &usize| system.targets[*index].service == service;
+    let mut indices = (0..system.targets.len()).filter(of_service);
+    let stalled = indices.next().unwrap_or(0);
+    FaultTargets {
+        stalled,
+        cut: indices.next().unwrap_or(stalled),
+    }
+}
+
+/// What the platform's balancer does: it sends callers to boxes that are ready.
+struct BalancerView {
+    boxes: Mutex<Vec<SocketAddr>>,
+    stopped: AtomicBool,
+    next: AtomicU64,
+}
+
+impl BalancerView {
+    fn new(system: &SmallSystem) -> BalancerView {
+        let boxes = Mutex::new(system.caller_addresses());
+        BalancerView {
+            boxes,
+            stopped: AtomicBool::new(false),
+            next: AtomicU64::new(0),
+        }
+    }
+
+    fn remove(&self, address: SocketAddr) {
+        self.lock().retain(|known| *known != address);
+    }
+
+    fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    fn pick(&self) -> SocketAddr {
+        let boxes = self.lock();
+        let turn = self.next.fetch_add(1, Ordering::Relaxed) as usize;
+        boxes[turn % boxes.len()]
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.boxes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Latencies through the proxy and straight to a target, while nothing is wrong.
+struct LatencyPair {
+    proxied: Mutex<Histogram<u64>>,
+    direct: Mutex<Histogram<u64>>,
+    closed: AtomicBool,
+}
+
+impl LatencyPair {
+    fn new() -> LatencyPair {
+        let histogram =
+            || Mutex::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("sound bounds"));
+        LatencyPair {
+            proxied: histogram(),
+            direct: histogram(),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    fn note(&self, direct: bool, took: Duration) {
+        if self.closed.load(Ordering::Acquire) {
+            return;
+        }
+        let histogram = if direct { &self.direct } else { &self.proxied };
+        let mut histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
+        histogram.saturating_record(took.as_micros() as u64);
+    }
+
+    /// The difference of the two at `quantile`, in milliseconds.
+    fn added(&self, quantile: f64) -> f64 {
+        let at = |histogram: &Mutex<Histogram<u64>>| {
+            let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
+            histogram.value_at_quantile(quantile) as f64 / 1000.0
+        };
+        at(&self.proxied) - at(&self.direct)
+    }
+}
+
+fn start_callers(
+    system: &SmallSystem,
+    entry: &Arc<BalancerView>,
+    ledger: &CallerLedger,
+    latency: &Arc<LatencyPair>,
+) -> Vec<JoinHandle<()>> {
+    let routes: Vec<&'static str> = system
+        .setup
+        .services
+        .iter()
+        .map(|plan| plan.route)
+        .collect();
+    let first = system.setup.services[0].name;
+    let direct: Vec<SocketAddr> = system
+        .targets_of(first)
+        .iter()
+        .skip(2)
+        .map(|target| target.address)
+        .collect();
+    let mut callers = Vec::new();
+    for number in 0..BROWSERS {
+        let direct = direct[number % direct.len()];
+        let state = BrowserState {
+            entry: Arc::clone(entry),
+            ledger: ledger.clone(),
+            latency: Arc::clone(latency),
+            direct,
+            route: routes[0],
+            number,
+        };
+        callers.push(task::spawn(browse(state)));
+    }
+    for number in 0..KEEPERS {
+        callers.push(task::spawn(order(
+            Arc::clone(entry),
+            ledger.clone(),
+            routes[1],
+            number,
+        )));
+    }
+    let length = system.setup.services[2].download_bytes;
+    for _ in 0..CLUBS {
+        callers.push(task::spawn(download(
+            Arc::clone(entry),
+            ledger.clone(),
+            routes[2],
+            length,
+        )));
+    }
+    callers
+}
+
+struct BrowserState {
+    entry: Arc<BalancerView>,
+    ledger: CallerLedger,
+    latency: Arc<LatencyPair>,
+    direct: SocketAddr,
+    route: &'static str,
+    number: usize,
+}
+
+async fn browse(state: BrowserState) {
+    let mut proxied = LoadCaller::new(state.entry.pick());
+    let mut direct = LoadCaller::new(state.direct);
+    let mut count = 0u64;
+    while !state.entry.is_stopped() {
+        count += 1;
+        let token = format!("browse-{}-{count}", state.number);
+        let request =
+            CallerRequest::get(&format!("{}/{count}", state.route)).with("x-token", &token);
+        proxied.move_to(state.entry.pick());
+        let started = Instant::now();
+        match proxied.call(&request, CALL_TIME).await {
+            Ok(answer) => {
+                state.latency.note(false, started.elapsed());
+                state.ledger.note_answer(&token, &answer);
+            }
+            Err(_) => state.ledger.note_cut(),
+        }
+        task::sleep(THINK).await;
+        if count.is_multiple_of(4) && !state.latency.closed.load(Ordering::Acquire) {
+            // A new connection each time, as moving between boxes makes one.
+            direct = LoadCaller::new(state.direct);
+            let started = Instant::now();
+            if direct.call(&request, CALL_TIME).await.is_ok() {
+                state.latency.note(true, started.elapsed());
+            }
+        }
+    }
+    drop(direct);
+}
+
+async fn order(entry: Arc<BalancerView>, ledger: CallerLedger, route: &'static str, number: usize) {
+    let mut caller = LoadCaller::new(entry.pick());
+    let mut count = 0u64;
+    while !entry.is_stopped() {
+        count += 1;
+        let name = format!("order-{number}-{count}");
+        let request = CallerRequest {
+            method: Method::Post,
+            path: route.to_string(),
+            headers: vec![("x-order", name.clone()), ("x-token", name.clone())],
+            body: b"one bunk".to_vec(),
+        };
+        caller.move_to(entry.pick());
+        match caller.call(&request, CALL_TIME).await {
+            Ok(answer) => ledger.note_order(&name, &answer),
+            Err(_) => ledger.note_cut(),
+        }
+        task::sleep(THINK).await;
+    }
+}
+
+async fn download(
+    entry: Arc<BalancerView>,
+    ledger: CallerLedger,
+    route: &'static str,
+    length: u64,
+) {
+    let mut caller = LoadCaller::new(entry.pick());
+    while !entry.is_stopped() {
+        caller.move_to(entry.pick());
+        match caller.call(&CallerRequest::get(route), CALL_TIME).await {
+            Ok(answer) => ledger.note_download(length, &answer),
+            Err(_) => ledger.note_cut(),
+        }
+        task::sleep(THINK * 4).await;
+    }
+}
+
+/// Waits until a target that stalls gets no more requests, and says how long it got some.
+async fn watch_quiet(
+    target: &wingbridge_standin::TargetHandle,
+    most: Duration,
+) -> Option<Duration> {
+    let started = Instant::now();
+    let mut received = target.log().received;
+    let mut last = Duration::ZERO;
+    let mut found = None;
+    while started.elapsed() < most {
+        task::sleep(WATCH_STEP).await;
+        let now = target.log().received;
+        if now != received {
+            received = now;
+            last = started.elapsed();
+        }
+        if found.is_none() && started.elapsed() - last > QUIET {
+            found = Some(last);
+        }
+    }
+    found
+}
+
+fn events_of(system: &SmallSystem) -> eyre::Result<Vec<TraceEvent>> {
+    let (events, silent) = task::block_on(wingctl::timeline::gather(&system.fleet()))?;
+    if silent {
+        return Err(eyre!("an agent did not answer"));
+    }
+    Ok(events)
+}
+
+fn report(
+    system: &SmallSystem,
+    ledger: &CallerLedger,
+    latency: &LatencyPair,
+    faulty: &FaultTargets,
+    detection: Option<Duration>,
+    events: &[TraceEvent],
+) -> ExperimentReport {
+    let tally = ledger.tally();
+    let audit = ledger.audit(&system.targets);
+    let guilty =
+        [faulty.stalled, faulty.cut].map(|index| system.targets[index].address.to_string());
+    let ejections = events.iter().filter(|event| event.kind == "target-ejected");
+    let mut false_ones: Vec<(u64, String)> = ejections
+        .map(|event| {
+            (
+                event.stamp,
+                event.fields.get("target").cloned().unwrap_or_default(),
+            )
+        })
+        .filter(|(_, target)| !guilty.contains(target))
+        .collect();
+    false_ones.sort();
+    false_ones.dedup();
+    let mut broken = Vec::new();
+    let mut check = |holds: bool, what: &str| {
+        if !holds {
+            broken.push(what.to_string());
+        }
+    };
+    check(audit.doubled == 0, "an order ran twice");
+    check(
+        audit.not_run_ran == 0,
+        "an order ran that was said not to have run",
+    );
+    check(
+        audit.answered_not_ran == 0,
+        "an order was answered that did not run",
+    );
+    check(tally.cut == 0, "a request was cut");
+    check(tally.wrong_answer == 0, "an answer was wrong or in part");
+    check(detection.is_some(), "the stalled target was not found");
+    check(false_ones.is_empty(), "a healthy target was ejected");
+    check(tally.whole > 0, "nothing was answered");
+    ExperimentReport {
+        requests: tally.requests,
+        whole: tally.whole,
+        not_run: tally.not_run,
+        unknown: tally.unknown,
+        doubled: audit.doubled,
+        cut: tally.cut,
+        wrong_answer: tally.wrong_answer,
+        detection_ms: detection.map(|span| span.as_millis() as u64),
+        false_ejections: false_ones.len() as u64,
+        added_p50_ms: latency.added(0.5),
+        added_p99_ms: latency.added(0.99),
+        broken,
+    }
+}
--- /dev/null
+++ b/crates/demo/src/system.rs
@@ -0,0 +1,442 @@
+//! Store, targets and boxes, each on threads of this process and ports of the
+//! system's choice.
+
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use eyre::{WrapErr, eyre};
+use wingbridge_agent::{AgentAddresses, AgentSettings, CutSwitch};
+use wingbridge_http::HttpClient;
+use wingbridge_platform::{BoxRecord, StoreClient};
+use wingbridge_process::stop::stop_pair;
+use wingbridge_process::{Outcome, StopHandle};
+use wingbridge_proxy::{ProxyAddresses, ProxySettings};
+use wingbridge_standin::{StoreHandle, TargetHandle, TargetSettings, serve_store, serve_target};
+use wingctl::{ChangeReport, Changer, FleetClient};
+
+/// The secret of demonstration fleets.
+pub const DEMO_KEY: &str = "a demonstration key, not for use";
+const READY_TIME: Duration = Duration::from_secs(20);
+
+/// A service to set up.
+#[derive(Debug, Clone)]
+pub struct ServicePlan {
+    /// Its name.
+    pub name: &'static str,
+    /// Its route.
+    pub route: &'static str,
+    /// Its policy's text.
+    pub policy: String,
+    /// How many targets it has.
+    pub targets: usize,
+    /// Slots of each.
+    pub slots: usize,
+    /// Median time of their work.
+    pub work: Duration,
+    /// Its bias, as in the configuration.
+    pub bias: &'static str,
+    /// Its floor.
+    pub floor: f64,
+    /// Length of what it offers for download, in bytes.
+    pub download_bytes: u64,
+}
+
+/// What to set up.
+#[derive(Debug, Clone)]
+pub struct SystemSetup {
+    /// How many boxes.
+    pub boxes: usize,
+    /// Over how many data centres.
+    pub data_centres: usize,
+    /// The services.
+    pub services: Vec<ServicePlan>,
+    /// Time between "not ready" and the last new connection of a box that leaves.
+    pub leave_time: Duration,
+}
+
+/// A running target.
+#[derive(Debug, Clone)]
+pub struct RunningTarget {
+    /// Its service.
+    pub service: &'static str,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its faults and its log.
+    pub handle: TargetHandle,
+}
+
+/// A running box.
+#[derive(Debug)]
+pub struct BoxHandle {
+    /// Its name.
+    pub box_id: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where its agent listens.
+    pub agent: AgentAddresses,
+    /// Where its proxy listens.
+    pub proxy: ProxyAddresses,
+    /// Cuts its agent off from others.
+    pub cuts: CutSwitch,
+    agent_run: Option<RunningPart>,
+    proxy_run: Option<RunningPart>,
+}
+
+#[derive(Debug)]
+struct RunningPart {
+    stop: StopHandle,
+    thread: JoinHandle<eyre::Result<Outcome>>,
+}
+
+impl RunningPart {
+    fn end(self) -> eyre::Result<Outcome> {
+        self.stop.stop();
+        self.thread
+            .join()
+            .map_err(|_| eyre!("a part ended by a broken invariant"))?
+    }
+}
+
+/// The whole system.
+#[derive(Debug)]
+pub struct SmallSystem {
+    /// The setup it was started with.
+    pub setup: SystemSetup,
+    /// The store.
+    pub store: StoreHandle,
+    /// Where the store listens.
+    pub store_address: SocketAddr,
+    /// The targets.
+    pub targets: Vec<RunningTarget>,
+    /// The boxes.
+    pub boxes: Vec<BoxHandle>,
+    started_boxes: usize,
+}
+
+impl SmallSystem {
+    /// Starts everything, puts the configuration in force and waits until all boxes are ready.
+    ///
+    /// # Errors
+    /// A part did not start, or the configuration was not accepted.
+    pub fn start(setup: SystemSetup) -> eyre::Result<SmallSystem> {
+        let store = StoreHandle::new();
+        let store_address = task::block_on(start_store(store.clone()))?;
+        let mut targets = Vec::new();
+        for service in &setup.services {
+            for number in 0..service.targets {
+                targets.push(task::block_on(start_target(service, number))?);
+            }
+        }
+        let boxes = Vec::new();
+        let mut system = SmallSystem {
+            setup,
+            store,
+            store_address,
+            targets,
+            boxes,
+            started_boxes: 0,
+        };
+        for _ in 0..system.setup.boxes {
+            system.add_box()?;
+        }
+        system.configure()?;
+        system.wait_ready()?;
+        Ok(system)
+    }
+
+    /// Starts one more box and puts it on the box list.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_box(&mut self) -> eyre::Result<()> {
+        self.started_boxes += 1;
+        let number = self.started_boxes;
+        let box_id = format!("box-{number}");
+        let data_centre = format!("dc-{}", (number - 1) % self.setup.data_centres + 1);
+        let cuts = CutSwitch::default();
+        let (agent, agent_run) = self.start_agent(&box_id, &data_centre, &cuts)?;
+        self.list_box(&box_id, &data_centre, &agent, "live");
+        let (proxy, proxy_run) = self.start_proxy(&box_id, &data_centre, agent.proxy)?;
+        self.boxes.push(BoxHandle {
+            box_id,
+            data_centre,
+            agent,
+            proxy,
+            cuts,
+            agent_run: Some(agent_run),
+            proxy_run: Some(proxy_run),
+        });
+        Ok(())
+    }
+
+    /// Stops a box as planned: on the list it leaves, its proxy drains, then it is gone.
+    ///
+    /// # Errors
+    /// A request was cut, or a part ended badly.
+    pub fn stop_box(&mut self, index: usize) -> eyre::Result<()> {
+        let mut leaving = self.boxes.remove(index);
+        self.list_box(
+            &leaving.box_id,
+            &leaving.data_centre,
+            &leaving.agent,
+            "leaving",
+        );
+        let proxy = leaving.proxy_run.take().map(RunningPart::end).transpose()?;
+        leaving.agent_run.take().map(RunningPart::end).transpose()?;
+        self.list_box(
+            &leaving.box_id,
+            &leaving.data_centre,
+            &leaving.agent,
+            "gone",
+        );
+        eyre::ensure!(
+            proxy != Some(Outcome::CheckFailed),
+            "{} cut a request",
+            leaving.box_id
+        );
+        Ok(())
+    }
+
+    /// Ends a box's agent alone.
+    ///
+    /// # Errors
+    /// It ended badly.
+    pub fn stop_agent(&mut self, index: usize) -> eyre::Result<()> {
+        let agent = self.boxes[index].agent_run.take();
+        agent.map(RunningPart::end).transpose()?;
+        Ok(())
+    }
+
+    /// The proxies' addresses for callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.boxes.iter().map(|one| one.proxy.callers).collect()
+    }
+
+    /// The targets of one service.
+    pub fn targets_of(&self, service: &str) -> Vec<&RunningTarget> {
+        self.targets
+            .iter()
+            .filter(|target| target.service == service)
+            .collect()
+    }
+
+    /// The operators' client of this system.
+    pub fn changer(&self) -> Changer {
+        Changer {
+            store: StoreClient::new(&self.store_address.to_string()),
+            fleet: self.fleet(),
+            author: "demo".into(),
+            wait: Duration::from_secs(20),
+        }
+    }
+
+    /// The agents' client of this system.
+    pub fn fleet(&self) -> FleetClient {
+        FleetClient::new(
+            self.boxes
+                .iter()
+                .map(|one| one.agent.admin.to_string())
+                .collect(),
+        )
+    }
+
+    /// Puts one key in force everywhere.
+    ///
+    /// # Errors
+    /// It was not accepted.
+    pub fn put(&self, key: &str, text: &str) -> eyre::Result<ChangeReport> {
+        let changer = self.changer();
+        let report = task::block_on(changer.change(key, Some(text.to_string()), None))?;
+        eyre::ensure!(report.lacking.is_empty(), "{}", report.as_text());
+        Ok(report)
+    }
+
+    /// A service's block of configuration.
+    pub fn service_text(&self, plan: &ServicePlan) -> String {
+        let targets = self.targets_of(plan.name);
+        let addresses: Vec<String> = targets
+            .iter()
+            .map(|target| format!("\"{}\"", target.address))
+            .collect();
+        format!(
+            "[[service]]\nname = \"{0}\"\npolicy = \"{0}\"\nroutes = [\"{1}\"]\nslots = {2}\n\
+             floor = {3}\nbias = \"{4}\"\ntargets = [{5}]\n",
+            plan.name,
+            plan.route,
+            plan.slots,
+            plan.floor,
+            plan.bias,
+            addresses.join(", ")
+        )
+    }
+
+    /// Waits until all boxes say that they are ready.
+    ///
+    /// # Errors
+    /// One was not ready in time.
+    pub fn wait_ready(&self) -> eyre::Result<()> {
+        for one in &self.boxes {
+            task::block_on(wait_ready(one.proxy.admin)).wrap_err_with(|| one.box_id.clone())?;
+        }
+        Ok(())
+    }
+
+    fn configure(&self) -> eyre::Result<()> {
+        for plan in &self.setup.services {
+            self.put(&format!("policy/{}", plan.name), &plan.policy)?;
+            self.put(&format!("service/{}", plan.name), &self.service_text(plan))?;
+        }
+        Ok(())
+    }
+
+    fn list_box(&self, box_id: &str, data_centre: &str, agent: &AgentAddresses, state: &str) {
+        self.store.set_box(BoxRecord {
+            box_id: box_id.to_string(),
+            revision: 0,
+            address: agent.peers.to_string(),
+            admin: agent.admin.to_string(),
+            data_centre: data_centre.to_string(),
+            state: state.to_string(),
+        });
+    }
+
+    fn start_agent(
+        &self,
+        box_id: &str,
+        data_centre: &str,
+        cuts: &CutSwitch,
+    ) -> eyre::Result<(AgentAddresses, RunningPart)> {
+        let settings = AgentSettings {
+            box_id: box_id.to_string(),
+            data_centre: data_centre.to_string(),
+            store: self.store_address,
+            peer_listen: any_port(),
+            proxy_listen: any_port(),
+            admin_listen: any_port(),
+            fleet_key: DEMO_KEY.into(),
+            seed_peers: self
+                .boxes
+                .iter()
+                .map(|one| one.agent.peers)
+                .take(2)
+                .collect(),
+            digest_period: Duration::from_millis(500),
+            resync_period: Duration::from_secs(10),
+            log_level: "off".into(),
+        };
+        let cuts = cuts.clone();
+        start_part(&format!("{box_id} agent"), move |stop, started| {
+            wingbridge_agent::run_with(&settings, stop, &cuts, started)
+        })
+    }
+
+    fn start_proxy(
+        &self,
+        box_id: &str,
+        data_centre: &str,
+        agent: SocketAddr,
+    ) -> eyre::Result<(ProxyAddresses, RunningPart)> {
+        let settings = ProxySettings {
+            box_id: box_id.to_string(),
+            data_centre: data_centre.to_string(),
+            listen: any_port(),
+            admin_listen: any_port(),
+            agent,
+            fleet_key: DEMO_KEY.into(),
+            connect_time: Duration::from_millis(500),
+            held_bytes: 256 * 1024,
+            request_bytes: 1 << 20,
+            connections: 4096,
+            request_time: Duration::from_secs(10),
+            stall_time: Duration::from_secs(2),
+            leave_time: self.setup.leave_time,
+            drain_time: Duration::from_secs(30),
+            log_level: "off".into(),
+        };
+        start_part(&format!("{box_id} proxy"), move |stop, started| {
+            wingbridge_proxy::run(&settings, stop, started)
+        })
+    }
+}
+
+impl Drop for SmallSystem {
+    fn drop(&mut self) {
+        for mut one in self.boxes.drain(..) {
+            for part in [one.proxy_run.take(), one.agent_run.take()]
+                .into_iter()
+                .flatten()
+            {
+                // Ends with the signal; what it says of its end is for planned stops.
+                part.stop.stop();
+            }
+        }
+    }
+}
+
+fn start_part<A: Send + 'static>(
+    name: &str,
+    run: impl FnOnce(&wingbridge_process::StopSignal, Box<dyn FnOnce(A)>) -> eyre::Result<Outcome>
+    + Send
+    + 'static,
+) -> eyre::Result<(A, RunningPart)> {
+    let (stop, signal) = stop_pair();
+    let (sender, addresses) = mpsc::channel();
+    let thread = thread::Builder::new()
+        .name(name.to_string())
+        .spawn(move || run(&signal, Box::new(move |address| drop(sender.send(address)))))?;
+    match addresses.recv() {
+        Ok(address) => Ok((address, RunningPart { stop, thread })),
+        Err(_) => {
+            let result = thread
+                .join()
+                .map_err(|_| eyre!("{name} ended by a broken invariant"))?;
+            Err(result
+                .err()
+                .unwrap_or_else(|| eyre!("{name} ended before it started")))
+        }
+    }
+}
+
+async fn start_store(store: StoreHandle) -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind(any_port()).await?;
+    let address = listener.local_addr()?;
+    task::spawn(serve_store(listener, store));
+    Ok(address)
+}
+
+async fn start_target(service: &ServicePlan, number: usize) -> eyre::Result<RunningTarget> {
+    let listener = TcpListener::bind(any_port()).await?;
+    let address = listener.local_addr()?;
+    let handle = TargetHandle::new(TargetSettings {
+        name: address.to_string(),
+        slots: service.slots,
+        work: service.work,
+        spread: 0.3,
+        download_bytes: service.download_bytes,
+        seed: number as u64,
+    });
+    task::spawn(serve_target(listener, handle.clone()));
+    Ok(RunningTarget {
+        service: service.name,
+        address,
+        handle,
+    })
+}
+
+async fn wait_ready(admin: SocketAddr) -> eyre::Result<()> {
+    let client = HttpClient::new(&admin.to_string(), Duration::from_secs(1));
+    let ready = async {
+        while !matches!(client.get("/ready").await, Ok(reply) if reply.status == 200) {
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    Ok(async_std::future::timeout(READY_TIME, ready).await?)
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/demo/tests/programs/mod.rs
@@ -0,0 +1,225 @@
+//! Starts the real programs and ends them, by process id.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use async_std::task;
+use wingbridge_http::HttpClient;
+
+const KEY: &str = "a key for tests, not for use";
+
+/// A running program, killed when dropped.
+pub struct Program {
+    child: Child,
+    pub line: String,
+}
+
+impl Program {
+    /// Starts `name` and waits for the line that says where it listens.
+    pub fn start(name: &str, arguments: &[String]) -> Program {
+        let mut child = Command::new(program_path(name))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name} starts: {error}"));
+        let mut lines = BufReader::new(child.stdout.take().expect("piped"));
+        let mut line = String::new();
+        lines.read_line(&mut line).expect("a line");
+        assert!(!line.is_empty(), "{name} {arguments:?} said nothing");
+        // Whatever else it says must not fill the pipe.
+        thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
+        Program {
+            child,
+            line: line.trim().to_string(),
+        }
+    }
+
+    /// The address after `label` in its first line.
+    pub fn address(&self, label: &str) -> SocketAddr {
+        let words = self.line.split_whitespace().rev();
+        let found = words
+            .map(|word| word.strip_prefix(label))
+            .find_map(|found| found);
+        let text = found.unwrap_or_else(|| panic!("{label} in '{}'", self.line));
+        text.parse().expect("an address")
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .expect("kill runs");
+        assert!(status.success());
+    }
+
+    /// Waits for its end and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A box's proxy, as a caller and the balancer see it.
+#[derive(Debug, Clone, Copy)]
+pub struct ProxyPlace {
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// Store, targets and boxes as processes.
+pub struct ProgramFleet {
+    pub store: Program,
+    pub targets: Vec<Program>,
+    pub agents: Vec<Program>,
+    pub proxies: Vec<std::cell::RefCell<Program>>,
+    places: Vec<ProxyPlace>,
+}
+
+impl ProgramFleet {
+    /// Starts a store, `boxes` boxes in as many data centres, and `targets` targets.
+    pub fn start(boxes: usize, targets: usize) -> ProgramFleet {
+        let store = Program::start("standin-store", &[]);
+        let targets =
+            (0..targets).map(|_| Program::start("standin-target", &["--work-ms=2".into()]));
+        let mut fleet = ProgramFleet {
+            store,
+            targets: targets.collect(),
+            agents: Vec::new(),
+            proxies: Vec::new(),
+            places: Vec::new(),
+        };
+        for number in 0..boxes {
+            fleet.add_box(number);
+        }
+        fleet
+    }
+
+    fn add_box(&mut self, number: usize) {
+        let common = [
+            format!("--box-id=box-{number}"),
+            format!("--data-centre=dc-{number}"),
+            format!("--fleet-key={KEY}"),
+            "--log-level=off".to_string(),
+        ];
+        let store = format!("--store={}", self.store_address());
+        let agent = [common.to_vec(), vec![store, "--digest-ms=200".into()]].concat();
+        let agent = Program::start("wingbridge-agent", &agent);
+        self.list_box(number, &agent);
+        let place = format!("--agent={}", agent.address("proxy="));
+        let proxy = [common.to_vec(), vec![place, "--leave-ms=100".into()]].concat();
+        let proxy = Program::start("wingbridge-proxy", &proxy);
+        let place = ProxyPlace {
+            callers: proxy.address("callers="),
+            admin: proxy.address("admin="),
+        };
+        self.places.push(place);
+        self.agents.push(agent);
+        self.proxies.push(std::cell::RefCell::new(proxy));
+    }
+
+    fn list_box(&self, number: usize, agent: &Program) {
+        let record = serde_json::json!({
+            "box_id": format!("box-{number}"), "revision": 0, "data_centre": format!("dc-{number}"),
+            "address": agent.address("peers=").to_string(),
+            "admin": agent.address("admin=").to_string(), "state": "live",
+        });
+        let client = HttpClient::new(&self.store_address().to_string(), Duration::from_secs(5));
+        let put = client.call(
+            http_types::Method::Put,
+            "/v1/boxes",
+            record.to_string().into_bytes(),
+            Duration::from_secs(5),
+        );
+        assert_eq!(task::block_on(put).expect("the store answers").status, 200);
+    }
+
+    pub fn store_address(&self) -> SocketAddr {
+        self.store.address("")
+    }
+
+    pub fn proxies(&self) -> &[ProxyPlace] {
+        &self.places
+    }
+
+    pub fn target_list(&self) -> String {
+        let quoted = self
+            .targets
+            .iter()
+            .map(|target| format!("'{}'", target.address("")));
+        quoted.collect::<Vec<_>>().join(",")
+    }
+
+    pub fn put_policy(&self, name: &str, text: &str) {
+        self.ctl(&["policy", "put", name, "-"], text);
+    }
+
+    pub fn put_service(&self, text: &str) {
+        self.ctl(&["config", "put", "-"], text);
+    }
+
+    /// Runs `wingctl` with `input` and expects success.
+    pub fn ctl(&self, arguments: &[&str], input: &str) -> String {
+        let agents: Vec<String> = self
+            .agents
+            .iter()
+            .map(|agent| agent.address("admin=").to_string())
+            .collect();
+        let mut child = Command::new(program_path("wingctl"))
+            .arg(format!("--store={}", self.store_address()))
+            .arg(format!("--agents={}", agents.join(",")))
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("wingctl starts");
+        child
+            .stdin
+            .take()
+            .expect("piped")
+            .write_all(input.as_bytes())
+            .expect("it reads");
+        let output = child.wait_with_output().expect("it ends");
+        assert!(
+            output.status.success(),
+            "wingctl {arguments:?}: {:?}",
+            output.status
+        );
+        String::from_utf8(output.stdout).expect("UTF-8")
+    }
+
+    pub fn wait_ready(&self, place: &ProxyPlace) {
+        let client = HttpClient::new(&place.admin.to_string(), Duration::from_secs(5));
+        while !matches!(task::block_on(client.get("/ready")), Ok(reply) if reply.status == 200) {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Stops a proxy with SIGTERM and expects that it cut nothing.
+    pub fn stop_proxy_as_planned(&self, index: usize) {
+        let mut proxy = self.proxies[index].borrow_mut();
+        proxy.signal("TERM");
+        assert_eq!(proxy.wait(), Some(0));
+    }
+}
+
+fn program_path(name: &str) -> std::path::PathBuf {
+    // The test's own program lies in target/PROFILE/deps, the programs one folder up.
+    let own = std::env::current_exe().expect("a path");
+    let folder = own
+        .parent()
+        .and_then(std::path::Path::parent)
+        .expect("a folder");
+    folder.join(name)
+}
--- /dev/null
+++ b/crates/process/src/logs.rs
@@ -0,0 +1,51 @@
+//! Logs: one JSON object a line on standard error.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+
+use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+
+/// Starts logging at `level` ("error" to "trace"). The handle must be kept.
+///
+/// # Errors
+/// The level is unknown or logging has been started already.
+pub fn start_logs(level: &str) -> eyre::Result<LoggerHandle> {
+    let logger = Logger::try_with_str(level)?
+        .log_to_stderr()
+        .format(json_line);
+    Ok(logger.start()?)
+}
+
+fn json_line(
+    out: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> Result<(), std::io::Error> {
+    let mut fields = FieldReader::default();
+    fields.put("time", &now.format_rfc3339());
+    fields.put("level", &record.level().to_string().to_lowercase());
+    fields.put("module", record.module_path().unwrap_or_default());
+    fields.put("event", &record.args().to_string());
+    // A value that can't be shown costs its field and not the line.
+    let _ = record.key_values().visit(&mut fields);
+    let line = serde_json::to_string(&fields.0).map_err(std::io::Error::other)?;
+    out.write_all(line.as_bytes())
+}
+
+#[derive(Default)]
+struct FieldReader(BTreeMap<String, String>);
+
+impl FieldReader {
+    fn put(&mut self, name: &str, value: &str) {
+        self.0.insert(name.to_string(), value.to_string());
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for FieldReader {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.put(key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/active_config.rs
@@ -0,0 +1,193 @@
+//! The configuration in force: an immutable snapshot that requests share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use wingbridge_config::{
+    HAND_PREFIX, POLICY_PREFIX, RouteTable, SERVICE_PREFIX, ServiceConfig, parse_hand,
+    parse_service,
+};
+use wingbridge_decide::{BoxEvent, HandOrder, Name};
+use wingbridge_policy::PolicyProgram;
+use wingbridge_wire::{Entry, KeyStamp, Stamp};
+
+/// What requests are planned by.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigSnapshot {
+    services: HashMap<Name, ServiceConfig>,
+    policies: HashMap<String, PolicyProgram>,
+    routes: RouteTable,
+}
+
+impl ConfigSnapshot {
+    /// The policy that plans requests for `path`, with its service.
+    pub(crate) fn policy_for(
+        &self,
+        path: &str,
+    ) -> Option<(&ServiceConfig, Option<&PolicyProgram>)> {
+        let service = self.services.get(self.routes.find(path)?)?;
+        Some((service, self.policies.get(&service.policy)))
+    }
+}
+
+/// The snapshot in force, shared by all requests.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ActiveConfig {
+    snapshot: Arc<RwLock<Option<Arc<ConfigSnapshot>>>>,
+}
+
+impl ActiveConfig {
+    /// The snapshot, or `None` while the box has no whole configuration.
+    pub(crate) fn get(&self) -> Option<Arc<ConfigSnapshot>> {
+        self.snapshot
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn set(&self, snapshot: ConfigSnapshot) {
+        let snapshot = Some(Arc::new(snapshot));
+        *self
+            .snapshot
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = snapshot;
+    }
+}
+
+/// Takes entries, keeps for each key the highest version, and makes snapshots.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigKeeper {
+    stamps: HashMap<String, Stamp>,
+    services: HashMap<Name, ServiceConfig>,
+    policies: HashMap<String, PolicyProgram>,
+    hands: HashMap<Name, Vec<HandOrder>>,
+}
+
+/// What follows from some entries.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigChange {
+    /// For the core.
+    pub(crate) events: Vec<BoxEvent>,
+    /// Keys that are now in force.
+    pub(crate) in_force: Vec<KeyStamp>,
+    /// Keys whose value can't be used, with the reason; the one before stays in force.
+    pub(crate) refused: Vec<(String, String)>,
+}
+
+impl ConfigKeeper {
+    /// Takes entries. Versions that are not higher than the one held change nothing.
+    pub(crate) fn take(&mut self, entries: &[Entry]) -> ConfigChange {
+        let mut change = ConfigChange::default();
+        for entry in entries {
+            if self
+                .stamps
+                .get(&entry.key)
+                .is_some_and(|held| *held > entry.stamp)
+            {
+                continue;
+            }
+            match self.take_one(entry, &mut change.events) {
+                Ok(()) => {
+                    self.stamps.insert(entry.key.clone(), entry.stamp.clone());
+                    let stamp = entry.stamp.clone();
+                    change.in_force.push(KeyStamp {
+                        key: entry.key.clone(),
+                        stamp,
+                    });
+                }
+                Err(reason) => change.refused.push((entry.key.clone(), reason)),
+            }
+        }
+        change
+    }
+
+    /// Puts what is held in force.
+    pub(crate) fn publish(&self, active: &ActiveConfig) {
+        let routes = self.services.values().flat_map(|service| {
+            let name = &service.setup.name;
+            service
+                .routes
+                .iter()
+                .map(move |route| (route.as_str(), name.clone()))
+        });
+        active.set(ConfigSnapshot {
+            routes: RouteTable::new(routes),
+            services: self.services.clone(),
+            policies: self.policies.clone(),
+        });
+    }
+
+    fn take_one(&mut self, entry: &Entry, events: &mut Vec<BoxEvent>) -> Result<(), String> {
+        if let Some(name) = entry.key.strip_prefix(SERVICE_PREFIX) {
+            return self.take_service(name, entry, events);
+        }
+        if let Some(name) = entry.key.strip_prefix(POLICY_PREFIX) {
+            return self.take_policy(name, entry);
+        }
+        if let Some(name) = entry.key.strip_prefix(HAND_PREFIX) {
+            return self.take_hand(name, entry, events);
+        }
+        Err("no such kind of key".into())
+    }
+
+    fn take_service(
+        &mut self,
+        name: &str,
+        entry: &Entry,
+        events: &mut Vec<BoxEvent>,
+    ) -> Result<(), String> {
+        if entry.deleted {
+            self.services.remove(name);
+            events.push(BoxEvent::ServiceRemoved(name.into()));
+            return Ok(());
+        }
+        let service = parse_service(&entry.text).map_err(|error| error.to_string())?;
+        if *service.setup.name != *name {
+            return Err(format!(
+                "it configures the service '{}'",
+                service.setup.name
+            ));
+        }
+        let name = service.setup.name.clone();
+        events.push(BoxEvent::ServiceConfigured(service.setup.clone()));
+        if let Some(orders) = self.hands.get(&name) {
+            // Orders may have come before the service, or name a target that it gains.
+            let orders = orders.clone();
+            events.push(BoxEvent::HandOrdersSet {
+                service: name.clone(),
+                orders,
+            });
+        }
+        self.services.insert(name, service);
+        Ok(())
+    }
+
+    fn take_policy(&mut self, name: &str, entry: &Entry) -> Result<(), String> {
+        if entry.deleted {
+            self.policies.remove(name);
+            return Ok(());
+        }
+        let policy = PolicyProgram::compile(&entry.text).map_err(|fault| fault.to_string())?;
+        self.policies.insert(name.to_string(), policy);
+        Ok(())
+    }
+
+    fn take_hand(
+        &mut self,
+        name: &str,
+        entry: &Entry,
+        events: &mut Vec<BoxEvent>,
+    ) -> Result<(), String> {
+        let orders = if entry.deleted {
+            Vec::new()
+        } else {
+            parse_hand(&entry.text).map_err(|error| error.to_string())?
+        };
+        self.hands.insert(name.into(), orders.clone());
+        events.push(BoxEvent::HandOrdersSet {
+            service: name.into(),
+            orders,
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,216 @@
+//! One attempt of a request at one target, and probes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures::AsyncReadExt;
+use futures::io::AsyncWriteExt;
+use http_types::{Method, Request, Response, Url};
+use wingbridge_decide::{AttemptOutcome, BoxEvent, Name, TargetKey};
+use wingbridge_http::{AnswerBody, ErrorKind, HttpError, IncomingAnswer, MessageLimits};
+
+use crate::context::ProxyContext;
+use crate::decision::DecisionInput;
+use crate::headers::{self, BOX, DEADLINE, REQUEST};
+use crate::pool::TargetConnection;
+
+/// Chunked answers are held whole up to this length, in bytes.
+const CHUNKED_BYTES: usize = 8 << 20;
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// A request as it goes to targets. It is sent again as it stands.
+#[derive(Debug, Clone)]
+pub(crate) struct OutgoingRequest {
+    pub(crate) method: Method,
+    pub(crate) url: Url,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) name: String,
+    pub(crate) repeatable: bool,
+}
+
+/// A target's answer, with the connection if a large body waits in it.
+#[derive(Debug)]
+pub(crate) struct TargetAnswer {
+    pub(crate) target: Name,
+    pub(crate) response: Response,
+    pub(crate) body: AnswerBody,
+    pub(crate) connection: Option<TargetConnection>,
+}
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub(crate) struct AttemptResult {
+    pub(crate) outcome: AttemptOutcome,
+    pub(crate) answer: Option<TargetAnswer>,
+}
+
+impl AttemptResult {
+    fn without_answer(outcome: AttemptOutcome) -> AttemptResult {
+        AttemptResult {
+            outcome,
+            answer: None,
+        }
+    }
+}
+
+/// Sends `request` to `target` and reads the answer. Dropping the future closes the
+/// connection, which cancels the work at the target.
+pub(crate) async fn attempt_target(
+    context: Arc<ProxyContext>,
+    request: Arc<OutgoingRequest>,
+    target: Name,
+    time_left: Duration,
+    fresh_connection: bool,
+) -> AttemptResult {
+    let pooled = if fresh_connection {
+        None
+    } else {
+        context.pool.take(&target)
+    };
+    if let Some(connection) = pooled {
+        match exchange(&context, &request, &target, connection, time_left).await {
+            Ok(result) => return result,
+            // The target closed the idle connection as the request went out. That is no
+            // failure of it; the request may be repeated, or it would not be here.
+            Err(error) if error.kind() == ErrorKind::CutShort || error.kind() == ErrorKind::Io => {}
+            Err(_) => return AttemptResult::without_answer(AttemptOutcome::Broken),
+        }
+    }
+    let Ok(connection) = connect(&context, &target).await else {
+        return AttemptResult::without_answer(AttemptOutcome::NotSent);
+    };
+    let result = exchange(&context, &request, &target, connection, time_left).await;
+    result.unwrap_or_else(|error| {
+        log::debug!(target:% = target, request = request.name.as_str(), reason:% = error; "attempt-broken");
+        AttemptResult::without_answer(AttemptOutcome::Broken)
+    })
+}
+
+/// Asks a target's health end point whether it takes work again after leaving. What
+/// it says of its health counts for nothing.
+pub(crate) async fn probe_target(context: Arc<ProxyContext>, service: Name, target: Name) {
+    let probe = async {
+        let connection = connect(&context, &target).await.ok()?;
+        let url = Url::parse(&format!("http://{target}/health")).ok()?;
+        let request = OutgoingRequest {
+            method: Method::Get,
+            url,
+            headers: Vec::new(),
+            body: Vec::new(),
+            name: format!("{}-probe", context.box_id),
+            repeatable: true,
+        };
+        let result = exchange(&context, &request, &target, connection, PROBE_TIME)
+            .await
+            .ok()?;
+        result
+            .answer
+            .map(|answer| headers::target_report(&answer.response).state)
+    };
+    let state = async_std::future::timeout(PROBE_TIME, probe)
+        .await
+        .ok()
+        .flatten();
+    let event = BoxEvent::ProbeEnded {
+        service,
+        target: TargetKey::of(&target),
+        state,
+    };
+    let _ = context.decisions.send(DecisionInput::Event(event)).await;
+}
+
+async fn connect(context: &ProxyContext, target: &Name) -> std::io::Result<TargetConnection> {
+    let connecting = TcpStream::connect(&**target);
+    let stream = async_std::future::timeout(context.settings.connect_time, connecting).await;
+    let stream = stream.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    Ok(TargetConnection::new(stream))
+}
+
+async fn exchange(
+    context: &ProxyContext,
+    request: &OutgoingRequest,
+    target: &Name,
+    mut connection: TargetConnection,
+    time_left: Duration,
+) -> Result<AttemptResult, HttpError> {
+    let bytes = encode(context, request, time_left).await?;
+    connection.writer.write_all(&bytes).await?;
+    let limits = MessageLimits {
+        body: context.settings.held_bytes,
+        chunked: CHUNKED_BYTES,
+        request_line: 8000,
+        ..MessageLimits::default()
+    };
+    let answer = connection
+        .reader
+        .read_answer(request.method.as_ref(), &limits)
+        .await?;
+    Ok(sort_answer(context, target, connection, answer))
+}
+
+async fn encode(
+    context: &ProxyContext,
+    request: &OutgoingRequest,
+    time_left: Duration,
+) -> Result<Vec<u8>, HttpError> {
+    let mut outgoing = Request::new(request.method, request.url.clone());
+    for (name, value) in &request.headers {
+        outgoing.append_header(name.as_str(), value.as_str());
+    }
+    outgoing.insert_header(REQUEST, request.name.as_str());
+    outgoing.insert_header(BOX, &*context.box_id);
+    outgoing.insert_header(DEADLINE, time_left.as_millis().to_string());
+    let had_type = outgoing.header("content-type").is_some();
+    outgoing.set_body(request.body.clone());
+    if !had_type {
+        // The library makes up a type for bodies that have none.
+        outgoing.remove_header("content-type");
+    }
+    let mut bytes = Vec::with_capacity(1024 + request.body.len());
+    async_h1_encode(outgoing, &mut bytes).await?;
+    Ok(bytes)
+}
+
+async fn async_h1_encode(request: Request, bytes: &mut Vec<u8>) -> Result<(), HttpError> {
+    let mut encoder = wingbridge_http::client::encoder(request);
+    encoder.read_to_end(bytes).await?;
+    Ok(())
+}
+
+fn sort_answer(
+    context: &ProxyContext,
+    target: &Name,
+    connection: TargetConnection,
+    answer: IncomingAnswer,
+) -> AttemptResult {
+    let IncomingAnswer {
+        response,
+        body,
+        keep_alive,
+    } = answer;
+    let report = headers::target_report(&response);
+    let outcome = match response.status() as u16 {
+        _ if headers::says_not_run(&response) => AttemptOutcome::Shed(report),
+        500..=599 => AttemptOutcome::AnsweredError(report),
+        _ => AttemptOutcome::Answered(report),
+    };
+    let mut held = None;
+    if matches!(body, AnswerBody::Waiting(_)) {
+        held = Some(connection);
+    } else if keep_alive {
+        context.pool.put(target, connection);
+    }
+    let answer = TargetAnswer {
+        target: target.clone(),
+        response,
+        body,
+        connection: held,
+    };
+    AttemptResult {
+        outcome,
+        answer: Some(answer),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/context.rs
@@ -0,0 +1,63 @@
+//! What every request shares.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_channel::Sender;
+use wingbridge_decide::{Name, RequestId};
+use wingbridge_process::ProcessClock;
+use wingbridge_trace::TimeLine;
+
+use crate::active_config::ActiveConfig;
+use crate::decision::DecisionInput;
+use crate::lifecycle::ReadyFlag;
+use crate::pool::ConnectionPool;
+use crate::settings::ProxySettings;
+
+/// What requests, probes and the link to the agent share.
+pub(crate) struct ProxyContext {
+    pub(crate) settings: ProxySettings,
+    pub(crate) box_id: Name,
+    pub(crate) clock: ProcessClock,
+    pub(crate) line: TimeLine,
+    pub(crate) config: ActiveConfig,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) decisions: Sender<DecisionInput>,
+    pub(crate) ready: ReadyFlag,
+    numbers: AtomicU64,
+    /// Makes request ids of this process differ from those of one before it.
+    start: u64,
+}
+
+impl ProxyContext {
+    pub(crate) fn new(
+        settings: ProxySettings,
+        clock: ProcessClock,
+        line: TimeLine,
+        decisions: Sender<DecisionInput>,
+        ready: ReadyFlag,
+    ) -> Arc<ProxyContext> {
+        Arc::new(ProxyContext {
+            box_id: settings.box_id.as_str().into(),
+            settings,
+            clock,
+            line,
+            config: ActiveConfig::default(),
+            pool: ConnectionPool::default(),
+            decisions,
+            ready,
+            numbers: AtomicU64::new(1),
+            start: clock.micros(),
+        })
+    }
+
+    /// A new number for a request.
+    pub(crate) fn next_request(&self) -> RequestId {
+        RequestId(self.numbers.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The id that a request has in logs, headers and at targets.
+    pub(crate) fn request_name(&self, request: RequestId) -> String {
+        format!("{}-{:x}-{:x}", self.box_id, self.start, request.0)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/decision.rs
@@ -0,0 +1,264 @@
+//! The decision thread: it drives the core and passes its commands on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use wingbridge_decide::core::BoxCore;
+use wingbridge_decide::messages::HealthNotice;
+use wingbridge_decide::service::{ServiceState, TargetState};
+use wingbridge_decide::{
+    BoxCommand, BoxEvent, Conclusion, HandOrderKind, HealthState, Name, RequestId, RequestPlan,
+    TargetKey, TimePoint, VerdictScope,
+};
+use wingbridge_wire::convert::service_evidence;
+use wingbridge_wire::{Evidence, FrameBody, Leaving, ProxyState};
+
+use crate::attempt::probe_target;
+use crate::context::ProxyContext;
+
+/// Directives that wait for one request; the core gives at most one for each attempt
+/// and one at the end.
+pub(crate) const DIRECTIVES: usize = 16;
+
+/// Into the decision thread.
+#[derive(Clone)]
+pub(crate) enum DecisionInput {
+    /// A request with where its directives go.
+    Arrived {
+        request: RequestId,
+        plan: RequestPlan,
+        directives: Sender<Directive>,
+    },
+    /// Anything else for the core.
+    Event(BoxEvent),
+    /// The proxy's state is to be reported to the agent.
+    StateDue,
+}
+
+/// What the core wants of one request's task.
+#[derive(Debug, Clone)]
+pub(crate) enum Directive {
+    /// Send it to a target, and drop an earlier attempt.
+    Send {
+        attempt: u32,
+        target: Name,
+        fresh_connection: bool,
+    },
+    /// It is finished.
+    Conclude(Conclusion),
+}
+
+/// The thread's state.
+pub(crate) struct DecisionDuty {
+    context: Arc<ProxyContext>,
+    core: BoxCore,
+    directives: HashMap<RequestId, Sender<Directive>>,
+    agent: Sender<FrameBody>,
+    failing: bool,
+    reasons: HashMap<(Name, Name), &'static str>,
+}
+
+impl DecisionDuty {
+    pub(crate) fn new(
+        context: Arc<ProxyContext>,
+        core: BoxCore,
+        agent: Sender<FrameBody>,
+    ) -> DecisionDuty {
+        let directives = HashMap::new();
+        DecisionDuty {
+            context,
+            core,
+            directives,
+            agent,
+            failing: false,
+            reasons: HashMap::new(),
+        }
+    }
+
+    /// Works until the ring closes.
+    pub(crate) fn run(mut self, inputs: &Receiver<DecisionInput>) {
+        let mut commands = Vec::new();
+        while let Ok(input) = inputs.recv_blocking() {
+            let now = TimePoint::from_micros(self.context.clock.micros());
+            match input {
+                DecisionInput::Arrived {
+                    request,
+                    plan,
+                    directives,
+                } => {
+                    self.directives.insert(request, directives);
+                    let event = BoxEvent::RequestArrived { request, plan };
+                    self.core.handle(now, event, &mut commands);
+                }
+                DecisionInput::Event(event) => {
+                    if let BoxEvent::RequestCancelled(request) = &event {
+                        self.directives.remove(request);
+                    }
+                    self.core.handle(now, event, &mut commands);
+                }
+                DecisionInput::StateDue => self.report_state(now),
+            }
+            for command in commands.drain(..) {
+                self.carry_out(command);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: BoxCommand) {
+        match command {
+            BoxCommand::Send {
+                request,
+                attempt,
+                target,
+                fresh_connection,
+            } => {
+                if let Some(directives) = self.directives.get(&request) {
+                    // Full or closed: the request's task is gone, and its cancel is on the way.
+                    let directive = Directive::Send {
+                        attempt,
+                        target,
+                        fresh_connection,
+                    };
+                    let _ = directives.try_send(directive);
+                }
+            }
+            BoxCommand::Conclude {
+                request,
+                conclusion,
+            } => {
+                if let Some(directives) = self.directives.remove(&request) {
+                    let _ = directives.try_send(Directive::Conclude(conclusion));
+                }
+            }
+            BoxCommand::Probe { service, target } => {
+                task::spawn(probe_target(Arc::clone(&self.context), service, target));
+            }
+            BoxCommand::Report(batch) => {
+                let settings = &self.context.settings;
+                self.to_agent(FrameBody::Evidence(Evidence {
+                    box_id: settings.box_id.clone(),
+                    data_centre: settings.data_centre.clone(),
+                    services: vec![service_evidence(&batch)],
+                }));
+            }
+            BoxCommand::AnnounceLeaving {
+                service,
+                target: TargetKey(target),
+            } => {
+                let service = service.to_string();
+                let leaving = Leaving {
+                    service,
+                    target,
+                    ..Leaving::default()
+                };
+                self.to_agent(FrameBody::Leaving(leaving));
+            }
+            BoxCommand::HealthChanged(notice) => self.note_health(notice),
+            BoxCommand::SelfSuspected(failing) => {
+                self.failing = failing;
+                let kind = if failing {
+                    "box-fails"
+                } else {
+                    "box-works-again"
+                };
+                self.context.line.note(kind, &[]);
+                log::warn!(failing; "box-suspects-itself");
+            }
+        }
+    }
+
+    /// Without an agent, or with one that is far behind, reports are lost: the box
+    /// goes on by its own evidence.
+    fn to_agent(&self, body: FrameBody) {
+        if self.agent.try_send(body).is_err() {
+            metrics::counter!("wingbridge_reports_dropped").increment(1);
+        }
+    }
+
+    fn note_health(&mut self, notice: HealthNotice) {
+        let HealthNotice {
+            service,
+            target,
+            from,
+            to,
+            why,
+        } = notice;
+        let kind = match to {
+            HealthState::Healthy => "target-healthy",
+            HealthState::Ejected => "target-ejected",
+            HealthState::Trial => "target-on-trial",
+            HealthState::Warming => "target-warming",
+            HealthState::Leaving => "target-leaving",
+        };
+        let fields = [
+            ("service", &*service),
+            ("target", &*target),
+            ("from", from.as_str()),
+            ("why", why),
+        ];
+        self.context.line.note(kind, &fields);
+        log::info!(service:% = service, target:% = target, from = from.as_str(), why; "{kind}");
+        let labels = [
+            ("service", service.to_string()),
+            ("to", to.as_str().to_string()),
+        ];
+        metrics::counter!("wingbridge_target_changes", &labels).increment(1);
+        if matches!(to, HealthState::Ejected | HealthState::Leaving) {
+            self.reasons.insert((service, target), why);
+        }
+    }
+
+    fn report_state(&self, now: TimePoint) {
+        let services = self.core.services();
+        let targets = services.flat_map(|service| {
+            let changed = service.targets().iter().filter(|target| is_notable(target));
+            changed.map(|target| self.target_view(now, service, target))
+        });
+        self.to_agent(FrameBody::ProxyState(ProxyState {
+            targets: targets.collect(),
+            requests_held: self.core.requests_held() as u64,
+            ready: self.context.ready.is_ready(),
+            failing: self.failing,
+        }));
+    }
+
+    fn target_view(
+        &self,
+        now: TimePoint,
+        service: &ServiceState,
+        target: &TargetState,
+    ) -> wingbridge_wire::TargetState {
+        let name = service.setup().name.clone();
+        let address = target.setup.address.clone();
+        let why = self
+            .reasons
+            .get(&(name.clone(), address.clone()))
+            .copied()
+            .unwrap_or_default();
+        let scope = match (target.hand, target.health.ejection().map(|held| held.scope)) {
+            (Some(_), _) => "by hand",
+            (None, Some(VerdictScope::Path)) => "path",
+            (None, Some(VerdictScope::DataCentre)) => "data centre",
+            (None, Some(VerdictScope::Target)) => "target",
+            (None, None) => "",
+        };
+        let wanted =
+            target.health.ejection().is_some() || target.hand == Some(HandOrderKind::Eject);
+        wingbridge_wire::TargetState {
+            service: name.to_string(),
+            target: address.to_string(),
+            state: target.health.state().as_str().to_string(),
+            for_ms: now.since(target.health.since()).as_millis() as u64,
+            why: why.to_string(),
+            scope: scope.to_string(),
+            kept_out: target.kept_out() && !service.below_floor(),
+            kept_by_floor: wanted && (!target.limited || service.below_floor()),
+        }
+    }
+}
+
+fn is_notable(target: &TargetState) -> bool {
+    target.health.state() != HealthState::Healthy || target.hand.is_some()
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,74 @@
+//! Idle connections to targets.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use wingbridge_decide::Name;
+use wingbridge_http::MessageReader;
+
+/// Connections that are kept for one target.
+const KEPT: usize = 8;
+/// An idle connection is not used after this time: targets close theirs sooner or later.
+const KEPT_FOR: Duration = Duration::from_secs(5);
+
+/// A connection to a target with no answer outstanding.
+#[derive(Debug)]
+pub(crate) struct TargetConnection {
+    pub(crate) reader: MessageReader,
+    pub(crate) writer: TcpStream,
+}
+
+impl TargetConnection {
+    pub(crate) fn new(stream: TcpStream) -> TargetConnection {
+        let writer = stream.clone();
+        TargetConnection {
+            reader: MessageReader::new(stream),
+            writer,
+        }
+    }
+}
+
+/// The idle connections of all targets.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionPool {
+    idle: Mutex<HashMap<Name, Vec<(Instant, TargetConnection)>>>,
+}
+
+impl ConnectionPool {
+    /// The connection that was used last, if one is still good to use.
+    pub(crate) fn take(&self, target: &Name) -> Option<TargetConnection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(target)?;
+        let (since, connection) = connections.pop()?;
+        if since.elapsed() < KEPT_FOR {
+            return Some(connection);
+        }
+        // The others have been idle for longer still.
+        connections.clear();
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(crate) fn put(&self, target: &Name, connection: TargetConnection) {
+        let mut idle = self.lock();
+        let connections = idle.entry(target.clone()).or_default();
+        if connections.len() < KEPT {
+            connections.push((Instant::now(), connection));
+        }
+    }
+
+    /// Closes what has been idle for too long.
+    pub(crate) fn close_idle(&self) {
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            connections.retain(|(since, _)| since.elapsed() < KEPT_FOR);
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Name, Vec<(Instant, TargetConnection)>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,199 @@
+//! Starts the proxy's duties, and ends them without cutting a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use futures::future::{Either, select};
+use wingbridge_decide::{BoxCore, BoxEvent, EvidenceSource, HealthChart};
+use wingbridge_http::MessageLimits;
+use wingbridge_http::server::{ServerSettings, serve};
+use wingbridge_process::stop::stop_pair;
+use wingbridge_process::{Outcome, ProcessClock, StopSignal, TimerService};
+use wingbridge_trace::TimeLine;
+
+use crate::admin::serve_admin;
+use crate::agent_link::{AGENT_RING, AgentLink};
+use crate::context::ProxyContext;
+use crate::decision::{DecisionDuty, DecisionInput};
+use crate::lifecycle::{BoxLife, ReadyFlag};
+use crate::serve::answer_caller;
+use crate::settings::ProxySettings;
+
+/// Inputs that wait for the decision thread.
+const DECISION_RING: usize = 8192;
+/// Period of the core's timer: how exactly deadlines are kept.
+const TICK: Duration = Duration::from_millis(10);
+const STATE_PERIOD: Duration = Duration::from_secs(1);
+const POOL_PERIOD: Duration = Duration::from_secs(2);
+const LINE_EVENTS: usize = 2000;
+
+/// Where a started proxy listens; the system may have chosen the ports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProxyAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer.
+    pub admin: SocketAddr,
+}
+
+/// Runs a proxy until `stop`, then until what is in flight has ended.
+///
+/// # Errors
+/// An address can't be listened on, the health chart is faulty, or the system gave
+/// no thread.
+pub fn run(
+    settings: &ProxySettings,
+    stop: &StopSignal,
+    started: impl FnOnce(ProxyAddresses),
+) -> eyre::Result<Outcome> {
+    task::block_on(run_duties(settings, stop, started))
+}
+
+async fn run_duties(
+    settings: &ProxySettings,
+    stop: &StopSignal,
+    started: impl FnOnce(ProxyAddresses),
+) -> eyre::Result<Outcome> {
+    let chart = HealthChart::load()?;
+    let callers = TcpListener::bind(settings.listen).await?;
+    let admin = TcpListener::bind(settings.admin_listen).await?;
+    let addresses = ProxyAddresses {
+        callers: callers.local_addr()?,
+        admin: admin.local_addr()?,
+    };
+    let clock = ProcessClock::start();
+    let line = TimeLine::new(&settings.box_id, "proxy", LINE_EVENTS);
+    let ready = ReadyFlag::default();
+    let (decisions, inputs) = async_channel::bounded(DECISION_RING);
+    let (to_agent, outgoing) = async_channel::bounded(AGENT_RING);
+    let context = ProxyContext::new(
+        settings.clone(),
+        clock,
+        line.clone(),
+        decisions.clone(),
+        ready.clone(),
+    );
+    let core = BoxCore::new(evidence_source(settings), chart, clock.micros());
+    let duty = DecisionDuty::new(Arc::clone(&context), core, to_agent.clone());
+    let decision = thread::Builder::new()
+        .name("decisions".into())
+        .spawn(move || duty.run(&inputs))?;
+    let (caught_up, whole) = async_channel::bounded::<()>(1);
+    let (link_handle, link_stop) = stop_pair();
+    let link = AgentLink {
+        context: Arc::clone(&context),
+        outgoing,
+        to_agent: to_agent.clone(),
+        caught_up,
+        stop: link_stop,
+    };
+    let link = thread::Builder::new()
+        .name("agent link".into())
+        .spawn(move || task::block_on(link.work()))?;
+    let timer = TimerService::start()?;
+    timer.subscribe(
+        TICK,
+        decisions.clone(),
+        DecisionInput::Event(BoxEvent::TimerFired),
+    );
+    timer.subscribe(STATE_PERIOD, decisions.clone(), DecisionInput::StateDue);
+    let (pool_ticks, pool_due) = async_channel::bounded(1);
+    timer.subscribe(POOL_PERIOD, pool_ticks, ());
+    let side = [
+        task::spawn(serve_admin(admin, Arc::clone(&context))),
+        task::spawn(close_idle(Arc::clone(&context), pool_due)),
+    ];
+    let (drain_handle, drained) = async_channel::bounded(1);
+    let serving = {
+        let context = Arc::clone(&context);
+        let server = server_settings(settings, drained);
+        task::spawn(serve(callers, server, move |request| {
+            answer_caller(Arc::clone(&context), request)
+        }))
+    };
+    started(addresses);
+    log::info!(callers:% = addresses.callers, admin:% = addresses.admin; "proxy-started");
+    let life = BoxLife::new(ready, line);
+    wait_either(whole.recv(), stop.wait()).await;
+    let life = if stop.is_stopped() {
+        life.give_up()
+    } else {
+        let life = life.serve();
+        stop.wait().await;
+        let life = life.leave();
+        task::sleep(settings.leave_time).await;
+        life
+    };
+    drain_handle.close();
+    let ended = async_std::future::timeout(settings.drain_time, serving).await;
+    life.drained(ended.is_ok());
+    log::info!(whole = ended.is_ok(); "proxy-drained");
+    for task in side {
+        task.cancel().await;
+    }
+    flush_reports(&to_agent).await;
+    link_handle.stop();
+    decisions.close();
+    let panicked = [decision.join().is_err(), link.join().is_err()];
+    eyre::ensure!(
+        !panicked.contains(&true),
+        "a duty ended by a broken invariant"
+    );
+    Ok(if ended.is_ok() {
+        Outcome::Done
+    } else {
+        Outcome::CheckFailed
+    })
+}
+
+fn evidence_source(settings: &ProxySettings) -> EvidenceSource {
+    EvidenceSource {
+        box_id: settings.box_id.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
+    }
+}
+
+fn server_settings(
+    settings: &ProxySettings,
+    drained: async_channel::Receiver<std::convert::Infallible>,
+) -> ServerSettings {
+    ServerSettings {
+        limits: MessageLimits {
+            body: settings.request_bytes,
+            chunked: settings.request_bytes,
+            ..MessageLimits::default()
+        },
+        request_time: settings.request_time,
+        connections: settings.connections,
+        drain: Some(drained),
+        ..ServerSettings::default()
+    }
+}
+
+async fn close_idle(context: Arc<ProxyContext>, due: async_channel::Receiver<()>) {
+    while due.recv().await.is_ok() {
+        context.pool.close_idle();
+    }
+}
+
+/// Gives the last reports and events a moment to reach the agent.
+async fn flush_reports(to_agent: &async_channel::Sender<wingbridge_wire::FrameBody>) {
+    const FLUSH_STEP: Duration = Duration::from_millis(10);
+    const FLUSH_STEPS: usize = 20;
+    for _ in 0..FLUSH_STEPS {
+        if to_agent.is_empty() {
+            break;
+        }
+        task::sleep(FLUSH_STEP).await;
+    }
+}
+
+async fn wait_either<A, B>(one: impl Future<Output = A>, other: impl Future<Output = B>) {
+    match select(std::pin::pin!(one), std::pin::pin!(other)).await {
+        Either::Left(_) | Either::Right(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/streaming.rs
@@ -0,0 +1,190 @@
+//! Answers too large to hold: passed on as they come, resumed where they break off.
+//!
+//! An answer is resumed only as the same thing: the target gave a strong validator,
+//! the request was a `GET`, and another target answers a range request under that
+//! validator with the rest to the byte. Otherwise the connection to the caller is
+//! closed short of the announced length, which no client can take for the whole.
+
+use std::io;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use async_std::task;
+use futures::AsyncReadExt;
+use futures::io::{AsyncRead, Cursor};
+use futures::stream::TryStreamExt;
+use http_types::{Body, Method, Response};
+use wingbridge_decide::{BoxEvent, Name, RequestPlan, TargetKey, TimePoint};
+use wingbridge_http::AnswerBody;
+
+use crate::attempt::{OutgoingRequest, TargetAnswer};
+use crate::context::ProxyContext;
+use crate::decision::DecisionInput;
+use crate::headers::text;
+use crate::requests::{RequestEnd, run_request};
+
+const CHUNK: usize = 32 * 1024;
+/// Chunks that wait for the caller.
+const CHUNKS: usize = 8;
+/// Times that one answer is resumed.
+const RESUMES: u32 = 5;
+
+/// What is needed to ask for the rest.
+pub(crate) struct StreamContext {
+    pub(crate) context: Arc<ProxyContext>,
+    pub(crate) outgoing: Arc<OutgoingRequest>,
+    pub(crate) plan: RequestPlan,
+    /// Time for the head of each further answer.
+    pub(crate) time: std::time::Duration,
+}
+
+/// Starts passing on a body that waits in the answer's connection.
+pub(crate) fn stream_body(stream: StreamContext, answer: &mut TargetAnswer) -> Option<Body> {
+    let AnswerBody::Waiting(length) = answer.body else {
+        return None;
+    };
+    let connection = answer.connection.take()?;
+    let (chunks, received) = async_channel::bounded::<io::Result<Vec<u8>>>(CHUNKS);
+    let mut transfer = BodyTransfer {
+        validator: strong_validator(&answer.response, &stream.outgoing),
+        stream,
+        target: answer.target.clone(),
+        length,
+        position: 0,
+    };
+    let reader: RestReader = Box::new(connection.reader.into_body(length));
+    task::spawn(async move { transfer.run(reader, &chunks).await });
+    let body = Box::pin(received).into_async_read();
+    Some(Body::from_reader(body, Some(length as usize)))
+}
+
+/// What is left of a body: in a connection, or already held.
+type RestReader = Box<dyn AsyncRead + Send + Unpin>;
+
+struct BodyTransfer {
+    stream: StreamContext,
+    validator: Option<String>,
+    target: Name,
+    length: u64,
+    position: u64,
+}
+
+impl BodyTransfer {
+    /// Passes the body on until its end, or until the caller's end is closed.
+    async fn run(&mut self, mut reader: RestReader, chunks: &Sender<io::Result<Vec<u8>>>) {
+        for _ in 0..=RESUMES {
+            match self.pass_on(&mut reader, chunks).await {
+                Ok(()) => return,
+                Err(error) => self.note_broken(&error).await,
+            }
+            if chunks.is_closed() {
+                return;
+            }
+            match self.resume().await {
+                Some(next) => reader = next,
+                None => break,
+            }
+        }
+        let _ = chunks.send(Err(io::ErrorKind::UnexpectedEof.into())).await;
+    }
+
+    async fn pass_on(
+        &mut self,
+        reader: &mut RestReader,
+        chunks: &Sender<io::Result<Vec<u8>>>,
+    ) -> io::Result<()> {
+        let stall = self.stream.context.settings.stall_time;
+        while self.position < self.length {
+            let mut chunk = vec![0; CHUNK];
+            let read = async_std::future::timeout(stall, reader.read(&mut chunk)).await;
+            let count = read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            chunk.truncate(count);
+            self.position += count as u64;
+            if chunks.send(Ok(chunk)).await.is_err() {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    async fn note_broken(&self, error: &io::Error) {
+        let context = &self.stream.context;
+        let position = self.position.to_string();
+        let fields = [("target", &*self.target), ("at", position.as_str())];
+        context.line.note("request-answer-broken", &fields);
+        log::warn!(target:% = self.target, at = self.position, reason:% = error; "answer-broken");
+        let event = BoxEvent::AnswerBroken {
+            service: self.stream.plan.service.clone(),
+            target: TargetKey::of(&self.target),
+        };
+        let _ = context.decisions.send(DecisionInput::Event(event)).await;
+    }
+
+    /// Asks another target for the rest.
+    async fn resume(&mut self) -> Option<RestReader> {
+        let validator = self.validator.clone()?;
+        let context = Arc::clone(&self.stream.context);
+        let request = context.next_request();
+        let mut outgoing = (*self.stream.outgoing).clone();
+        outgoing
+            .headers
+            .push(("range".into(), format!("bytes={}-", self.position)));
+        outgoing
+            .headers
+            .push(("if-range".into(), validator.clone()));
+        outgoing.name = context.request_name(request);
+        let mut plan = self.stream.plan.clone();
+        plan.deadline = TimePoint::from_micros(context.clock.micros()) + self.stream.time;
+        let end = run_request(&context, request, Arc::new(outgoing), plan).await;
+        let RequestEnd::Answered(answer) = end else {
+            return None;
+        };
+        if !self.continues(&answer.response, &validator) {
+            return None;
+        }
+        let rest = self.length - self.position;
+        let TargetAnswer {
+            target,
+            connection,
+            body,
+            ..
+        } = *answer;
+        let reader: RestReader = match (body, connection) {
+            (AnswerBody::Waiting(length), Some(connection)) if length == rest => {
+                Box::new(connection.reader.into_body(rest))
+            }
+            (AnswerBody::Whole(bytes), _) if bytes.len() as u64 == rest => {
+                Box::new(Cursor::new(bytes))
+            }
+            _ => return None,
+        };
+        context
+            .line
+            .note("request-answer-resumed", &[("target", &*target)]);
+        self.target = target;
+        Some(reader)
+    }
+
+    /// Whether an answer is the rest of the same thing, to the byte.
+    fn continues(&self, response: &Response, validator: &str) -> bool {
+        let wanted = format!(
+            "bytes {}-{}/{}",
+            self.position,
+            self.length - 1,
+            self.length
+        );
+        response.status() as u16 == 206
+            && text(response.header("etag")) == validator
+            && text(response.header("content-range")) == wanted
+    }
+}
+
+/// The validator under which a part of this answer can be asked for, if it can.
+fn strong_validator(response: &Response, outgoing: &OutgoingRequest) -> Option<String> {
+    let whole = response.status() as u16 == 200;
+    let ranged = outgoing.headers.iter().any(|(name, _)| name == "range");
+    let validator = text(response.header("etag"));
+    let strong = validator.starts_with('"');
+    let resumable = whole && strong && !ranged && outgoing.method == Method::Get;
+    (resumable && outgoing.repeatable).then(|| validator.to_string())
+}
--- /dev/null
+++ b/crates/standin/src/bin/standin-store.rs
@@ -0,0 +1,16 @@
+//! The stand-in as a program.
+
+use std::process::ExitCode;
+
+use wingbridge_process::exit_code;
+use wingbridge_process::stop::stop_on_signals;
+use wingbridge_standin::{run_store, store_command};
+
+fn main() -> ExitCode {
+    let matches = store_command().get_matches();
+    let result = stop_on_signals().map_err(eyre::Report::from);
+    exit_code(
+        "standin-store",
+        result.and_then(|stop| run_store(&matches, &stop)),
+    )
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,152 @@
+//! The store stand-in's end points; docs/STORE.md is their page.
+
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpListener;
+use async_std::task;
+use http_types::{Method, Response};
+use serde::Serialize;
+use wingbridge_http::server::{ServerSettings, json_response, serve, text_response};
+use wingbridge_http::{IncomingRequest, MessageLimits};
+use wingbridge_platform::BoxRecord;
+
+use crate::store_state::{CallGate, StoreFaults, StoreHandle};
+
+const VALUE_LIMIT: usize = 1 << 20;
+const WATCH_MOST: Duration = Duration::from_secs(60);
+
+/// Serves the store's end points until the task is dropped.
+pub async fn serve_store(listener: TcpListener, handle: StoreHandle) {
+    let limits = MessageLimits {
+        body: VALUE_LIMIT,
+        ..MessageLimits::default()
+    };
+    let settings = ServerSettings {
+        limits,
+        ..ServerSettings::default()
+    };
+    serve(listener, settings, move |request| {
+        answer(handle.clone(), request.incoming)
+    })
+    .await;
+}
+
+async fn answer(handle: StoreHandle, incoming: IncomingRequest) -> Response {
+    let path = incoming.request.url().path().to_string();
+    if path == "/v1/faults" {
+        return change_faults(&handle, &incoming);
+    }
+    if path == "/v1/stats" {
+        return to_json(&StoreStats {
+            calls: handle.calls(),
+        });
+    }
+    let delay = match handle.enter() {
+        CallGate::Outage => return text_response(503, "outage"),
+        CallGate::Limited => return text_response(429, "over the rate"),
+        CallGate::Open { delay } => delay,
+    };
+    if !delay.is_zero() {
+        task::sleep(delay).await;
+    }
+    match (incoming.request.method(), path.as_str()) {
+        (Method::Get, "/v1/keys") => list_keys(&handle, &incoming).await,
+        (Method::Get, "/v1/boxes") => list_boxes(&handle, &incoming).await,
+        (Method::Put, "/v1/boxes") => put_box(&handle, &incoming),
+        (Method::Get, _) => match path
+            .strip_prefix("/v1/key/")
+            .and_then(|key| handle.read(key))
+        {
+            Some(record) => to_json(&record),
+            None => text_response(404, "no such key"),
+        },
+        (Method::Put, _) => put_key(&handle, &path, &incoming),
+        _ => text_response(405, "GET and PUT are taken"),
+    }
+}
+
+#[derive(Serialize)]
+struct StoreStats {
+    calls: u64,
+}
+
+async fn list_keys(handle: &StoreHandle, incoming: &IncomingRequest) -> Response {
+    let after = query_number(incoming, "after");
+    wait_for_change(handle, incoming, Some(after), None).await;
+    to_json(&handle.list(after))
+}
+
+async fn list_boxes(handle: &StoreHandle, incoming: &IncomingRequest) -> Response {
+    let after = query_number(incoming, "after");
+    wait_for_change(handle, incoming, None, Some(after)).await;
+    to_json(&handle.list_boxes(after))
+}
+
+async fn wait_for_change(
+    handle: &StoreHandle,
+    incoming: &IncomingRequest,
+    keys: Option<u64>,
+    boxes: Option<u64>,
+) {
+    let wait = Duration::from_millis(query_number(incoming, "wait_ms")).min(WATCH_MOST);
+    let until = Instant::now() + wait;
+    // Keys and boxes share the wake-up, so the other's change wakes this one too.
+    while let Some(changed) = handle.next_change(keys, boxes) {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero()
+            || async_std::future::timeout(left, changed.recv())
+                .await
+                .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn put_key(handle: &StoreHandle, path: &str, incoming: &IncomingRequest) -> Response {
+    let Some(key) = path.strip_prefix("/v1/key/").filter(|key| !key.is_empty()) else {
+        return text_response(404, "no such end point");
+    };
+    let Ok(value) = std::str::from_utf8(&incoming.body) else {
+        return text_response(400, "the value is not UTF-8");
+    };
+    let reply = handle.write(key, query_number(incoming, "expect"), value);
+    if reply.written && handle.loses_answer() {
+        return text_response(504, "the answer is lost");
+    }
+    let status = if reply.written { 200 } else { 409 };
+    json_response(status, serde_json::to_string(&reply).unwrap_or_default())
+}
+
+fn put_box(handle: &StoreHandle, incoming: &IncomingRequest) -> Response {
+    match serde_json::from_slice::<BoxRecord>(&incoming.body) {
+        Ok(record) => {
+            handle.set_box(record);
+            text_response(200, "set")
+        }
+        Err(error) => text_response(400, &error.to_string()),
+    }
+}
+
+fn change_faults(handle: &StoreHandle, incoming: &IncomingRequest) -> Response {
+    if incoming.request.method() == Method::Get {
+        return to_json(&handle.faults());
+    }
+    match serde_json::from_slice::<StoreFaults>(&incoming.body) {
+        Ok(faults) => {
+            handle.set_faults(faults);
+            text_response(200, "set")
+        }
+        Err(error) => text_response(400, &error.to_string()),
+    }
+}
+
+fn to_json(value: &impl Serialize) -> Response {
+    json_response(200, serde_json::to_string(value).unwrap_or_default())
+}
+
+fn query_number(incoming: &IncomingRequest, name: &str) -> u64 {
+    let url = incoming.request.url();
+    let found = url.query_pairs().find(|(known, _)| known == name);
+    found.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,108 @@
+//! Between messages on the wire and the types of the decision core.
+
+use crate::messages::{Evidence, ServiceEvidence, TargetEvidence, VerdictMessage};
+use wingbridge_decide::sketch::LatencyBucket;
+use wingbridge_decide::{
+    EvidenceBatch, EvidenceSource, Sample, SampleKind, TargetKey, TargetSamples, Verdict,
+    VerdictKind, VerdictScope,
+};
+
+const KIND_BITS: u32 = 2;
+const BUCKET_BITS: u32 = 8;
+
+/// The evidence of one box as batches.
+pub fn batches_of(evidence: &Evidence) -> (EvidenceSource, Vec<EvidenceBatch>) {
+    let source = EvidenceSource {
+        box_id: evidence.box_id.as_str().into(),
+        data_centre: evidence.data_centre.as_str().into(),
+    };
+    (source, evidence.services.iter().map(batch_of).collect())
+}
+
+/// A batch as it goes over the wire.
+pub fn service_evidence(batch: &EvidenceBatch) -> ServiceEvidence {
+    let targets = batch.targets.iter().map(|seen| TargetEvidence {
+        target: seen.target.0,
+        samples: seen.samples.iter().map(pack_sample).collect(),
+    });
+    ServiceEvidence {
+        service: batch.service.to_string(),
+        targets: targets.collect(),
+    }
+}
+
+/// A verdict as it goes over the wire.
+pub fn verdict_message(verdict: &Verdict) -> VerdictMessage {
+    VerdictMessage {
+        service: verdict.service.to_string(),
+        target: verdict.target.0,
+        convicted: verdict.kind == VerdictKind::Convicted,
+        scope: verdict.scope as u32,
+        flaps: verdict.flaps,
+        stamp: verdict.stamp,
+    }
+}
+
+/// A verdict from the wire.
+pub fn verdict_of(message: &VerdictMessage) -> Verdict {
+    let kind = if message.convicted {
+        VerdictKind::Convicted
+    } else {
+        VerdictKind::Acquitted
+    };
+    Verdict {
+        service: message.service.as_str().into(),
+        target: TargetKey(message.target),
+        kind,
+        scope: scope_of(message.scope),
+        flaps: message.flaps,
+        stamp: message.stamp,
+    }
+}
+
+fn scope_of(number: u32) -> VerdictScope {
+    match number {
+        0 => VerdictScope::Path,
+        1 => VerdictScope::DataCentre,
+        _ => VerdictScope::Target,
+    }
+}
+
+fn batch_of(evidence: &ServiceEvidence) -> EvidenceBatch {
+    let targets = evidence.targets.iter().map(|seen| TargetSamples {
+        target: TargetKey(seen.target),
+        samples: seen
+            .samples
+            .iter()
+            .map(|packed| unpack_sample(*packed))
+            .collect(),
+    });
+    EvidenceBatch {
+        service: evidence.service.as_str().into(),
+        targets: targets.collect(),
+    }
+}
+
+fn pack_sample(sample: &Sample) -> u32 {
+    let kind = match sample.kind {
+        SampleKind::Good => 0,
+        SampleKind::Error => 1,
+        SampleKind::Overdue => 2,
+    };
+    let bucket = u32::from(sample.bucket.0) << KIND_BITS;
+    kind | bucket | (sample.count << (KIND_BITS + BUCKET_BITS))
+}
+
+fn unpack_sample(packed: u32) -> Sample {
+    let kind = match packed & ((1 << KIND_BITS) - 1) {
+        0 => SampleKind::Good,
+        1 => SampleKind::Error,
+        _ => SampleKind::Overdue,
+    };
+    let bucket = (packed >> KIND_BITS) & ((1 << BUCKET_BITS) - 1);
+    Sample {
+        kind,
+        bucket: LatencyBucket(bucket as u8),
+        count: packed >> (KIND_BITS + BUCKET_BITS),
+    }
+}
--- /dev/null
+++ b/examples/dakar/browsing.rhai
@@ -0,0 +1,7 @@
+// Satellite tiles: reads, which may be repeated.
+fn plan(request) {
+    if request.method != "GET" && request.method != "HEAD" {
+        return refuse(405, "only reading is offered here");
+    }
+    route("tiles").deadline(1500).repeatable().attempts(3).caller_limit(80)
+}
--- /dev/null
+++ b/examples/sedlo/downloads.rhai
@@ -0,0 +1,7 @@
+// Trail map packs for partner clubs.
+fn plan(request) {
+    if request.method != "GET" && request.method != "HEAD" {
+        return refuse(405, "only reading is offered here");
+    }
+    route("downloads").deadline(10000).repeatable().attempts(3).caller_limit(6)
+}
