--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -275,7 +275,9 @@
     async fn read_chunk_line(&mut self, position: usize) -> Result<(usize, u64), HttpError> {
         loop {
             match httparse::parse_chunk_size(&self.buffer[position..]) {
-                Ok(httparse::Status::Complete(found)) => return Ok(found),
+                Ok(httparse::Status::Complete((line, size))) => {
+                    return Ok((self.drop_extension(position, line), size));
+                }
                 Ok(httparse::Status::Partial) if self.buffer.len() - position < CHUNK_LINE => {}
                 _ => {
                     return Err(HttpError::new(
@@ -290,6 +292,17 @@
         }
     }
 
+    /// Takes the extension out of a chunk's line, since the library refuses it and nobody
+    /// on this path has a use for it. Returns what is left of the line's length.
+    fn drop_extension(&mut self, position: usize, line: usize) -> usize {
+        let text = &self.buffer[position..position + line];
+        let Some(start) = text.iter().position(|byte| *byte == b';') else {
+            return line;
+        };
+        self.buffer.drain(position + start..position + line - 2);
+        start + 2
+    }
+
     async fn read_until(&mut self, end: usize) -> Result<(), HttpError> {
         while self.buffer.len() < end {
             if self.fill().await? == 0 {
