Measure detection and false ejections of the real core against baselines

Cause: the core was untuned and unmeasured. Change: wingbench decide runs 40 real box cores and a judge in each data centre with the real messages in virtual time, and three baselines behind the same interface.

--- /dev/null
+++ b/crates/bench/src/decide/cost.rs
@@ -0,0 +1,185 @@
+//! What a decision costs, at three sizes and more.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use wingbridge_decide::sketch::LatencyBucket;
+use wingbridge_decide::{
+    AttemptOutcome, BoxCommand, BoxCore, BoxEvent, EvidenceBatch, EvidenceSource, HealthChart,
+    JudgeCore, LimitSetup, Name, RequestId, RequestPlan, SampleKind, ServiceSetup, TargetKey,
+    TargetReport, TargetSamples, TargetSetup, TimePoint,
+};
+
+use crate::memory::resident_bytes;
+
+/// Requests that are timed for each size.
+const REQUESTS: u64 = 200_000;
+
+/// The cost at one size.
+#[derive(Debug, Clone, Serialize)]
+pub struct CostRow {
+    /// Targets in all.
+    pub targets: usize,
+    /// Services.
+    pub services: usize,
+    /// Nanoseconds from a request's arrival to its command to send.
+    pub ns_per_pick: f64,
+    /// Nanoseconds for an attempt's end, with evidence and conclusion.
+    pub ns_per_event: f64,
+    /// Nanoseconds for a tick with nothing to do.
+    pub ns_per_idle_tick: f64,
+    /// Bytes of a box's core for each target.
+    pub box_bytes_per_target: f64,
+    /// Nanoseconds of a judge for each sample, weighing counted in.
+    pub judge_ns_per_sample: f64,
+    /// Bytes of a judge for each target.
+    pub judge_bytes_per_target: f64,
+}
+
+/// Measures all sizes: (targets, services).
+pub fn measure_cost() -> Vec<CostRow> {
+    [(15, 1), (1000, 58), (5000, 290), (15_000, 870)].map(|(t, s)| measure_size(t, s)).to_vec()
+}
+
+fn measure_size(targets: usize, services: usize) -> CostRow {
+    let setups: Vec<ServiceSetup> =
+        (0..services).map(|number| service_setup(number, targets / services)).collect();
+    let before = resident_bytes();
+    let mut core = box_core(&setups);
+    let box_bytes = resident_bytes().saturating_sub(before);
+    let (pick, event) = time_requests(&mut core, &setups);
+    let idle = time_idle(&mut core);
+    let before = resident_bytes();
+    let mut judge = JudgeCore::pooled("dc-0");
+    for setup in &setups {
+        judge.configure(setup);
+    }
+    let judged = time_judge(&mut judge, &setups);
+    let judge_bytes = resident_bytes().saturating_sub(before);
+    CostRow {
+        targets,
+        services,
+        ns_per_pick: pick,
+        ns_per_event: event,
+        ns_per_idle_tick: idle,
+        box_bytes_per_target: box_bytes as f64 / targets as f64,
+        judge_ns_per_sample: judged,
+        judge_bytes_per_target: judge_bytes as f64 / targets as f64,
+    }
+}
+
+fn service_setup(number: usize, targets: usize) -> ServiceSetup {
+    let target = |index: usize| TargetSetup {
+        address: format!("10.{}.{}.{index}:80", number / 250, number % 250).into(),
+        slots: 3,
+    };
+    ServiceSetup {
+        name: format!("service-{number}").into(),
+        targets: (0..targets).map(target).collect(),
+        floor: 0.6,
+        false_alarm_days: 10_000.0,
+        limits: LimitSetup::default(),
+    }
+}
+
+fn box_core(setups: &[ServiceSetup]) -> BoxCore {
+    let source = EvidenceSource { box_id: "box-0".into(), data_centre: "dc-0".into() };
+    let chart = HealthChart::load().expect("the chart that ships is sound");
+    let mut core = BoxCore::new(source, chart, 1);
+    for setup in setups {
+        let event = BoxEvent::ServiceConfigured(setup.clone());
+        core.handle(TimePoint::default(), event, &mut Vec::new());
+    }
+    core
+}
+
+/// Nanoseconds for each arrival and for each end of an attempt.
+fn time_requests(core: &mut BoxCore, setups: &[ServiceSetup]) -> (f64, f64) {
+    let names: Vec<Name> = setups.iter().map(|setup| setup.name.clone()).collect();
+    let mut commands = Vec::new();
+    let mut picking = Duration::ZERO;
+    let mut ending = Duration::ZERO;
+    let mut now = TimePoint::default();
+    for number in 0..REQUESTS {
+        now = now + Duration::from_micros(500);
+        let plan = RequestPlan {
+            service: names[number as usize % names.len()].clone(),
+            deadline: now + Duration::from_secs(2),
+            repeatable: true,
+            attempts: 3,
+            caller: number % 1000,
+            caller_limit: 0,
+            priority: 0,
+        };
+        let request = RequestId(number);
+        let started = Instant::now();
+        core.handle(now, BoxEvent::RequestArrived { request, plan }, &mut commands);
+        picking += started.elapsed();
+        let ended = now + Duration::from_millis(20);
+        let outcome = AttemptOutcome::Answered(TargetReport::default());
+        let started = Instant::now();
+        let event = BoxEvent::AttemptEnded { request, attempt: 1, outcome };
+        core.handle(ended, event, &mut commands);
+        ending += started.elapsed();
+        commands.clear();
+        if number % 100 == 0 {
+            core.handle(now, BoxEvent::TimerFired, &mut commands);
+            commands.clear();
+        }
+    }
+    let per_request = |span: Duration| span.as_nanos() as f64 / REQUESTS as f64;
+    (per_request(picking), per_request(ending))
+}
+
+fn time_idle(core: &mut BoxCore) -> f64 {
+    const TICKS: u32 = 2000;
+    let mut commands: Vec<BoxCommand> = Vec::new();
+    let mut now = TimePoint::from_micros(1 << 40);
+    // What was held back by the timed requests goes out first.
+    core.handle(now, BoxEvent::TimerFired, &mut commands);
+    let started = Instant::now();
+    for _ in 0..TICKS {
+        now = now + Duration::from_millis(50);
+        core.handle(now, BoxEvent::TimerFired, &mut commands);
+    }
+    started.elapsed().as_nanos() as f64 / f64::from(TICKS)
+}
+
+/// Samples come from 20 boxes, five targets of a service at a time.
+fn time_judge(judge: &mut JudgeCore, setups: &[ServiceSetup]) -> f64 {
+    const WINDOWS: u64 = 400;
+    const BATCHES: usize = 100;
+    let keys: HashMap<Name, Vec<TargetKey>> = setups
+        .iter()
+        .map(|setup| (setup.name.clone(), setup.targets.iter().map(TargetSetup::key).collect()))
+        .collect();
+    let mut samples = 0u64;
+    let started = Instant::now();
+    for window in 0..WINDOWS {
+        let now = TimePoint::from_micros(window * 50_000);
+        for number in 0..BATCHES {
+            let setup = &setups[(number * 7 + window as usize) % setups.len()];
+            let targets = keys[&setup.name].iter().skip(number % 3).take(5);
+            let batch = EvidenceBatch {
+                service: setup.name.clone(),
+                targets: targets.map(|target| one_sample(*target)).collect(),
+            };
+            samples += batch.targets.len() as u64;
+            let source = EvidenceSource {
+                box_id: format!("box-{}", number % 20).into(),
+                data_centre: "dc-0".into(),
+            };
+            judge.take(now, &source, &batch);
+        }
+        let verdicts = judge.tick(now);
+        assert!(verdicts.is_empty(), "good samples convict nobody");
+    }
+    started.elapsed().as_nanos() as f64 / samples as f64
+}
+
+fn one_sample(target: TargetKey) -> TargetSamples {
+    let mut seen = TargetSamples { target, samples: Vec::new() };
+    seen.add(SampleKind::Good, LatencyBucket::of(Duration::from_millis(20)));
+    seen
+}
--- /dev/null
+++ b/crates/bench/src/decide/trial.rs
@@ -0,0 +1,123 @@
+//! Trials of one decider: of a fault, and of healthy stretches.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::decide::baselines::{BaselineFleet, BaselineKind};
+use crate::decide::fleet::{CoreFleet, FleetDecider};
+use crate::decide::scenario::{TargetFault, Weather};
+use crate::decide::site::SiteSetup;
+use crate::decide::world::{WorldRecord, WorldSetup, run_world};
+
+/// Time before a fault starts.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Time that a decider has to find a fault.
+const FAULT_TIME: Duration = Duration::from_secs(30);
+/// Two ejections of one target within this time are one.
+const SAME_EJECTION: Duration = Duration::from_secs(60);
+
+/// Who decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeciderKind {
+    /// The real core.
+    Core,
+    /// A baseline.
+    Baseline(BaselineKind),
+}
+
+impl DeciderKind {
+    fn build(self, site: &SiteSetup, seed: u64) -> Box<dyn FleetDecider> {
+        match self {
+            DeciderKind::Core => Box::new(CoreFleet::new(site, seed)),
+            DeciderKind::Baseline(kind) => Box::new(BaselineFleet::new(site, kind, seed)),
+        }
+    }
+}
+
+/// Runs one trial of a fault; which target has it depends on the seed.
+pub fn fault_trial(
+    site: &SiteSetup,
+    kind: DeciderKind,
+    fault: TargetFault,
+    seed: u64,
+) -> WorldRecord {
+    // A fault early or late within a window must not matter.
+    let start = WARM_UP + Duration::from_micros(seed.wrapping_mul(7919) % 50_000);
+    let target = (seed as usize).wrapping_mul(31) % site.targets;
+    let setup = WorldSetup {
+        site: site.clone(),
+        weather: Weather::Calm,
+        fault: Some((fault, target, start)),
+        length: start + FAULT_TIME,
+        seed,
+    };
+    run_world(&setup, &mut *kind.build(site, seed))
+}
+
+/// What a healthy stretch showed.
+#[derive(Debug, Clone, Default)]
+pub struct HealthyRecord {
+    /// Targets times days.
+    pub target_days: f64,
+    /// Healthy targets that were ejected, each episode once.
+    pub false_ejections: u64,
+    /// Moments in which a box had less than the floor in service by ejections.
+    pub floor_breaches: u64,
+    /// Requests.
+    pub requests: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Requests that were answered well.
+    pub good: u64,
+}
+
+impl HealthyRecord {
+    /// Adds another stretch.
+    pub fn add(&mut self, other: &HealthyRecord) {
+        self.target_days += other.target_days;
+        self.false_ejections += other.false_ejections;
+        self.floor_breaches += other.floor_breaches;
+        self.requests += other.requests;
+        self.attempts += other.attempts;
+        self.good += other.good;
+    }
+}
+
+/// Runs a healthy stretch of `length` under `weather`.
+pub fn healthy_trial(
+    site: &SiteSetup,
+    kind: DeciderKind,
+    weather: Weather,
+    length: Duration,
+    seed: u64,
+) -> HealthyRecord {
+    let setup = WorldSetup {
+        site: site.clone(),
+        weather,
+        fault: None,
+        length,
+        seed,
+    };
+    let record = run_world(&setup, &mut *kind.build(site, seed));
+    HealthyRecord {
+        target_days: length.as_secs_f64() * site.targets as f64 / 86_400.0,
+        false_ejections: false_ejections(&record, weather),
+        floor_breaches: record.floor_breaches,
+        requests: record.requests,
+        attempts: record.attempts,
+        good: record.good,
+    }
+}
+
+/// Ejections of healthy targets, those of one target in many boxes counted once. What
+/// a sick box itself holds against the targets is right for its own paths.
+fn false_ejections(record: &WorldRecord, weather: Weather) -> u64 {
+    let mut seen = BTreeSet::new();
+    for (time, box_number, target) in &record.ejections {
+        if weather == Weather::SickBox && *box_number == 0 {
+            continue;
+        }
+        seen.insert((*target, time.as_micros() / SAME_EJECTION.as_micros() as u64));
+    }
+    seen.len() as u64
+}
--- /dev/null
+++ b/crates/bench/src/run.rs
@@ -0,0 +1,119 @@
+//! From the command line to the measurement.
+
+use std::path::Path;
+
+use clap::ArgMatches;
+use eyre::eyre;
+use serde::Serialize;
+use wingbridge_process::Outcome;
+use wingctl::output::table;
+
+use crate::chart::draw_curve;
+use crate::decide::cost::{CostRow, measure_cost};
+use crate::decide::curve::measure_curve;
+use crate::decide::report::{DecideReport, Detection, FaultRow};
+use crate::decide::{DecideSetup, measure};
+use crate::settings::resolve_decide;
+
+/// Rows of a table, as JSON.
+#[derive(Debug, Serialize)]
+struct RowsReport<'a, T> {
+    rows: &'a [T],
+}
+
+/// Runs the measurement that `matches` names.
+///
+/// # Errors
+/// A setting is not allowed, or the measurement could not be made.
+pub fn run(matches: &ArgMatches) -> eyre::Result<Outcome> {
+    let json = matches.get_flag("json");
+    match matches.subcommand() {
+        Some(("decide", matches)) => run_decide(matches, json),
+        _ => Err(eyre!("no measurement was named")),
+    }
+}
+
+fn run_decide(matches: &ArgMatches, json: bool) -> eyre::Result<Outcome> {
+    let setup = resolve_decide(matches)?;
+    if matches.get_flag("cost") {
+        let rows = measure_cost();
+        return show(json, &RowsReport { rows: &rows }, || cost_table(&rows));
+    }
+    if let Some(file) = matches.get_one::<String>("curve") {
+        let points = measure_curve(&setup);
+        draw_curve(Path::new(file), setup.site.name, &points)?;
+        return show(json, &RowsReport { rows: &points }, || format!("drawn to {file}"));
+    }
+    let report = measure(&setup);
+    show(json, &report, || decide_table(&setup, &report))
+}
+
+fn show(json: bool, value: &impl Serialize, text: impl FnOnce() -> String) -> eyre::Result<Outcome> {
+    let shown = if json { serde_json::to_string(value)? } else { text() };
+    println!("{shown}");
+    Ok(Outcome::Done)
+}
+
+fn cost_table(rows: &[CostRow]) -> String {
+    let cells = rows.iter().map(|row| {
+        vec![
+            row.targets.to_string(),
+            row.services.to_string(),
+            format!("{:.0}", row.ns_per_pick),
+            format!("{:.0}", row.ns_per_event),
+            format!("{:.0}", row.ns_per_idle_tick),
+            format!("{:.0}", row.box_bytes_per_target),
+            format!("{:.0}", row.judge_ns_per_sample),
+            format!("{:.0}", row.judge_bytes_per_target),
+        ]
+    });
+    let headings = [
+        "targets", "services", "ns/pick", "ns/event", "ns/idle tick", "box B/target",
+        "judge ns/sample", "judge B/target",
+    ];
+    table(&headings, &cells.collect::<Vec<_>>())
+}
+
+fn decide_table(setup: &DecideSetup, report: &DecideReport) -> String {
+    let names: Vec<&String> = report.baseline_false_ejections.keys().collect();
+    let mut headings = vec!["fault", "core p50/p99/missed"];
+    headings.extend(names.iter().map(|name| name.as_str()));
+    let row = |row: &FaultRow| {
+        let mut cells = vec![row.fault.clone(), detection_cell(&row.core)];
+        cells.extend(names.iter().map(|name| detection_cell(&row.baselines[*name])));
+        cells
+    };
+    let rows: Vec<Vec<String>> = report.faults.iter().map(row).collect();
+    let mut text = format!(
+        "site {}, seed {}, {} trials of each fault; detection in ms: p50/p99, missed within 30 s\n\n{}\n\n",
+        report.site,
+        report.seed,
+        setup.trials,
+        table(&headings, &rows)
+    );
+    let mut ends = vec![vec![
+        "core".to_string(),
+        report.false_ejections.to_string(),
+        format!("{:.4}", report.goodput),
+    ]];
+    for name in names {
+        let goodput = format!("{:.4}", report.baseline_goodput[name]);
+        ends.push(vec![name.clone(), report.baseline_false_ejections[name].to_string(), goodput]);
+    }
+    text.push_str(&format!(
+        "{:.2} healthy target-days for each decider\n{}\n\ncore: false ejections in {:?}\n\
+         floor breaches {}, attempts for each request {:.4}",
+        report.healthy_target_days,
+        table(&["decider", "false ejections", "goodput"], &ends),
+        report.false_ejections_in,
+        report.floor_breaches,
+        report.retry_amplification
+    ));
+    text
+}
+
+fn detection_cell(detection: &Detection) -> String {
+    let millis = |time: Option<f64>| time.map_or("-".into(), |time| format!("{time:.0}"));
+    let (p50, p99) = (millis(detection.detection_p50_ms), millis(detection.detection_p99_ms));
+    format!("{p50}/{p99}, {}", detection.missed)
+}
