--- a/crates/proxy/src/agent_link.rs
+++ b/crates/proxy/src/agent_link.rs
@@ -67,12 +67,7 @@
         let settings = &self.context.settings;
         let mut stream = TcpStream::connect(settings.agent).await?;
         stream.set_nodelay(true)?;
-        prove(
-            &mut stream,
-            &FleetKey::derive(&settings.fleet_key),
-            HandshakeSide::Client,
-        )
-        .await?;
+        prove(&mut stream, &FleetKey::derive(&settings.fleet_key), HandshakeSide::Client).await?;
         let (mut reader, mut writer) = split_stream(stream);
         let hello = Hello {
             box_id: settings.box_id.clone(),
@@ -111,12 +106,8 @@
         if events.is_empty() {
             return Ok(());
         }
-        let events = events
-            .iter()
-            .filter_map(|event| serde_json::to_string(event).ok());
-        let body = FrameBody::Events(Events {
-            events: events.collect(),
-        });
+        let events = events.iter().filter_map(|event| serde_json::to_string(event).ok());
+        let body = FrameBody::Events(Events { events: events.collect() });
         writer.send(&self.frame(body)).await?;
         Ok(())
     }
@@ -130,23 +121,17 @@
             }
             FrameBody::Verdicts(verdicts) => {
                 for verdict in &verdicts.verdicts {
-                    self.decide(BoxEvent::VerdictReceived(verdict_of(verdict)))
-                        .await;
+                    self.decide(BoxEvent::VerdictReceived(verdict_of(verdict))).await;
                 }
             }
             FrameBody::Leaving(leaving) => {
                 let service = leaving.service.as_str().into();
                 let target = TargetKey(leaving.target);
-                self.decide(BoxEvent::LeavingReceived { service, target })
-                    .await;
+                self.decide(BoxEvent::LeavingReceived { service, target }).await;
             }
             FrameBody::Readiness(readiness) => {
                 self.context.ready.suspend(!readiness.allowed);
-                let kind = if readiness.allowed {
-                    "box-restored"
-                } else {
-                    "box-suspended"
-                };
+                let kind = if readiness.allowed { "box-restored" } else { "box-suspended" };
                 self.context.line.note(kind, &[("why", &readiness.why)]);
             }
             _ => {}
@@ -164,39 +149,24 @@
         }
         for (key, reason) in &change.refused {
             log::error!(key = key.as_str(), reason = reason.as_str(); "config-refused");
-            self.context
-                .line
-                .note("config-refused", &[("key", key), ("reason", reason)]);
+            self.context.line.note("config-refused", &[("key", key), ("reason", reason)]);
         }
         for held in &change.in_force {
             let generation = held.stamp.generation.to_string();
-            let fields = [
-                ("key", held.key.as_str()),
-                ("generation", generation.as_str()),
-            ];
+            let fields = [("key", held.key.as_str()), ("generation", generation.as_str())];
             self.context.line.note("config-in-force", &fields);
         }
         if !change.in_force.is_empty() {
-            let stamps = Stamps {
-                stamps: change.in_force,
-                buckets: Vec::new(),
-            };
+            let stamps = Stamps { stamps: change.in_force, buckets: Vec::new() };
             let _ = self.to_agent.send(FrameBody::InForce(stamps)).await;
         }
     }
 
     async fn decide(&self, event: BoxEvent) {
-        let _ = self
-            .context
-            .decisions
-            .send(DecisionInput::Event(event))
-            .await;
+        let _ = self.context.decisions.send(DecisionInput::Event(event)).await;
     }
 
     fn frame(&self, body: FrameBody) -> Frame {
-        Frame {
-            clock: self.context.line.clock().tick(),
-            body: Some(body),
-        }
+        Frame { clock: self.context.line.clock().tick(), body: Some(body) }
     }
 }
--- a/crates/proxy/src/answers.rs
+++ b/crates/proxy/src/answers.rs
@@ -56,15 +56,8 @@
 /// The answer for a request that no target answered.
 pub(crate) fn failed(conclusion: Conclusion) -> CallerAnswer {
     match conclusion {
-        Conclusion::NotRun {
-            reason,
-            retry_after,
-        } => {
-            let status = if reason == RefuseReason::CallerLimit {
-                429
-            } else {
-                503
-            };
+        Conclusion::NotRun { reason, retry_after } => {
+            let status = if reason == RefuseReason::CallerLimit { 429 } else { 503 };
             not_run(status, reason.as_str(), Some(retry_after))
         }
         Conclusion::Unknown { retry_after } => {
@@ -93,11 +86,7 @@
         response.append_header(name.as_str(), value.as_str());
     }
     let why = format!("from {}", answer.target);
-    CallerAnswer {
-        response,
-        outcome: CallerOutcome::Answered,
-        why,
-    }
+    CallerAnswer { response, outcome: CallerOutcome::Answered, why }
 }
 
 fn refusal(
@@ -113,9 +102,5 @@
         let seconds = after.as_millis().div_ceil(1000);
         response.insert_header("retry-after", seconds.to_string());
     }
-    CallerAnswer {
-        response,
-        outcome,
-        why: why.to_string(),
-    }
+    CallerAnswer { response, outcome, why: why.to_string() }
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -48,10 +48,7 @@
 
 impl AttemptResult {
     fn without_answer(outcome: AttemptOutcome) -> AttemptResult {
-        AttemptResult {
-            outcome,
-            answer: None,
-        }
+        AttemptResult { outcome, answer: None }
     }
 }
 
@@ -64,11 +61,7 @@
     time_left: Duration,
     fresh_connection: bool,
 ) -> AttemptResult {
-    let pooled = if fresh_connection {
-        None
-    } else {
-        context.pool.take(&target)
-    };
+    let pooled = if fresh_connection { None } else { context.pool.take(&target) };
     if let Some(connection) = pooled {
         match exchange(&context, &request, &target, connection, time_left).await {
             Ok(result) => return result,
@@ -102,22 +95,11 @@
             name: format!("{}-probe", context.box_id),
             repeatable: true,
         };
-        let result = exchange(&context, &request, &target, connection, PROBE_TIME)
-            .await
-            .ok()?;
-        result
-            .answer
-            .map(|answer| headers::target_report(&answer.response).state)
-    };
-    let state = async_std::future::timeout(PROBE_TIME, probe)
-        .await
-        .ok()
-        .flatten();
-    let event = BoxEvent::ProbeEnded {
-        service,
-        target: TargetKey::of(&target),
-        state,
+        let result = exchange(&context, &request, &target, connection, PROBE_TIME).await.ok()?;
+        result.answer.map(|answer| headers::target_report(&answer.response).state)
     };
+    let state = async_std::future::timeout(PROBE_TIME, probe).await.ok().flatten();
+    let event = BoxEvent::ProbeEnded { service, target: TargetKey::of(&target), state };
     let _ = context.decisions.send(DecisionInput::Event(event)).await;
 }
 
@@ -144,10 +126,7 @@
         request_line: 8000,
         ..MessageLimits::default()
     };
-    let answer = connection
-        .reader
-        .read_answer(request.method.as_ref(), &limits)
-        .await?;
+    let answer = connection.reader.read_answer(request.method.as_ref(), &limits).await?;
     Ok(sort_answer(context, target, connection, answer))
 }
 
@@ -186,11 +165,7 @@
     connection: TargetConnection,
     answer: IncomingAnswer,
 ) -> AttemptResult {
-    let IncomingAnswer {
-        response,
-        body,
-        keep_alive,
-    } = answer;
+    let IncomingAnswer { response, body, keep_alive } = answer;
     let report = headers::target_report(&response);
     let outcome = match response.status() as u16 {
         _ if headers::says_not_run(&response) => AttemptOutcome::Shed(report),
@@ -203,14 +178,6 @@
     } else if keep_alive {
         context.pool.put(target, connection);
     }
-    let answer = TargetAnswer {
-        target: target.clone(),
-        response,
-        body,
-        connection: held,
-    };
-    AttemptResult {
-        outcome,
-        answer: Some(answer),
-    }
+    let answer = TargetAnswer { target: target.clone(), response, body, connection: held };
+    AttemptResult { outcome, answer: Some(answer) }
 }
--- a/crates/proxy/src/bin/wingbridge-proxy.rs
+++ b/crates/proxy/src/bin/wingbridge-proxy.rs
@@ -18,9 +18,6 @@
     start_metrics();
     let stop = stop_on_signals()?;
     run(&settings, &stop, |addresses| {
-        println!(
-            "proxy callers={} admin={}",
-            addresses.callers, addresses.admin
-        );
+        println!("proxy callers={} admin={}", addresses.callers, addresses.admin);
     })
 }
--- a/crates/proxy/src/decision.rs
+++ b/crates/proxy/src/decision.rs
@@ -26,11 +26,7 @@
 #[derive(Clone)]
 pub(crate) enum DecisionInput {
     /// A request with where its directives go.
-    Arrived {
-        request: RequestId,
-        plan: RequestPlan,
-        directives: Sender<Directive>,
-    },
+    Arrived { request: RequestId, plan: RequestPlan, directives: Sender<Directive> },
     /// Anything else for the core.
     Event(BoxEvent),
     /// The proxy's state is to be reported to the agent.
@@ -41,11 +37,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Directive {
     /// Send it to a target, and drop an earlier attempt.
-    Send {
-        attempt: u32,
-        target: Name,
-        fresh_connection: bool,
-    },
+    Send { attempt: u32, target: Name, fresh_connection: bool },
     /// It is finished.
     Conclude(Conclusion),
 }
@@ -67,14 +59,7 @@
         agent: Sender<FrameBody>,
     ) -> DecisionDuty {
         let directives = HashMap::new();
-        DecisionDuty {
-            context,
-            core,
-            directives,
-            agent,
-            failing: false,
-            reasons: HashMap::new(),
-        }
+        DecisionDuty { context, core, directives, agent, failing: false, reasons: HashMap::new() }
     }
 
     /// Works until the ring closes.
@@ -83,11 +68,7 @@
         while let Ok(input) = inputs.recv_blocking() {
             let now = TimePoint::from_micros(self.context.clock.micros());
             match input {
-                DecisionInput::Arrived {
-                    request,
-                    plan,
-                    directives,
-                } => {
+                DecisionInput::Arrived { request, plan, directives } => {
                     self.directives.insert(request, directives);
                     let event = BoxEvent::RequestArrived { request, plan };
                     self.core.handle(now, event, &mut commands);
@@ -108,26 +89,14 @@
 
     fn carry_out(&mut self, command: BoxCommand) {
         match command {
-            BoxCommand::Send {
-                request,
-                attempt,
-                target,
-                fresh_connection,
-            } => {
+            BoxCommand::Send { request, attempt, target, fresh_connection } => {
                 if let Some(directives) = self.directives.get(&request) {
                     // Full or closed: the request's task is gone, and its cancel is on the way.
-                    let directive = Directive::Send {
-                        attempt,
-                        target,
-                        fresh_connection,
-                    };
+                    let directive = Directive::Send { attempt, target, fresh_connection };
                     let _ = directives.try_send(directive);
                 }
             }
-            BoxCommand::Conclude {
-                request,
-                conclusion,
-            } => {
+            BoxCommand::Conclude { request, conclusion } => {
                 if let Some(directives) = self.directives.remove(&request) {
                     let _ = directives.try_send(Directive::Conclude(conclusion));
                 }
@@ -143,26 +112,15 @@
                     services: vec![service_evidence(&batch)],
                 }));
             }
-            BoxCommand::AnnounceLeaving {
-                service,
-                target: TargetKey(target),
-            } => {
+            BoxCommand::AnnounceLeaving { service, target: TargetKey(target) } => {
                 let service = service.to_string();
-                let leaving = Leaving {
-                    service,
-                    target,
-                    ..Leaving::default()
-                };
+                let leaving = Leaving { service, target, ..Leaving::default() };
                 self.to_agent(FrameBody::Leaving(leaving));
             }
             BoxCommand::HealthChanged(notice) => self.note_health(notice),
             BoxCommand::SelfSuspected(failing) => {
                 self.failing = failing;
-                let kind = if failing {
-                    "box-fails"
-                } else {
-                    "box-works-again"
-                };
+                let kind = if failing { "box-fails" } else { "box-works-again" };
                 self.context.line.note(kind, &[]);
                 log::warn!(failing; "box-suspects-itself");
             }
@@ -178,13 +136,7 @@
     }
 
     fn note_health(&mut self, notice: HealthNotice) {
-        let HealthNotice {
-            service,
-            target,
-            from,
-            to,
-            why,
-        } = notice;
+        let HealthNotice { service, target, from, to, why } = notice;
         let kind = match to {
             HealthState::Healthy => "target-healthy",
             HealthState::Ejected => "target-ejected",
@@ -192,18 +144,11 @@
             HealthState::Warming => "target-warming",
             HealthState::Leaving => "target-leaving",
         };
-        let fields = [
-            ("service", &*service),
-            ("target", &*target),
-            ("from", from.as_str()),
-            ("why", why),
-        ];
+        let fields =
+            [("service", &*service), ("target", &*target), ("from", from.as_str()), ("why", why)];
         self.context.line.note(kind, &fields);
         log::info!(service:% = service, target:% = target, from = from.as_str(), why; "{kind}");
-        let labels = [
-            ("service", service.to_string()),
-            ("to", to.as_str().to_string()),
-        ];
+        let labels = [("service", service.to_string()), ("to", to.as_str().to_string())];
         metrics::counter!("wingbridge_target_changes", &labels).increment(1);
         if matches!(to, HealthState::Ejected | HealthState::Leaving) {
             self.reasons.insert((service, target), why);
@@ -232,11 +177,7 @@
     ) -> wingbridge_wire::TargetState {
         let name = service.setup().name.clone();
         let address = target.setup.address.clone();
-        let why = self
-            .reasons
-            .get(&(name.clone(), address.clone()))
-            .copied()
-            .unwrap_or_default();
+        let why = self.reasons.get(&(name.clone(), address.clone())).copied().unwrap_or_default();
         let scope = match (target.hand, target.health.ejection().map(|held| held.scope)) {
             (Some(_), _) => "by hand",
             (None, Some(VerdictScope::Path)) => "path",
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -63,9 +63,7 @@
         _ => ReportedState::Ready,
     };
     TargetReport {
-        load: load
-            .filter(|load| load.is_finite())
-            .map(|load| load.clamp(0.0, 100.0)),
+        load: load.filter(|load| load.is_finite()).map(|load| load.clamp(0.0, 100.0)),
         state,
         incarnation: text(response.header(INCARNATION)).parse().ok(),
     }
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -46,11 +46,7 @@
 impl BoxLife<Starting> {
     pub(crate) fn new(ready: ReadyFlag, line: TimeLine) -> BoxLife<Starting> {
         line.note("box-starting", &[]);
-        BoxLife {
-            ready,
-            line,
-            state: PhantomData,
-        }
+        BoxLife { ready, line, state: PhantomData }
     }
 
     /// The configuration is whole.
@@ -79,19 +75,12 @@
 impl BoxLife<Leaving> {
     /// All has ended; `whole` if nothing was cut.
     pub(crate) fn drained(self, whole: bool) {
-        self.line.note(
-            "box-drained",
-            &[("cut", if whole { "nothing" } else { "some" })],
-        );
+        self.line.note("box-drained", &[("cut", if whole { "nothing" } else { "some" })]);
     }
 }
 
 impl<S> BoxLife<S> {
     fn step<T>(self) -> BoxLife<T> {
-        BoxLife {
-            ready: self.ready,
-            line: self.line,
-            state: PhantomData,
-        }
+        BoxLife { ready: self.ready, line: self.line, state: PhantomData }
     }
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -23,10 +23,7 @@
 impl TargetConnection {
     pub(crate) fn new(stream: TcpStream) -> TargetConnection {
         let writer = stream.clone();
-        TargetConnection {
-            reader: MessageReader::new(stream),
-            writer,
-        }
+        TargetConnection { reader: MessageReader::new(stream), writer }
     }
 }
 
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -50,26 +50,13 @@
 ) -> RequestEnd {
     let deadline = plan.deadline;
     let (sender, directives) = async_channel::bounded(DIRECTIVES);
-    let mut guard = CancelGuard {
-        context: Arc::clone(context),
-        request: Some(request),
-    };
-    let arrived = DecisionInput::Arrived {
-        request,
-        plan,
-        directives: sender,
-    };
+    let mut guard = CancelGuard { context: Arc::clone(context), request: Some(request) };
+    let arrived = DecisionInput::Arrived { request, plan, directives: sender };
     if context.decisions.send(arrived).await.is_err() {
         guard.request = None;
         return stopping();
     }
-    let mut run = RequestRun {
-        context,
-        request,
-        outgoing,
-        deadline,
-        last: None,
-    };
+    let mut run = RequestRun { context, request, outgoing, deadline, last: None };
     let end = run.follow(&directives).await;
     guard.request = None;
     end
@@ -102,11 +89,7 @@
                 }
             };
             match directive {
-                Ok(Directive::Send {
-                    attempt,
-                    target,
-                    fresh_connection,
-                }) => {
+                Ok(Directive::Send { attempt, target, fresh_connection }) => {
                     self.last = None;
                     let work = attempt_target(
                         Arc::clone(self.context),
@@ -127,16 +110,8 @@
         let AttemptResult { outcome, answer } = result;
         self.last = answer;
         let request = self.request;
-        let event = BoxEvent::AttemptEnded {
-            request,
-            attempt,
-            outcome,
-        };
-        let _ = self
-            .context
-            .decisions
-            .send(DecisionInput::Event(event))
-            .await;
+        let event = BoxEvent::AttemptEnded { request, attempt, outcome };
+        let _ = self.context.decisions.send(DecisionInput::Event(event)).await;
         debug_assert!(
             self.last.is_some()
                 || matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Broken)
@@ -148,23 +123,18 @@
             (Conclusion::Answered, Some(answer)) => RequestEnd::Answered(Box::new(answer)),
             (Conclusion::Answered, None) => {
                 debug_assert!(false, "a conclusion of an answer that never came");
-                RequestEnd::Failed(Conclusion::Unknown {
-                    retry_after: Duration::from_secs(1),
-                })
+                RequestEnd::Failed(Conclusion::Unknown { retry_after: Duration::from_secs(1) })
             }
             (failed, _) => RequestEnd::Failed(failed),
         }
     }
 
     fn time_left(&self) -> Duration {
-        self.deadline
-            .since(TimePoint::from_micros(self.context.clock.micros()))
+        self.deadline.since(TimePoint::from_micros(self.context.clock.micros()))
     }
 }
 
 /// The decision thread is gone, which only a stop that ran out of time brings about.
 fn stopping() -> RequestEnd {
-    RequestEnd::Failed(Conclusion::Unknown {
-        retry_after: Duration::from_secs(1),
-    })
+    RequestEnd::Failed(Conclusion::Unknown { retry_after: Duration::from_secs(1) })
 }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -61,27 +61,18 @@
     let chart = HealthChart::load()?;
     let callers = TcpListener::bind(settings.listen).await?;
     let admin = TcpListener::bind(settings.admin_listen).await?;
-    let addresses = ProxyAddresses {
-        callers: callers.local_addr()?,
-        admin: admin.local_addr()?,
-    };
+    let addresses = ProxyAddresses { callers: callers.local_addr()?, admin: admin.local_addr()? };
     let clock = ProcessClock::start();
     let line = TimeLine::new(&settings.box_id, "proxy", LINE_EVENTS);
     let ready = ReadyFlag::default();
     let (decisions, inputs) = async_channel::bounded(DECISION_RING);
     let (to_agent, outgoing) = async_channel::bounded(AGENT_RING);
-    let context = ProxyContext::new(
-        settings.clone(),
-        clock,
-        line.clone(),
-        decisions.clone(),
-        ready.clone(),
-    );
+    let context =
+        ProxyContext::new(settings.clone(), clock, line.clone(), decisions.clone(), ready.clone());
     let core = BoxCore::new(evidence_source(settings), chart, clock.micros());
     let duty = DecisionDuty::new(Arc::clone(&context), core, to_agent.clone());
-    let decision = thread::Builder::new()
-        .name("decisions".into())
-        .spawn(move || duty.run(&inputs))?;
+    let decision =
+        thread::Builder::new().name("decisions".into()).spawn(move || duty.run(&inputs))?;
     let (caught_up, whole) = async_channel::bounded::<()>(1);
     let (link_handle, link_stop) = stop_pair();
     let link = AgentLink {
@@ -95,11 +86,7 @@
         .name("agent link".into())
         .spawn(move || task::block_on(link.work()))?;
     let timer = TimerService::start()?;
-    timer.subscribe(
-        TICK,
-        decisions.clone(),
-        DecisionInput::Event(BoxEvent::TimerFired),
-    );
+    timer.subscribe(TICK, decisions.clone(), DecisionInput::Event(BoxEvent::TimerFired));
     timer.subscribe(STATE_PERIOD, decisions.clone(), DecisionInput::StateDue);
     let (pool_ticks, pool_due) = async_channel::bounded(1);
     timer.subscribe(POOL_PERIOD, pool_ticks, ());
@@ -139,15 +126,8 @@
     link_handle.stop();
     decisions.close();
     let panicked = [decision.join().is_err(), link.join().is_err()];
-    eyre::ensure!(
-        !panicked.contains(&true),
-        "a duty ended by a broken invariant"
-    );
-    Ok(if ended.is_ok() {
-        Outcome::Done
-    } else {
-        Outcome::CheckFailed
-    })
+    eyre::ensure!(!panicked.contains(&true), "a duty ended by a broken invariant");
+    Ok(if ended.is_ok() { Outcome::Done } else { Outcome::CheckFailed })
 }
 
 fn evidence_source(settings: &ProxySettings) -> EvidenceSource {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -34,13 +34,8 @@
         Err(refusal) => (String::new(), *refusal),
         Ok(plan) => {
             let service = plan.service.clone();
-            let work = see_through(
-                Arc::clone(&context),
-                request.incoming,
-                plan.clone(),
-                id,
-                caller,
-            );
+            let work =
+                see_through(Arc::clone(&context), request.incoming, plan.clone(), id, caller);
             let answer = if plan.cancel_on_hangup {
                 work.await
             } else {
@@ -57,10 +52,7 @@
         why = answer.why.as_str(), millis;
         "request"
     );
-    let labels = [
-        ("service", service),
-        ("outcome", answer.outcome.as_str().to_string()),
-    ];
+    let labels = [("service", service), ("outcome", answer.outcome.as_str().to_string())];
     metrics::counter!("wingbridge_requests", &labels).increment(1);
     metrics::histogram!("wingbridge_request_millis").record(millis);
     answer.marked(&name).response
@@ -90,12 +82,7 @@
     match run_request(&context, id, Arc::clone(&outgoing), plan.clone()).await {
         RequestEnd::Failed(conclusion) => failed(conclusion),
         RequestEnd::Answered(mut answer) => {
-            let stream = StreamContext {
-                context,
-                outgoing,
-                plan,
-                time: policy.deadline,
-            };
+            let stream = StreamContext { context, outgoing, plan, time: policy.deadline };
             let body = stream_body(stream, &mut answer);
             answered(*answer, body)
         }
@@ -109,11 +96,7 @@
     caller: &str,
 ) -> Result<PolicyPlan, Box<CallerAnswer>> {
     let Some(config) = context.config.get() else {
-        return Err(refused(
-            503,
-            "this box has no configuration yet",
-            Some(NOT_READY_RETRY),
-        ));
+        return Err(refused(503, "this box has no configuration yet", Some(NOT_READY_RETRY)));
     };
     let url = incoming.request.url();
     let Some((service, policy)) = config.policy_for(url.path()) else {
@@ -139,25 +122,17 @@
 fn note_fault(context: &ProxyContext, service: &ServiceConfig, fault: &str) -> CallerAnswer {
     let policy = service.policy.as_str();
     log::error!(policy, reason = fault; "policy-failed");
-    context
-        .line
-        .note("policy-failed", &[("policy", policy), ("reason", fault)]);
+    context.line.note("policy-failed", &[("policy", policy), ("reason", fault)]);
     metrics::counter!("wingbridge_policy_faults").increment(1);
-    not_run(
-        503,
-        "the policy for this path failed",
-        Some(NOT_READY_RETRY),
-    )
+    not_run(503, "the policy for this path failed", Some(NOT_READY_RETRY))
 }
 
 fn request_view(incoming: &IncomingRequest, caller: &str) -> RequestView {
     let url = incoming.request.url();
-    let headers = incoming.request.iter().map(|(name, values)| {
-        (
-            name.as_str().to_string(),
-            values.last().as_str().to_string(),
-        )
-    });
+    let headers = incoming
+        .request
+        .iter()
+        .map(|(name, values)| (name.as_str().to_string(), values.last().as_str().to_string()));
     RequestView::new(
         incoming.request.method().as_ref(),
         url.path(),
@@ -175,9 +150,7 @@
     caller: &str,
 ) -> OutgoingRequest {
     let mut headers = headers::forwarded(&incoming.request);
-    let forwarded = headers
-        .iter_mut()
-        .find(|(name, _)| name == "x-forwarded-for");
+    let forwarded = headers.iter_mut().find(|(name, _)| name == "x-forwarded-for");
     match forwarded {
         Some((_, chain)) => *chain = format!("{chain}, {caller}"),
         None => headers.push(("x-forwarded-for".into(), caller.to_string())),
@@ -196,11 +169,7 @@
 fn caller_name(request: &PeerRequest) -> String {
     let noted = headers::text(request.incoming.request.header("x-forwarded-for"));
     let first = noted.split(',').next().unwrap_or_default().trim();
-    if first.is_empty() {
-        request.peer.ip().to_string()
-    } else {
-        first.to_string()
-    }
+    if first.is_empty() { request.peer.ip().to_string() } else { first.to_string() }
 }
 
 fn caller_number(caller: &str) -> u64 {
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -126,12 +126,8 @@
         let context = Arc::clone(&self.stream.context);
         let request = context.next_request();
         let mut outgoing = (*self.stream.outgoing).clone();
-        outgoing
-            .headers
-            .push(("range".into(), format!("bytes={}-", self.position)));
-        outgoing
-            .headers
-            .push(("if-range".into(), validator.clone()));
+        outgoing.headers.push(("range".into(), format!("bytes={}-", self.position)));
+        outgoing.headers.push(("if-range".into(), validator.clone()));
         outgoing.name = context.request_name(request);
         let mut plan = self.stream.plan.clone();
         plan.deadline = TimePoint::from_micros(context.clock.micros()) + self.stream.time;
@@ -143,12 +139,7 @@
             return None;
         }
         let rest = self.length - self.position;
-        let TargetAnswer {
-            target,
-            connection,
-            body,
-            ..
-        } = *answer;
+        let TargetAnswer { target, connection, body, .. } = *answer;
         let reader: RestReader = match (body, connection) {
             (AnswerBody::Waiting(length), Some(connection)) if length == rest => {
                 Box::new(connection.reader.into_body(rest))
@@ -158,21 +149,14 @@
             }
             _ => return None,
         };
-        context
-            .line
-            .note("request-answer-resumed", &[("target", &*target)]);
+        context.line.note("request-answer-resumed", &[("target", &*target)]);
         self.target = target;
         Some(reader)
     }
 
     /// Whether an answer is the rest of the same thing, to the byte.
     fn continues(&self, response: &Response, validator: &str) -> bool {
-        let wanted = format!(
-            "bytes {}-{}/{}",
-            self.position,
-            self.length - 1,
-            self.length
-        );
+        let wanted = format!("bytes {}-{}/{}", self.position, self.length - 1, self.length);
         response.status() as u16 == 206
             && text(response.header("etag")) == validator
             && text(response.header("content-range")) == wanted
--- a/crates/spread/src/core.rs
+++ b/crates/spread/src/core.rs
@@ -144,10 +144,7 @@
     /// Whether this box may serve: it has the highest versions of several peers, and
     /// of the store if that answers. With the store away, peers are enough.
     pub fn is_whole(&self) -> bool {
-        let others = self
-            .members
-            .iter()
-            .filter(|(id, _)| **id != self.setup.identity.box_id);
+        let others = self.members.iter().filter(|(id, _)| **id != self.setup.identity.box_id);
         let others = others.count();
         let wanted = others.min(SYNC_PEERS);
         if self.store_read {
@@ -164,9 +161,7 @@
         let epoch = now / period;
         if self.neighbours_of != Some(epoch) {
             let identity = &self.setup.identity;
-            let mut peers = self
-                .members
-                .neighbours(identity, epoch, OWN_RINGS, ALL_RINGS);
+            let mut peers = self.members.neighbours(identity, epoch, OWN_RINGS, ALL_RINGS);
             peers.extend(self.extra_peers.iter().cloned());
             self.neighbours = peers;
             self.neighbours_of = Some(epoch);
@@ -219,14 +214,8 @@
         if push && !news.is_empty() && news.len() <= PUSH_MOST {
             for peer in self.neighbours(now) {
                 if Some(&peer) != from {
-                    let body = Entries {
-                        entries: news.clone(),
-                        push: true,
-                    };
-                    commands.push(SpreadCommand::Send {
-                        to: peer,
-                        body: FrameBody::Entries(body),
-                    });
+                    let body = Entries { entries: news.clone(), push: true };
+                    commands.push(SpreadCommand::Send { to: peer, body: FrameBody::Entries(body) });
                 }
             }
         }
@@ -265,10 +254,7 @@
             return;
         }
         let some: Vec<u32> = differing.into_iter().take(BUCKETS_AT_ONCE).collect();
-        let stamps = Stamps {
-            stamps: self.map.stamps(&some),
-            buckets: some,
-        };
+        let stamps = Stamps { stamps: self.map.stamps(&some), buckets: some };
         commands.push(send(from, FrameBody::Stamps(stamps)));
     }
 
@@ -285,13 +271,9 @@
             .map(|other| other.key.clone())
             .collect();
         let own = self.map.stamps(&theirs.buckets);
-        let newer = own
-            .iter()
-            .filter(|own| stamp_among(&theirs.stamps, &own.key) < Some(&own.stamp));
-        let newer: Vec<Entry> = newer
-            .filter_map(|own| self.map.get(&own.key))
-            .cloned()
-            .collect();
+        let newer =
+            own.iter().filter(|own| stamp_among(&theirs.stamps, &own.key) < Some(&own.stamp));
+        let newer: Vec<Entry> = newer.filter_map(|own| self.map.get(&own.key)).cloned().collect();
         if !missing.is_empty() {
             commands.push(send(from, FrameBody::Fetch(Fetch { keys: missing })));
         }
@@ -326,19 +308,12 @@
     }
 
     fn digest(&self, answer: bool) -> Digest {
-        Digest {
-            root: self.map.root(),
-            failing: self.failing,
-            answer,
-        }
+        Digest { root: self.map.root(), failing: self.failing, answer }
     }
 }
 
 fn send(to: &Arc<str>, body: FrameBody) -> SpreadCommand {
-    SpreadCommand::Send {
-        to: to.clone(),
-        body,
-    }
+    SpreadCommand::Send { to: to.clone(), body }
 }
 
 /// Sends entries in messages of bounded size.
@@ -348,34 +323,20 @@
     for entry in entries {
         if bytes + entry.text.len() > ENTRIES_BYTES && !part.is_empty() {
             let entries = std::mem::take(&mut part);
-            commands.push(send(
-                to,
-                FrameBody::Entries(Entries {
-                    entries,
-                    push: false,
-                }),
-            ));
+            commands.push(send(to, FrameBody::Entries(Entries { entries, push: false })));
             bytes = 0;
         }
         bytes += entry.text.len();
         part.push(entry);
     }
     if !part.is_empty() {
-        commands.push(send(
-            to,
-            FrameBody::Entries(Entries {
-                entries: part,
-                push: false,
-            }),
-        ));
+        commands.push(send(to, FrameBody::Entries(Entries { entries: part, push: false })));
     }
 }
 
 fn stamp_among<'a>(stamps: &'a [KeyStamp], key: &str) -> Option<&'a wingbridge_wire::Stamp> {
     // Both sides list keys in their order, so this is a search and no scan.
-    let found = stamps
-        .binary_search_by(|known| known.key.as_str().cmp(key))
-        .ok()?;
+    let found = stamps.binary_search_by(|known| known.key.as_str().cmp(key)).ok()?;
     Some(&stamps[found].stamp)
 }
 
--- a/crates/spread/src/gossip.rs
+++ b/crates/spread/src/gossip.rs
@@ -14,11 +14,7 @@
 impl<T: Clone + Eq + Hash> HeardNews<T> {
     /// Remembers the last `capacity` pieces.
     pub fn new(capacity: usize) -> HeardNews<T> {
-        HeardNews {
-            known: HashSet::new(),
-            order: VecDeque::new(),
-            capacity,
-        }
+        HeardNews { known: HashSet::new(), order: VecDeque::new(), capacity }
     }
 
     /// Notes a piece of news; true if it was not heard before.
--- a/crates/spread/src/map.rs
+++ b/crates/spread/src/map.rs
@@ -18,10 +18,7 @@
 
 impl Default for SpreadMap {
     fn default() -> SpreadMap {
-        SpreadMap {
-            entries: BTreeMap::new(),
-            hashes: [0; BUCKETS],
-        }
+        SpreadMap { entries: BTreeMap::new(), hashes: [0; BUCKETS] }
     }
 }
 
@@ -52,13 +49,9 @@
 
     /// Entries whose keys start with `prefix`, without the deleted ones.
     pub fn live<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Entry> {
-        let from = self
-            .entries
-            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+        let from = self.entries.range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
         let within = from.take_while(move |(key, _)| key.starts_with(prefix));
-        within
-            .map(|(_, entry)| entry)
-            .filter(|entry| !entry.deleted)
+        within.map(|(_, entry)| entry).filter(|entry| !entry.deleted)
     }
 
     /// How many entries there are, deleted ones too.
@@ -73,11 +66,7 @@
 
     /// One hash over the whole map.
     pub fn root(&self) -> u64 {
-        let bytes: Vec<u8> = self
-            .hashes
-            .iter()
-            .flat_map(|hash| hash.to_le_bytes())
-            .collect();
+        let bytes: Vec<u8> = self.hashes.iter().flat_map(|hash| hash.to_le_bytes()).collect();
         xxh3_64(&bytes)
     }
 
@@ -96,10 +85,7 @@
 
 /// An entry's key and version.
 pub fn key_stamp(entry: &Entry) -> KeyStamp {
-    KeyStamp {
-        key: entry.key.clone(),
-        stamp: entry.stamp.clone(),
-    }
+    KeyStamp { key: entry.key.clone(), stamp: entry.stamp.clone() }
 }
 
 fn bucket_of(key: &str) -> usize {
@@ -108,9 +94,6 @@
 
 fn entry_hash(entry: &Entry) -> u64 {
     let stamp = &entry.stamp;
-    let text = format!(
-        "{}\0{}\0{}\0{}",
-        entry.key, stamp.generation, stamp.revision, stamp.change
-    );
+    let text = format!("{}\0{}\0{}\0{}", entry.key, stamp.generation, stamp.revision, stamp.change);
     xxh3_64(text.as_bytes())
 }
--- a/crates/spread/src/members.rs
+++ b/crates/spread/src/members.rs
@@ -138,12 +138,7 @@
         let mut chosen = Vec::new();
         let mine = self.of_centre(&identity.data_centre);
         for ring in 0..own {
-            ring_neighbours(
-                mine.iter(),
-                identity,
-                ring_seed("own", ring, epoch),
-                &mut chosen,
-            );
+            ring_neighbours(mine.iter(), identity, ring_seed("own", ring, epoch), &mut chosen);
         }
         for ring in 0..all {
             let live = self.by_centre.values().flatten();
@@ -155,10 +150,7 @@
     fn add(&mut self, box_id: Arc<str>, member: MemberValue) {
         if member.state == MemberState::Live {
             let centre = Arc::from(member.data_centre.as_str());
-            self.by_centre
-                .entry(centre)
-                .or_default()
-                .push(box_id.clone());
+            self.by_centre.entry(centre).or_default().push(box_id.clone());
         }
         self.members.insert(box_id, member);
     }
--- a/crates/standin/src/bin/standin-store.rs
+++ b/crates/standin/src/bin/standin-store.rs
@@ -9,8 +9,5 @@
 fn main() -> ExitCode {
     let matches = store_command().get_matches();
     let result = stop_on_signals().map_err(eyre::Report::from);
-    exit_code(
-        "standin-store",
-        result.and_then(|stop| run_store(&matches, &stop)),
-    )
+    exit_code("standin-store", result.and_then(|stop| run_store(&matches, &stop)))
 }
--- a/crates/standin/src/bin/standin-target.rs
+++ b/crates/standin/src/bin/standin-target.rs
@@ -9,8 +9,5 @@
 fn main() -> ExitCode {
     let matches = target_command().get_matches();
     let result = stop_on_signals().map_err(eyre::Report::from);
-    exit_code(
-        "standin-target",
-        result.and_then(|stop| run_target(&matches, &stop)),
-    )
+    exit_code("standin-target", result.and_then(|stop| run_target(&matches, &stop)))
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -17,18 +17,9 @@
 
 /// Serves the store's end points until the task is dropped.
 pub async fn serve_store(listener: TcpListener, handle: StoreHandle) {
-    let limits = MessageLimits {
-        body: VALUE_LIMIT,
-        ..MessageLimits::default()
-    };
-    let settings = ServerSettings {
-        limits,
-        ..ServerSettings::default()
-    };
-    serve(listener, settings, move |request| {
-        answer(handle.clone(), request.incoming)
-    })
-    .await;
+    let limits = MessageLimits { body: VALUE_LIMIT, ..MessageLimits::default() };
+    let settings = ServerSettings { limits, ..ServerSettings::default() };
+    serve(listener, settings, move |request| answer(handle.clone(), request.incoming)).await;
 }
 
 async fn answer(handle: StoreHandle, incoming: IncomingRequest) -> Response {
@@ -37,9 +28,7 @@
         return change_faults(&handle, &incoming);
     }
     if path == "/v1/stats" {
-        return to_json(&StoreStats {
-            calls: handle.calls(),
-        });
+        return to_json(&StoreStats { calls: handle.calls() });
     }
     let delay = match handle.enter() {
         CallGate::Outage => return text_response(503, "outage"),
@@ -53,10 +42,7 @@
         (Method::Get, "/v1/keys") => list_keys(&handle, &incoming).await,
         (Method::Get, "/v1/boxes") => list_boxes(&handle, &incoming).await,
         (Method::Put, "/v1/boxes") => put_box(&handle, &incoming),
-        (Method::Get, _) => match path
-            .strip_prefix("/v1/key/")
-            .and_then(|key| handle.read(key))
-        {
+        (Method::Get, _) => match path.strip_prefix("/v1/key/").and_then(|key| handle.read(key)) {
             Some(record) => to_json(&record),
             None => text_response(404, "no such key"),
         },
@@ -93,11 +79,7 @@
     // Keys and boxes share the wake-up, so the other's change wakes this one too.
     while let Some(changed) = handle.next_change(keys, boxes) {
         let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero()
-            || async_std::future::timeout(left, changed.recv())
-                .await
-                .is_err()
-        {
+        if left.is_zero() || async_std::future::timeout(left, changed.recv()).await.is_err() {
             return;
         }
     }
--- a/crates/standin/src/store_state.rs
+++ b/crates/standin/src/store_state.rs
@@ -95,15 +95,8 @@
     /// Goes back to an older state, as after a restart from a backup.
     pub fn restore(&self, snapshot: Vec<KeyRecord>) {
         let mut state = self.state();
-        state.revision = snapshot
-            .iter()
-            .map(|record| record.revision)
-            .max()
-            .unwrap_or(0);
-        state.keys = snapshot
-            .into_iter()
-            .map(|record| (record.key.clone(), record))
-            .collect();
+        state.revision = snapshot.iter().map(|record| record.revision).max().unwrap_or(0);
+        state.keys = snapshot.into_iter().map(|record| (record.key.clone(), record)).collect();
         state.waiting.clear();
     }
 
@@ -117,24 +110,14 @@
         let mut state = self.state();
         let held = state.keys.get(key).map_or(0, |record| record.revision);
         if held != expected {
-            return WriteReply {
-                written: false,
-                revision: held,
-            };
+            return WriteReply { written: false, revision: held };
         }
         state.revision += 1;
         let revision = state.revision;
-        let record = KeyRecord {
-            key: key.to_string(),
-            revision,
-            value: value.to_string(),
-        };
+        let record = KeyRecord { key: key.to_string(), revision, value: value.to_string() };
         state.keys.insert(key.to_string(), record);
         state.waiting.clear();
-        WriteReply {
-            written: true,
-            revision,
-        }
+        WriteReply { written: true, revision }
     }
 
     pub(crate) fn enter(&self) -> CallGate {
@@ -143,19 +126,11 @@
         if state.faults.outage {
             return CallGate::Outage;
         }
-        let since = state
-            .started
-            .map_or(Duration::ZERO, |started| started.elapsed());
-        if state
-            .budget
-            .as_mut()
-            .is_some_and(|budget| budget.take(since).is_err())
-        {
+        let since = state.started.map_or(Duration::ZERO, |started| started.elapsed());
+        if state.budget.as_mut().is_some_and(|budget| budget.take(since).is_err()) {
             return CallGate::Limited;
         }
-        CallGate::Open {
-            delay: Duration::from_millis(state.faults.delay_ms),
-        }
+        CallGate::Open { delay: Duration::from_millis(state.faults.delay_ms) }
     }
 
     /// Whether the answer to the write just made is lost.
@@ -167,30 +142,18 @@
         let mut state = self.state();
         let revision = state.revision;
         if after > 0 && revision > after && take_one(&mut state.faults.skip_watch_answers) {
-            return KeyListing {
-                revision,
-                entries: Vec::new(),
-            };
+            return KeyListing { revision, entries: Vec::new() };
         }
         let repeat = after > 0 && take_one(&mut state.faults.repeat_watch_answers);
         let from = if repeat { 0 } else { after };
         let newer = state.keys.values().filter(|record| record.revision > from);
-        KeyListing {
-            revision,
-            entries: newer.cloned().collect(),
-        }
+        KeyListing { revision, entries: newer.cloned().collect() }
     }
 
     pub(crate) fn list_boxes(&self, after: u64) -> BoxListing {
         let state = self.state();
-        let newer = state
-            .boxes
-            .values()
-            .filter(|record| record.revision > after);
-        BoxListing {
-            revision: state.box_revision,
-            boxes: newer.cloned().collect(),
-        }
+        let newer = state.boxes.values().filter(|record| record.revision > after);
+        BoxListing { revision: state.box_revision, boxes: newer.cloned().collect() }
     }
 
     /// A channel that closes at the next change, if nothing changed after the given revisions.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -84,11 +84,8 @@
             let _ = slots.0.try_send(());
         }
         let random = SmallRng::seed_from_u64(settings.seed);
-        let work = TargetWork {
-            faults: TargetFaults::default(),
-            random,
-            log: ExecutionLog::default(),
-        };
+        let work =
+            TargetWork { faults: TargetFaults::default(), random, log: ExecutionLog::default() };
         let incarnation = rand::random::<u32>().into();
         let shared = TargetShared {
             settings,
@@ -97,9 +94,7 @@
             slots,
             present: AtomicUsize::new(0),
         };
-        TargetHandle {
-            shared: Arc::new(shared),
-        }
+        TargetHandle { shared: Arc::new(shared) }
     }
 
     /// Sets all faults.
@@ -113,10 +108,7 @@
     }
 
     fn work(&self) -> MutexGuard<'_, TargetWork> {
-        self.shared
-            .state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Chance and faults for one request.
@@ -127,21 +119,13 @@
         let settings = &self.shared.settings;
         let micros = settings.work.as_secs_f64().ln();
         let span = LogNormal::new(micros, settings.spread)
-            .map_or(settings.work.as_secs_f64(), |law| {
-                law.sample(&mut work.random)
-            });
+            .map_or(settings.work.as_secs_f64(), |law| law.sample(&mut work.random));
         let span = Duration::from_secs_f64(span * faults.slow.max(1.0));
         let fails = work.random.random::<f64>() < faults.error_share;
         let loses = faults.lose_answers > 0;
         work.faults.lose_answers = faults.lose_answers.saturating_sub(u32::from(loses));
         let stalls = faults.stall || faults.cut_from.iter().any(|cut| cut == box_id);
-        RequestFate {
-            span,
-            fails,
-            stalls,
-            loses,
-            draining: faults.draining,
-        }
+        RequestFate { span, fails, stalls, loses, draining: faults.draining }
     }
 }
 
@@ -162,10 +146,7 @@
 impl PresentGuard {
     fn enter(handle: &TargetHandle) -> PresentGuard {
         handle.shared.present.fetch_add(1, Ordering::AcqRel);
-        PresentGuard {
-            handle: handle.clone(),
-            ended: false,
-        }
+        PresentGuard { handle: handle.clone(), ended: false }
     }
 }
 
@@ -234,12 +215,7 @@
     let _slot = take_slot(handle).await;
     let order = header(incoming, "x-order");
     if !order.is_empty() {
-        *handle
-            .work()
-            .log
-            .orders
-            .entry(order.to_string())
-            .or_default() += 1;
+        *handle.work().log.orders.entry(order.to_string()).or_default() += 1;
     }
     task::sleep(fate.span).await;
     guard.ended = true;
@@ -272,18 +248,14 @@
 async fn take_slot(handle: &TargetHandle) -> SlotGuard {
     // The channel of slots is never closed while the handle lives.
     let _ = handle.shared.slots.1.recv().await;
-    SlotGuard {
-        handle: handle.clone(),
-    }
+    SlotGuard { handle: handle.clone() }
 }
 
 /// Headers by which a target reports on itself.
 fn mark(handle: &TargetHandle, response: &mut Response) {
     let faults = handle.work().faults.clone();
     let present = handle.shared.present.load(Ordering::Acquire) as f32;
-    let load = faults
-        .reported_load
-        .unwrap_or(present / handle.shared.settings.slots as f32);
+    let load = faults.reported_load.unwrap_or(present / handle.shared.settings.slots as f32);
     let state = match (faults.draining, faults.cold) {
         (true, _) => "draining",
         (false, true) => "cold",
@@ -291,10 +263,7 @@
     };
     response.insert_header("x-target-load", format!("{load:.2}"));
     response.insert_header("x-target-state", state);
-    response.insert_header(
-        "x-target-incarnation",
-        handle.shared.incarnation.to_string(),
-    );
+    response.insert_header("x-target-incarnation", handle.shared.incarnation.to_string());
 }
 
 /// Byte `position` of the download: any part can be checked on its own.
@@ -316,10 +285,7 @@
     }
     response.insert_header("etag", format!("\"{length}\""));
     if from.is_some() {
-        response.insert_header(
-            "content-range",
-            format!("bytes {start}-{}/{length}", length - 1),
-        );
+        response.insert_header("content-range", format!("bytes {start}-{}/{length}", length - 1));
     }
     response
 }
@@ -337,11 +303,7 @@
         } else if position >= length {
             Ok(None)
         } else {
-            let most = if cut > 0 {
-                (start + cut).min(length)
-            } else {
-                length
-            };
+            let most = if cut > 0 { (start + cut).min(length) } else { length };
             let end = (position + CHUNK as u64).min(most);
             let bytes: Vec<u8> = (position..end).map(download_byte).collect();
             Ok(Some((bytes, end)))
@@ -364,10 +326,7 @@
 }
 
 fn header<'a>(incoming: &'a IncomingRequest, name: &str) -> &'a str {
-    incoming
-        .request
-        .header(name)
-        .map_or("", |values| values.last().as_str())
+    incoming.request.header(name).map_or("", |values| values.last().as_str())
 }
 
 fn to_json(value: &impl Serialize) -> Response {
--- a/crates/trace/src/clock.rs
+++ b/crates/trace/src/clock.rs
@@ -35,10 +35,7 @@
     pub fn tick_at(&self, wall: u64) -> u64 {
         let wall = wall << COUNTER_BITS;
         let step = |last: u64| Some(wall.max(last + 1));
-        match self
-            .last
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, step)
-        {
+        match self.last.fetch_update(Ordering::AcqRel, Ordering::Acquire, step) {
             Ok(last) | Err(last) => wall.max(last + 1),
         }
     }
@@ -58,8 +55,6 @@
 
 /// Milliseconds since 1970.
 pub fn wall_millis() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -54,9 +54,7 @@
             capacity,
             ring: Mutex::default(),
         };
-        TimeLine {
-            shared: Arc::new(shared),
-        }
+        TimeLine { shared: Arc::new(shared) }
     }
 
     /// The process's clock.
@@ -66,9 +64,7 @@
 
     /// Notes an event and returns it.
     pub fn note(&self, kind: &str, fields: &[(&str, &str)]) -> TraceEvent {
-        let fields = fields
-            .iter()
-            .map(|(name, value)| (name.to_string(), value.to_string()));
+        let fields = fields.iter().map(|(name, value)| (name.to_string(), value.to_string()));
         let event = TraceEvent {
             stamp: self.shared.clock.tick(),
             box_id: self.shared.box_id.clone(),
@@ -118,10 +114,7 @@
 
     fn ring(&self) -> std::sync::MutexGuard<'_, EventRing> {
         // A panic while the ring is held leaves at worst one event less in it.
-        self.shared
-            .ring
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.shared.ring.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/trace/src/page.rs
+++ b/crates/trace/src/page.rs
@@ -73,9 +73,7 @@
     let height = lanes.len() * LANE_HEIGHT + 40;
     let width = LABEL_WIDTH + CHART_WIDTH + 30;
     let start = stamp_millis(events[0].stamp);
-    let end = events
-        .last()
-        .map_or(start, |event| stamp_millis(event.stamp));
+    let end = events.last().map_or(start, |event| stamp_millis(event.stamp));
     let span = (end - start).max(1);
     let mut svg = format!(
         "<svg viewBox=\"0 0 {width} {height}\" width=\"100%\" role=\"img\" aria-label=\"events by process\">"
@@ -119,10 +117,7 @@
 }
 
 fn as_words(event: &TraceEvent) -> String {
-    let words = event
-        .fields
-        .iter()
-        .map(|(name, value)| format!("{name}={value}"));
+    let words = event.fields.iter().map(|(name, value)| format!("{name}={value}"));
     words.collect::<Vec<_>>().join(" ")
 }
 
@@ -138,8 +133,5 @@
 }
 
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
-        .replace('"', "&quot;")
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -4,7 +4,7 @@
 use wingbridge_decide::sketch::LatencyBucket;
 use wingbridge_decide::{
     EvidenceBatch, EvidenceSource, Sample, SampleKind, TargetKey, TargetSamples, Verdict,
-    VerdictKind, VerdictScope,
+    VerdictCause, VerdictKind, VerdictScope,
 };
 
 const KIND_BITS: u32 = 2;
@@ -25,10 +25,7 @@
         target: seen.target.0,
         samples: seen.samples.iter().map(pack_sample).collect(),
     });
-    ServiceEvidence {
-        service: batch.service.to_string(),
-        targets: targets.collect(),
-    }
+    ServiceEvidence { service: batch.service.to_string(), targets: targets.collect() }
 }
 
 /// A verdict as it goes over the wire.
@@ -40,26 +37,28 @@
         scope: verdict.scope as u32,
         flaps: verdict.flaps,
         stamp: verdict.stamp,
+        cause: verdict.cause as u32,
     }
 }
 
 /// A verdict from the wire.
 pub fn verdict_of(message: &VerdictMessage) -> Verdict {
-    let kind = if message.convicted {
-        VerdictKind::Convicted
-    } else {
-        VerdictKind::Acquitted
-    };
+    let kind = if message.convicted { VerdictKind::Convicted } else { VerdictKind::Acquitted };
     Verdict {
         service: message.service.as_str().into(),
         target: TargetKey(message.target),
         kind,
         scope: scope_of(message.scope),
+        cause: cause_of(message.cause),
         flaps: message.flaps,
         stamp: message.stamp,
     }
 }
 
+fn cause_of(number: u32) -> VerdictCause {
+    VerdictCause::ALL.get(number as usize).copied().unwrap_or(VerdictCause::Slowness)
+}
+
 fn scope_of(number: u32) -> VerdictScope {
     match number {
         0 => VerdictScope::Path,
@@ -71,16 +70,9 @@
 fn batch_of(evidence: &ServiceEvidence) -> EvidenceBatch {
     let targets = evidence.targets.iter().map(|seen| TargetSamples {
         target: TargetKey(seen.target),
-        samples: seen
-            .samples
-            .iter()
-            .map(|packed| unpack_sample(*packed))
-            .collect(),
+        samples: seen.samples.iter().map(|packed| unpack_sample(*packed)).collect(),
     });
-    EvidenceBatch {
-        service: evidence.service.as_str().into(),
-        targets: targets.collect(),
-    }
+    EvidenceBatch { service: evidence.service.as_str().into(), targets: targets.collect() }
 }
 
 fn pack_sample(sample: &Sample) -> u32 {
@@ -88,6 +80,7 @@
         SampleKind::Good => 0,
         SampleKind::Error => 1,
         SampleKind::Overdue => 2,
+        SampleKind::Late => 3,
     };
     let bucket = u32::from(sample.bucket.0) << KIND_BITS;
     kind | bucket | (sample.count << (KIND_BITS + BUCKET_BITS))
@@ -97,12 +90,9 @@
     let kind = match packed & ((1 << KIND_BITS) - 1) {
         0 => SampleKind::Good,
         1 => SampleKind::Error,
-        _ => SampleKind::Overdue,
+        2 => SampleKind::Overdue,
+        _ => SampleKind::Late,
     };
     let bucket = (packed >> KIND_BITS) & ((1 << BUCKET_BITS) - 1);
-    Sample {
-        kind,
-        bucket: LatencyBucket(bucket as u8),
-        count: packed >> (KIND_BITS + BUCKET_BITS),
-    }
+    Sample { kind, bucket: LatencyBucket(bucket as u8), count: packed >> (KIND_BITS + BUCKET_BITS) }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -23,10 +23,7 @@
 impl WireError {
     /// Makes an error of `kind`.
     pub fn new(kind: ErrorKind, reason: impl Into<String>) -> WireError {
-        WireError {
-            kind,
-            reason: reason.into(),
-        }
+        WireError { kind, reason: reason.into() }
     }
 
     /// The kind, to decide on.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -30,9 +30,7 @@
         };
         let bytes = bytes?;
         let frame = Frame::decode(bytes);
-        frame
-            .map(Some)
-            .map_err(|error| WireError::new(ErrorKind::Malformed, error.to_string()))
+        frame.map(Some).map_err(|error| WireError::new(ErrorKind::Malformed, error.to_string()))
     }
 }
 
@@ -57,17 +55,11 @@
 /// Splits a connection, after the handshake, into its two directions.
 pub fn split_stream(stream: TcpStream) -> (FrameReader, FrameWriter) {
     let (read, write) = stream.split();
-    let reader = FrameReader {
-        frames: FramedRead::new(read.compat(), codec()),
-    };
-    let writer = FrameWriter {
-        frames: FramedWrite::new(write.compat_write(), codec()),
-    };
+    let reader = FrameReader { frames: FramedRead::new(read.compat(), codec()) };
+    let writer = FrameWriter { frames: FramedWrite::new(write.compat_write(), codec()) };
     (reader, writer)
 }
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
 }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -24,10 +24,7 @@
 impl FleetKey {
     /// Derives the key from what operators set.
     pub fn derive(secret: &str) -> FleetKey {
-        FleetKey(blake3::derive_key(
-            "wingbridge fleet key, version 1",
-            secret.as_bytes(),
-        ))
+        FleetKey(blake3::derive_key("wingbridge fleet key, version 1", secret.as_bytes()))
     }
 }
 
@@ -74,10 +71,7 @@
     let exchange = exchange_proofs(stream, key, side);
     match async_std::future::timeout(HANDSHAKE_TIME, exchange).await {
         Ok(result) => result,
-        Err(_) => Err(WireError::new(
-            ErrorKind::Stranger,
-            "no proof of the fleet key in time",
-        )),
+        Err(_) => Err(WireError::new(ErrorKind::Stranger, "no proof of the fleet key in time")),
     }
 }
 
@@ -92,17 +86,12 @@
     stream.write_all(&own).await?;
     let mut theirs = [0; NONCE];
     stream.read_exact(&mut theirs).await?;
-    stream
-        .write_all(proof(key, side, &own, &theirs).as_bytes())
-        .await?;
+    stream.write_all(proof(key, side, &own, &theirs).as_bytes()).await?;
     let mut claimed = [0; blake3::OUT_LEN];
     stream.read_exact(&mut claimed).await?;
     // The comparison of two `Hash`es takes the same time wherever they differ.
     if blake3::Hash::from_bytes(claimed) != proof(key, side.other(), &theirs, &own) {
-        return Err(WireError::new(
-            ErrorKind::Stranger,
-            "the peer does not know the fleet key",
-        ));
+        return Err(WireError::new(ErrorKind::Stranger, "the peer does not know the fleet key"));
     }
     Ok(())
 }
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -9,10 +9,7 @@
     #[prost(fixed64, tag = "1")]
     pub clock: u64,
     /// What is said.
-    #[prost(
-        oneof = "FrameBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
-    )]
+    #[prost(oneof = "FrameBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: Option<FrameBody>,
 }
 
@@ -244,6 +241,9 @@
     /// The judge's clock, in microseconds.
     #[prost(uint64, tag = "6")]
     pub stamp: u64,
+    /// What speaks for it most: 0 errors, 1 stalls, 2 slowness.
+    #[prost(uint32, tag = "7")]
+    pub cause: u32,
 }
 
 /// A target takes no new work.
