Convict nobody for what many siblings show too

Cause: where all targets fail or slow down at once, the first one noticed was convicted before the usual rate had risen: in a box that sees little, most siblings had shown nothing yet. Change: a target is not convicted while a third of its siblings show at least three tenths of its rate.

--- a/crates/decide/src/judge.rs
+++ b/crates/decide/src/judge.rs
@@ -39,6 +39,10 @@
 const OWN_SILENCE: Duration = Duration::from_secs(5);
 /// Independent chances for a false alarm in a day of one target: one window each.
 const LOOKS_PER_DAY: f64 = 86_400.0 * 20.0;
+/// A sibling is taken to show the same if its rate is this part of the target's, and
+/// the trouble to be shared if this share of the siblings does.
+const SIMILAR_RATE: f32 = 0.3;
+const SHARED_FROM: f32 = 0.34;
 /// The share of the threshold that convicts a target on trial.
 const TRIAL_THRESHOLD: f32 = 0.4;
 /// Attempts that acquit a target on trial if none was bad.
@@ -91,7 +95,7 @@
 struct Finding {
     score: f32,
     scope: VerdictScope,
-    cause: VerdictCause,
+    measure: Measure,
 }
 
 /// One way to be sick.
@@ -432,21 +436,38 @@
         index: usize,
         rates: &[f32; MEASURES],
     ) -> Option<Verdict> {
-        let target = &mut self.targets[index];
+        let target = &self.targets[index];
         let on_trial = target.conviction.is_some();
         let needed = if on_trial { self.threshold * TRIAL_THRESHOLD } else { self.threshold };
         let finding = target.score(scene.now, self.threshold);
-        if finding.score >= needed {
+        if finding.score >= needed && !self.is_shared(index, finding.measure) {
+            let target = &mut self.targets[index];
             target.convict(scene.now, finding, self.backoff, self.backoff_most);
             return Some(self.verdict(index, VerdictKind::Convicted, finding, scene.now));
         }
         if on_trial && target.trial_went_well(rates) {
-            target.conviction = None;
+            self.targets[index].conviction = None;
             return Some(self.verdict(index, VerdictKind::Acquitted, finding, scene.now));
         }
         None
     }
 
+    /// Whether many siblings show the same just now, if more weakly: then it is the
+    /// service or what is behind it, and the target is only the first to be noticed.
+    fn is_shared(&self, index: usize, measure: Measure) -> bool {
+        let measure = measure as usize;
+        let Some(own) = self.targets[index].recent.rate(measure) else { return false };
+        let siblings = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(sibling, target)| *sibling != index && target.conviction.is_none());
+        let rates: Vec<f32> =
+            siblings.filter_map(|(_, target)| target.recent.rate(measure)).collect();
+        let similar = rates.iter().filter(|rate| **rate >= own * SIMILAR_RATE).count();
+        similar > 0 && similar as f32 >= rates.len() as f32 * SHARED_FROM
+    }
+
     fn verdict(
         &self,
         index: usize,
@@ -460,7 +481,7 @@
             target: target.key,
             kind,
             scope: finding.scope,
-            cause: finding.cause,
+            cause: finding.measure.cause(),
             flaps: target.flaps.count(),
             stamp: now.as_micros(),
         }
@@ -668,8 +689,7 @@
     fn score(&self, now: TimePoint, threshold: f32) -> Finding {
         let own = self.pools.iter().find(|pool| pool.data_centre == 0);
         let silent = own.is_none_or(|pool| now.since(pool.last_seen) > OWN_SILENCE);
-        let mut best =
-            Finding { score: 0.0, scope: VerdictScope::Target, cause: VerdictCause::Errors };
+        let mut best = Finding { score: 0.0, scope: VerdictScope::Target, measure: Measure::Error };
         for (number, hypothesis) in HYPOTHESES.iter().enumerate() {
             let own_sum = own.map_or(0.0, |pool| pool.sums[number]);
             let others = self.pools.iter().filter(|pool| pool.data_centre != 0);
@@ -679,7 +699,7 @@
             if score > best.score {
                 let shared = self.pools.len() == 1 || remote >= own_sum / 4.0;
                 let scope = if shared { VerdictScope::Target } else { VerdictScope::DataCentre };
-                best = Finding { score, scope, cause: hypothesis.measure.cause() };
+                best = Finding { score, scope, measure: hypothesis.measure };
             }
         }
         best
