Kill and freeze the real programs in tests

Cause: kills and freezes were not tested on real processes. Change: six tests on separate processes: killed agent, frozen agent (SIGSTOP and SIGCONT), frozen target, killed proxy, planned stop, and wrong settings named with exit code 2.

--- a/crates/demo/tests/programs/mod.rs
+++ b/crates/demo/tests/programs/mod.rs
@@ -157,7 +157,12 @@
     }
 
     /// Runs `wingctl` with `input` and expects success.
-    pub fn ctl(&self, arguments: &[&str], input: &str) -> String {
+    pub fn ctl(&self, arguments: &[&str], input: &str) {
+        assert_eq!(self.ctl_code(arguments, input), Some(0), "wingctl {arguments:?}");
+    }
+
+    /// Runs `wingctl` with `input` and returns its exit code.
+    pub fn ctl_code(&self, arguments: &[&str], input: &str) -> Option<i32> {
         let agents: Vec<String> =
             self.agents.iter().map(|agent| agent.address("admin=").to_string()).collect();
         let mut child = Command::new(program_path("wingctl"))
@@ -165,13 +170,11 @@
             .arg(format!("--agents={}", agents.join(",")))
             .args(arguments)
             .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
+            .stdout(Stdio::null())
             .spawn()
             .expect("wingctl starts");
         child.stdin.take().expect("piped").write_all(input.as_bytes()).expect("it reads");
-        let output = child.wait_with_output().expect("it ends");
-        assert!(output.status.success(), "wingctl {arguments:?}: {:?}", output.status);
-        String::from_utf8(output.stdout).expect("UTF-8")
+        child.wait().expect("it ends").code()
     }
 
     pub fn wait_ready(&self, place: &ProxyPlace) {
@@ -195,3 +198,9 @@
     let folder = own.parent().and_then(std::path::Path::parent).expect("a folder");
     folder.join(name)
 }
+
+/// Runs a program that ends by itself: its exit code and what it said of errors.
+pub fn run_to_end(name: &str, arguments: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(program_path(name)).args(arguments).output().expect("it runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
--- a/crates/demo/tests/separate_processes.rs
+++ b/crates/demo/tests/separate_processes.rs
@@ -35,3 +35,98 @@
     }
     fleet.stop_proxy_as_planned(0);
 }
+
+const ROUTE: &str = "[[service]]\nname='huts'\npolicy='read'\nroutes=['/huts']\nslots=3\n";
+const POLICY: &str = "fn plan(request) { route(\"huts\").repeatable().attempts(3).deadline(3000) }";
+
+fn ready_fleet(boxes: usize, targets: usize) -> ProgramFleet {
+    let fleet = ProgramFleet::start(boxes, targets);
+    fleet.put_policy("read", POLICY);
+    fleet.put_service(&format!("{ROUTE}targets=[{}]\n", fleet.target_list()));
+    for proxy in fleet.proxies() {
+        fleet.wait_ready(proxy);
+    }
+    fleet
+}
+
+/// The outcomes of `count` requests through one box.
+fn outcomes(fleet: &ProgramFleet, index: usize, count: usize) -> Vec<(u16, String)> {
+    let mut caller = LoadCaller::new(fleet.proxies()[index].callers);
+    let mut ask = |number: usize| {
+        let token = format!("t-{number}");
+        let request = CallerRequest::get("/huts/1").with("x-token", token.as_str());
+        let answer = task::block_on(caller.call(&request, CALL_TIME)).expect("an answer");
+        if answer.outcome == "answered" {
+            let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+            assert_eq!(body["token"], token, "somebody else's answer");
+        }
+        (answer.status, answer.outcome)
+    };
+    (0..count).map(&mut ask).collect()
+}
+
+fn all_answered(outcomes: &[(u16, String)]) -> bool {
+    outcomes.iter().all(|(status, outcome)| *status == 200 && outcome == "answered")
+}
+
+#[test]
+fn a_killed_agent_cuts_no_request() {
+    let mut fleet = ready_fleet(2, 3);
+    fleet.agents[0].signal("KILL");
+    fleet.agents[0].wait();
+    assert!(all_answered(&outcomes(&fleet, 0, 50)));
+    assert!(all_answered(&outcomes(&fleet, 1, 50)));
+}
+
+#[test]
+fn a_frozen_agent_catches_up_when_it_thaws() {
+    let fleet = ready_fleet(2, 3);
+    fleet.agents[1].signal("STOP");
+    assert!(all_answered(&outcomes(&fleet, 1, 20)));
+    let changed = "fn plan(request) { refuse(418, \"changed\") }";
+    // Exit code 3: accepted, and not in force in the frozen box.
+    assert_eq!(fleet.ctl_code(&["--wait-s=1", "policy", "put", "read", "-"], changed), Some(3));
+    assert_eq!(outcomes(&fleet, 0, 1)[0].0, 418);
+    assert_eq!(outcomes(&fleet, 1, 1)[0].0, 200);
+    fleet.agents[1].signal("CONT");
+    let mut told = 200;
+    while told != 418 {
+        told = outcomes(&fleet, 1, 1)[0].0;
+    }
+}
+
+#[test]
+fn a_frozen_target_costs_no_caller_its_answer() {
+    let fleet = ready_fleet(2, 5);
+    outcomes(&fleet, 0, 100);
+    fleet.targets[0].signal("STOP");
+    assert!(all_answered(&outcomes(&fleet, 0, 200)));
+    fleet.targets[0].signal("CONT");
+}
+
+#[test]
+fn a_killed_proxy_leaves_the_other_boxes_serving() {
+    let fleet = ready_fleet(2, 3);
+    {
+        let mut proxy = fleet.proxies[0].borrow_mut();
+        proxy.signal("KILL");
+        proxy.wait();
+    }
+    assert!(all_answered(&outcomes(&fleet, 1, 100)));
+}
+
+#[test]
+fn wrong_settings_are_named_and_nothing_starts() {
+    let cases: [(&str, &[&str], &str); 5] = [
+        ("wingbridge-agent", &["--box-id=a b"], "box-id"),
+        ("wingbridge-proxy", &["--box-id=a", "--data-centre=d", "--agent=10.0.0.1:1"], "agent"),
+        ("wingctl", &["--store=nowhere", "policy", "list"], "store"),
+        ("standin-target", &["--slots=0"], "slots"),
+        ("wingbridge-demo", &["--seconds=many"], "seconds"),
+    ];
+    for (program, arguments, setting) in cases {
+        let (code, error) = programs::run_to_end(program, arguments);
+        assert_eq!(code, Some(2), "{program}: {error}");
+        assert!(error.contains(&format!("--{setting}")) && error.contains("allowed"), "{error}");
+    }
+}
