Give a target that reports a queue more time, and measure path and spread

Cause: cold starts and pauses made targets silent with a queue before them; they were taken to stall. Ruled out: sharing the cold state between boxes (more messages, and it does not help against pauses). Change: evidence carries the load that a target just reported; with two waiting for each slot the silence must be four overdue times. What other data centres saw counts for two seconds. New: wingbench path, wingbench spread.

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -31,10 +32,14 @@
 /// Prefix of the name that a seed peer has until it is on the box list.
 pub(crate) const SEED_PREFIX: &str = "seed@";
 
+const TEN_THOUSAND: u32 = 10_000;
+
 /// A one-way cut for tests: messages from these boxes are dropped when they arrive.
 #[derive(Debug, Clone, Default)]
 pub struct CutSwitch {
     cut: Arc<Mutex<HashSet<String>>>,
+    /// Of ten thousand messages, so many are lost as well.
+    lost: Arc<AtomicU32>,
 }
 
 impl CutSwitch {
@@ -48,8 +53,16 @@
         self.boxes().clear();
     }
 
+    /// Loses this share of all messages, 0 to 1, by chance.
+    pub fn lose(&self, share: f64) {
+        let lost = (share.clamp(0.0, 1.0) * f64::from(TEN_THOUSAND)) as u32;
+        self.lost.store(lost, Ordering::Release);
+    }
+
     fn drops(&self, box_id: &str) -> bool {
-        self.boxes().contains(box_id)
+        let lost = self.lost.load(Ordering::Acquire);
+        let loses = lost > 0 && rand::random_range(0..TEN_THOUSAND) < lost;
+        loses || self.boxes().contains(box_id)
     }
 
     fn boxes(&self) -> std::sync::MutexGuard<'_, HashSet<String>> {
@@ -238,10 +251,12 @@
     messages: Receiver<FrameBody>,
 ) -> Result<(), WireError> {
     let sent = metrics::counter!("wingbridge_bytes_sent");
+    let messages_sent = metrics::counter!("wingbridge_messages_sent");
     let outgoing = async {
         while let Ok(body) = messages.recv().await {
             let bytes = writer.send(&context.frame(body)).await?;
             sent.increment(bytes as u64);
+            messages_sent.increment(1);
         }
         Ok(())
     };
@@ -249,7 +264,8 @@
         while let Some(frame) = reader.next().await? {
             context.line.clock().observe(frame.clock);
             let Some(body) = frame.body else { continue };
-            if !context.cuts.drops(peer) {
+            // The box's own proxy is no peer: nothing is lost on the way from it.
+            if **peer == *context.hello.box_id || !context.cuts.drops(peer) {
                 AgentEvent::Received { from: peer.clone(), body }.deliver(context).await;
             }
         }
--- a/crates/bench/src/decide/cost.rs
+++ b/crates/bench/src/decide/cost.rs
@@ -179,7 +179,7 @@
 }
 
 fn one_sample(target: TargetKey) -> TargetSamples {
-    let mut seen = TargetSamples { target, samples: Vec::new() };
+    let mut seen = TargetSamples::new(target);
     seen.add(SampleKind::Good, LatencyBucket::of(Duration::from_millis(20)));
     seen
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod chart;
 pub mod decide;
 pub mod memory;
+pub mod path;
 pub mod run;
 pub mod settings;
+pub mod spread;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -6,6 +6,8 @@
 use eyre::eyre;
 use serde::Serialize;
 use wingbridge_process::Outcome;
+use wingbridge_process::metrics::start_metrics;
+use wingbridge_process::settings::number;
 use wingctl::output::table;
 
 use crate::chart::draw_curve;
@@ -13,7 +15,11 @@
 use crate::decide::curve::measure_curve;
 use crate::decide::report::{DecideReport, Detection, FaultRow};
 use crate::decide::{DecideSetup, measure};
+use crate::path::{PathRow, measure_path};
 use crate::settings::resolve_decide;
+use crate::spread::cores::measure_cores;
+use crate::spread::real::measure_real;
+use crate::spread::{REAL_MOST, SpreadBench, SpreadRow};
 
 /// Rows of a table, as JSON.
 #[derive(Debug, Serialize)]
@@ -29,10 +35,103 @@
     let json = matches.get_flag("json");
     match matches.subcommand() {
         Some(("decide", matches)) => run_decide(matches, json),
+        Some(("path", matches)) => {
+            let rows = measure_path(
+                number(matches, "seconds", 1..=60)?,
+                number(matches, "rate", 0..=1_000_000)?,
+            )?;
+            show(json, &RowsReport { rows: &rows }, || path_table(&rows))
+        }
+        Some(("spread", matches)) => {
+            let rows = run_spread(matches)?;
+            show(json, &RowsReport { rows: &rows }, || spread_table(&rows))
+        }
         _ => Err(eyre!("no measurement was named")),
     }
 }
 
+fn run_spread(matches: &ArgMatches) -> eyre::Result<Vec<SpreadRow>> {
+    let bench = SpreadBench {
+        boxes: number(matches, "boxes", 1..=10_000)? as usize,
+        centres: number(matches, "centres", 1..=64)? as usize,
+        changes: number(matches, "changes", 1..=10_000)? as usize,
+        keys: number(matches, "keys", 0..=100_000)? as usize,
+        seed: number(matches, "seed", 0..=u64::from(u32::MAX))?,
+    };
+    if bench.boxes > REAL_MOST || matches.get_flag("cores") {
+        return Ok(measure_cores(&bench));
+    }
+    start_metrics();
+    measure_real(&bench)
+}
+
+fn path_table(rows: &[PathRow]) -> String {
+    let cells = rows.iter().map(|row| {
+        vec![
+            row.connections.to_string(),
+            format!("{:.2}", row.direct_p99_ms),
+            format!("{:.2}", row.proxy_p99_ms),
+            format!("{:.2}", row.added_p50_ms),
+            format!("{:.2}", row.added_p99_ms),
+            format!("{:.2}", row.added_p999_ms),
+            format!("{:.0}", row.requests_s),
+            format!("{:.0}", row.cpu_us_per_request),
+            row.failed.to_string(),
+        ]
+    });
+    let headings = [
+        "connections",
+        "direct p99 ms",
+        "proxy p99 ms",
+        "added p50",
+        "added p99",
+        "added p99.9",
+        "requests/s",
+        "cpu us/request",
+        "failed",
+    ];
+    table(&headings, &cells.collect::<Vec<_>>())
+}
+
+fn spread_table(rows: &[SpreadRow]) -> String {
+    let cells = rows.iter().map(|row| {
+        vec![
+            row.kind.to_string(),
+            row.boxes.to_string(),
+            format!("{:.0}%", row.loss * 100.0),
+            if row.store_cut { "cut" } else { "up" }.to_string(),
+            format!(
+                "{:.0}/{:.0}/{:.0}",
+                row.in_force_p50_ms, row.in_force_p99_ms, row.in_force_max_ms
+            ),
+            row.lacking.to_string(),
+            row.reverts.to_string(),
+            format!("{:.0}", row.bytes_per_box_s),
+            format!("{:.2}", row.messages_per_box_s),
+            format!("{:.0}", row.bytes_per_change),
+            format!("{:.1}", row.store_calls_s),
+            format!("{:.4}%", row.cpu_share * 100.0),
+            format!("{:.0}", row.rss_mb),
+        ]
+    });
+    let headings = [
+        "kind",
+        "boxes",
+        "loss",
+        "store",
+        "in force p50/p99/max ms",
+        "lacking",
+        "reverts",
+        "B/box/s rest",
+        "msg/box/s",
+        "B/box/change",
+        "store calls/s",
+        "core/box",
+        "MB in all",
+    ];
+    table(&headings, &cells.collect::<Vec<_>>())
+}
+
 fn run_decide(matches: &ArgMatches, json: bool) -> eyre::Result<Outcome> {
     let setup = resolve_decide(matches)?;
     if matches.get_flag("cost") {
--- /dev/null
+++ b/crates/bench/src/spread/real.rs
@@ -0,0 +1,230 @@
+//! Real agents and proxies in this process, with a stand-in store.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use eyre::{bail, ensure};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use wingbridge_demo::{SmallSystem, SystemSetup};
+use wingbridge_platform::{ChangeOutcome, ChangeRequest, StoreClient, submit_change};
+use wingbridge_standin::StoreFaults;
+use wingbridge_trace::TraceEvent;
+use wingbridge_trace::clock::wall_millis;
+use wingctl::fleet::{BoxAnswer, KeyView};
+
+use crate::memory::{processor_time, resident_bytes};
+use crate::spread::{LOSSES, SpreadBench, SpreadRow, at_quantile};
+
+const SETTLE: Duration = Duration::from_secs(2);
+const REST: Duration = Duration::from_secs(4);
+const GAP: Duration = Duration::from_millis(400);
+const IN_FORCE_MOST: Duration = Duration::from_secs(30);
+/// Proxies send their events on at least this often.
+const EVENTS_PERIOD: Duration = Duration::from_millis(1500);
+
+/// Measures all rows on one system.
+///
+/// # Errors
+/// The system did not start, or a change was not accepted.
+pub fn measure_real(bench: &SpreadBench) -> eyre::Result<Vec<SpreadRow>> {
+    let setup = SystemSetup {
+        boxes: bench.boxes,
+        data_centres: bench.centres,
+        services: Vec::new(),
+        leave_time: Duration::ZERO,
+    };
+    let system = SmallSystem::start(setup)?;
+    for key in 0..bench.keys {
+        write(&system, &format!("policy/k{key}"))?;
+    }
+    let mut rows = Vec::new();
+    for loss in LOSSES {
+        for one in &system.boxes {
+            one.cuts.lose(loss);
+        }
+        for store_cut in [false, true] {
+            rows.push(measure_row(bench, &system, loss, store_cut)?);
+        }
+    }
+    Ok(rows)
+}
+
+fn measure_row(
+    bench: &SpreadBench,
+    system: &SmallSystem,
+    loss: f64,
+    store_cut: bool,
+) -> eyre::Result<SpreadRow> {
+    thread::sleep(SETTLE);
+    let rest = Meters::read(system);
+    thread::sleep(REST);
+    let rest = Meters::read(system).since(&rest);
+    let changing = Meters::read(system);
+    let mut accepted = Vec::new();
+    for change in 0..bench.changes {
+        let key = format!("policy/c{}-{}-{change}", (loss * 100.0) as u32, u8::from(store_cut));
+        write(system, &key)?;
+        accepted.push((key.clone(), wall_millis()));
+        if store_cut {
+            wait_for_two_centres(system, &key)?;
+            system.store.set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
+        }
+        wait_in_force(system, &key)?;
+        system.store.set_faults(StoreFaults::default());
+        thread::sleep(GAP);
+    }
+    let changing = Meters::read(system).since(&changing);
+    thread::sleep(EVENTS_PERIOD);
+    let events = task::block_on(wingctl::timeline::gather(&system.fleet()))?.0;
+    let mut delays = delays_of(&accepted, &events);
+    delays.sort_by(f64::total_cmp);
+    let boxes = bench.boxes as f64;
+    let rest_bytes = rest.bytes / boxes / rest.seconds;
+    Ok(SpreadRow {
+        kind: "agents",
+        boxes: bench.boxes,
+        loss,
+        store_cut,
+        in_force_p50_ms: at_quantile(&delays, 0.5),
+        in_force_p99_ms: at_quantile(&delays, 0.99),
+        in_force_max_ms: delays.last().copied().unwrap_or(0.0),
+        lacking: (bench.boxes * bench.changes).saturating_sub(delays.len()),
+        reverts: reverts_of(&events),
+        bytes_per_box_s: rest_bytes,
+        messages_per_box_s: rest.messages / boxes / rest.seconds,
+        bytes_per_change: (changing.bytes / boxes - rest_bytes * changing.seconds)
+            / bench.changes as f64,
+        store_calls_s: rest.calls / rest.seconds,
+        cpu_share: rest.processor / rest.seconds / boxes,
+        rss_mb: resident_bytes() as f64 / 1e6,
+    })
+}
+
+/// Readings of what is counted, or their difference.
+struct Meters {
+    at: Instant,
+    seconds: f64,
+    bytes: f64,
+    messages: f64,
+    calls: f64,
+    processor: f64,
+}
+
+impl Meters {
+    fn read(system: &SmallSystem) -> Meters {
+        let text = wingbridge_process::metrics::render_metrics();
+        let counter = |name: &str| {
+            let line = text.lines().find_map(|line| line.strip_prefix(name));
+            line.and_then(|rest| rest.trim().parse().ok()).unwrap_or(0.0)
+        };
+        let messages = counter("wingbridge_messages_sent ");
+        Meters {
+            at: Instant::now(),
+            seconds: 0.0,
+            // Each message travels in a packet of its own.
+            bytes: counter("wingbridge_bytes_sent ") + messages * 70.0,
+            messages,
+            calls: system.store.calls() as f64,
+            processor: processor_time().as_secs_f64(),
+        }
+    }
+
+    fn since(&self, earlier: &Meters) -> Meters {
+        Meters {
+            at: self.at,
+            seconds: self.at.duration_since(earlier.at).as_secs_f64(),
+            bytes: self.bytes - earlier.bytes,
+            messages: self.messages - earlier.messages,
+            calls: self.calls - earlier.calls,
+            processor: self.processor - earlier.processor,
+        }
+    }
+}
+
+fn write(system: &SmallSystem, key: &str) -> eyre::Result<()> {
+    let request = ChangeRequest {
+        key: key.to_string(),
+        text: Some("fn plan(request) { refuse(404, \"nothing here\") }".into()),
+        author: "bench".into(),
+        change: format!("change of {key} at {}", wall_millis()),
+        changed_at: wall_millis(),
+        fleet_generation: 0,
+        expected: None,
+        tries: 5,
+    };
+    let store = StoreClient::new(&system.store_address.to_string());
+    let mut random = StdRng::seed_from_u64(1);
+    match task::block_on(submit_change(&store, &request, &mut random)) {
+        ChangeOutcome::Accepted { .. } => Ok(()),
+        other => bail!("{key} was not accepted: {other:?}"),
+    }
+}
+
+/// Asks all boxes until `enough` of what they say.
+fn wait_until(
+    system: &SmallSystem,
+    key: &str,
+    enough: impl Fn(&[BoxAnswer<Vec<KeyView>>]) -> bool,
+) -> eyre::Result<()> {
+    let fleet = system.fleet();
+    let boxes = task::block_on(fleet.boxes())?;
+    let path = format!("/v1/keys?prefix={key}");
+    let started = Instant::now();
+    loop {
+        let answers = task::block_on(fleet.ask_all(&boxes, &path));
+        if enough(&answers) {
+            return Ok(());
+        }
+        ensure!(started.elapsed() < IN_FORCE_MOST, "{key} was not in force in time");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn wait_in_force(system: &SmallSystem, key: &str) -> eyre::Result<()> {
+    wait_until(system, key, |answers| {
+        answers.iter().all(|answer| {
+            answer.answer.as_ref().is_ok_and(|views| views.iter().any(|view| view.in_force))
+        })
+    })
+}
+
+fn wait_for_two_centres(system: &SmallSystem, key: &str) -> eyre::Result<()> {
+    wait_until(system, key, |answers| {
+        let holding = answers
+            .iter()
+            .filter(|answer| answer.answer.as_ref().is_ok_and(|views| !views.is_empty()));
+        let centres: std::collections::BTreeSet<&str> =
+            holding.map(|answer| answer.asked.data_centre.as_str()).collect();
+        centres.len() >= 2
+    })
+}
+
+/// Milliseconds from each acceptance to its being in force, for each box.
+fn delays_of(accepted: &[(String, u64)], events: &[TraceEvent]) -> Vec<f64> {
+    let mut delays = Vec::new();
+    for (key, at) in accepted {
+        let in_force = events.iter().filter(|event| {
+            event.kind == "config-in-force" && event.fields.get("key") == Some(key)
+        });
+        delays.extend(in_force.map(|event| {
+            wingbridge_trace::clock::stamp_millis(event.stamp).saturating_sub(*at) as f64
+        }));
+    }
+    delays
+}
+
+/// Versions of a key that went down in some box, by the time line.
+fn reverts_of(events: &[TraceEvent]) -> usize {
+    let mut held: std::collections::HashMap<(&str, &str), u64> = std::collections::HashMap::new();
+    let mut reverts = 0;
+    for event in events.iter().filter(|event| event.kind == "config-in-force") {
+        let key = event.fields.get("key").map_or("", String::as_str);
+        let generation = event.fields.get("generation").and_then(|text| text.parse().ok());
+        let generation: u64 = generation.unwrap_or(0);
+        let earlier = held.insert((&event.box_id, key), generation);
+        reverts += usize::from(earlier.is_some_and(|earlier| earlier > generation));
+    }
+    reverts
+}
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -566,7 +566,8 @@
         let Some(kind) = as_evidence(&service.target(index).health, kind) else { return };
         let bucket = LatencyBucket::of(now.since(open.started));
         let batch = self.batches.entry(name.clone()).or_default();
-        batch.add(now, open.target, kind, bucket);
+        let load = service.target(index).fresh_load(now);
+        batch.add(now, open.target, kind, bucket, load);
         let chart = &self.chart;
         let mut failed = false;
         change_health(service, index, "its trial went well", commands, |health| {
@@ -774,17 +775,26 @@
 }
 
 impl PendingBatch {
-    fn add(&mut self, now: TimePoint, target: TargetKey, kind: SampleKind, bucket: LatencyBucket) {
+    fn add(
+        &mut self,
+        now: TimePoint,
+        target: TargetKey,
+        kind: SampleKind,
+        bucket: LatencyBucket,
+        load: f32,
+    ) {
         if self.targets.is_empty() {
             self.since = now;
         }
         self.urgent |= matches!(kind, SampleKind::Error | SampleKind::Overdue);
         let known = self.targets.iter().position(|samples| samples.target == target);
         let index = known.unwrap_or_else(|| {
-            self.targets.push(TargetSamples { target, samples: Vec::new() });
+            self.targets.push(TargetSamples::new(target));
             self.targets.len() - 1
         });
-        self.targets[index].add(kind, bucket);
+        let seen = &mut self.targets[index];
+        seen.load = seen.load.max(load);
+        seen.add(kind, bucket);
     }
 }
 
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -37,15 +37,22 @@
 }
 
 /// What was seen of one target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct TargetSamples {
     /// The target.
     pub target: TargetKey,
     /// What was seen.
     pub samples: Vec<Sample>,
+    /// The highest load that it reported, as a share of its slots; 0 if it did not.
+    pub load: f32,
 }
 
 impl TargetSamples {
+    /// Nothing seen yet.
+    pub fn new(target: TargetKey) -> TargetSamples {
+        TargetSamples { target, samples: Vec::new(), load: 0.0 }
+    }
+
     /// Adds one sample, merged with an equal one.
     pub fn add(&mut self, kind: SampleKind, bucket: LatencyBucket) {
         let known = self.samples.iter_mut().find(|s| s.kind == kind && s.bucket == bucket);
@@ -57,7 +64,7 @@
 }
 
 /// What one box saw of one service since its last batch.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EvidenceBatch {
     /// The service.
     pub service: Name,
--- a/crates/decide/src/judge.rs
+++ b/crates/decide/src/judge.rs
@@ -34,7 +34,7 @@
 /// What of the threshold one box can add in a pool of several.
 const SOURCE_SHARE: f32 = 0.55;
 /// What other data centres saw counts for so long; they stop asking once they eject.
-const REMOTE_FRESH: Duration = Duration::from_secs(1);
+const REMOTE_FRESH: Duration = Duration::from_secs(2);
 /// A data centre that saw nothing of a target for so long relies on the others.
 const OWN_SILENCE: Duration = Duration::from_secs(5);
 /// Independent chances for a false alarm in a day of one target: one window each.
@@ -68,6 +68,12 @@
 const OVERDUE_MOST: f64 = 2.0;
 /// A stall is a silence of so many times the time after which an attempt is overdue.
 const STALL_SILENCE: f64 = 1.5;
+/// The same for a target that said it had two requests waiting for each slot: it is
+/// given more time, yet not for ever, since what it says may not be true.
+const QUEUED_SILENCE: f64 = 4.0;
+const QUEUED_LOAD: f32 = 3.0;
+/// A reported load counts for so long.
+const LOAD_COUNTS: Duration = Duration::from_secs(2);
 
 const MEASURES: usize = 4;
 
@@ -239,6 +245,7 @@
             let Some(&index) = service.index.get(&seen.target) else {
                 continue;
             };
+            service.targets[index].note_load(now, seen.load);
             for sample in &seen.samples {
                 service.add_sample(now, index, source, sample);
             }
@@ -505,8 +512,11 @@
     /// or a queue in front of its few slots makes it silent for a while too.
     fn still_answers(&self, now: TimePoint, index: usize, measure: Measure) -> bool {
         let Some(overdue) = self.overdue_after() else { return false };
-        let silence = now.since(self.targets[index].last_good);
-        measure == Measure::Overdue && silence < overdue.mul_f64(STALL_SILENCE)
+        let target = &self.targets[index];
+        let queued = target.load >= QUEUED_LOAD && now.since(target.load_at) <= LOAD_COUNTS;
+        let patience = if queued { QUEUED_SILENCE } else { STALL_SILENCE };
+        let silence = now.since(target.last_good);
+        measure == Measure::Overdue && silence < overdue.mul_f64(patience)
     }
 
     /// Whether many siblings show the same just now, if more weakly: then it is the
@@ -654,6 +664,8 @@
     pools: Vec<CentrePool>,
     /// When its last good answer to this data centre came to notice.
     last_good: TimePoint,
+    load: f32,
+    load_at: TimePoint,
     conviction: Option<Conviction>,
     flaps: FlapCount,
     trial: Tally,
@@ -693,12 +705,21 @@
             span: Tally::default(),
             pools: Vec::new(),
             last_good: TimePoint::default(),
+            load: 0.0,
+            load_at: TimePoint::default(),
             conviction: None,
             flaps: FlapCount::default(),
             trial: Tally::default(),
         }
     }
 
+    fn note_load(&mut self, now: TimePoint, load: f32) {
+        if load > 0.0 {
+            self.load = load;
+            self.load_at = now;
+        }
+    }
+
     fn window_of(&mut self, source: SourceRef) -> &mut SourceWindow {
         let known = self.windows.iter().position(|window| window.source == source);
         let index = known.unwrap_or_else(|| {
--- a/crates/decide/src/service.rs
+++ b/crates/decide/src/service.rs
@@ -1,6 +1,7 @@
 //! One service in one box: its targets, who is in service, limits and budget.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::budget::RetryBudget;
 use crate::floor::{EjectionRank, GuardedTarget, floor_slots, guard_floor};
@@ -11,6 +12,9 @@
 use crate::setup::{HandOrder, HandOrderKind, ServiceSetup, TargetSetup};
 use crate::time::TimePoint;
 
+/// A reported load is passed on as evidence if it is not older.
+const LOAD_FRESH: Duration = Duration::from_millis(100);
+
 /// A service as one box holds it.
 #[derive(Debug)]
 pub struct ServiceState {
@@ -60,6 +64,11 @@
         }
     }
 
+    /// The load that it has just reported, or 0.
+    pub(crate) fn fresh_load(&self, now: TimePoint) -> f32 {
+        if now.since(self.load_at) <= LOAD_FRESH { self.load } else { 0.0 }
+    }
+
     /// Whether this box sends it nothing because of an ejection.
     pub fn kept_out(&self) -> bool {
         let ejected = self.health.state() == HealthState::Ejected;
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -24,6 +24,7 @@
     let targets = batch.targets.iter().map(|seen| TargetEvidence {
         target: seen.target.0,
         samples: seen.samples.iter().map(pack_sample).collect(),
+        load: (seen.load.clamp(0.0, 1000.0) * 100.0) as u32,
     });
     ServiceEvidence { service: batch.service.to_string(), targets: targets.collect() }
 }
@@ -71,6 +72,7 @@
     let targets = evidence.targets.iter().map(|seen| TargetSamples {
         target: TargetKey(seen.target),
         samples: seen.samples.iter().map(|packed| unpack_sample(*packed)).collect(),
+        load: seen.load as f32 / 100.0,
     });
     EvidenceBatch { service: evidence.service.as_str().into(), targets: targets.collect() }
 }
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -210,6 +210,9 @@
     /// Samples, packed: kind in bits 0 and 1, latency bucket in bits 2 to 9, count above.
     #[prost(uint32, repeated, tag = "2")]
     pub samples: Vec<u32>,
+    /// The highest load that it reported, in hundredths of its slots; 0 if it did not.
+    #[prost(uint32, tag = "3")]
+    pub load: u32,
 }
 
 /// What judges found.
