--- /dev/null
+++ b/crates/decide/src/core/health.rs
@@ -0,0 +1,237 @@
+//! Who is in service: verdicts, orders by hand, leaving targets, and the chart's time.
+
+use crate::core::{BoxCore, PROBE_PERIOD};
+use crate::floor::EjectionRank;
+use crate::health::{Ejection, HealthState, TargetHealth};
+use crate::messages::{
+    BoxCommand, HealthNotice, ReportedState, Verdict, VerdictKind, VerdictScope,
+};
+use crate::names::TargetKey;
+use crate::service::ServiceState;
+use crate::setup::{HandOrder, HandOrderKind};
+use crate::time::TimePoint;
+
+impl BoxCore {
+    pub(super) fn set_hand(
+        &mut self,
+        now: TimePoint,
+        service: &str,
+        orders: &[HandOrder],
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        let chart = &self.chart;
+        for index in service.set_hand(orders) {
+            let changed = |health: &mut TargetHealth| health.come_back(chart, now);
+            change_health(service, index, "restored by hand", commands, changed);
+        }
+        for index in 0..service.targets().len() {
+            if service.target(index).hand == Some(HandOrderKind::Drain) {
+                let changed = |health: &mut TargetHealth| health.leave(chart, now);
+                change_health(service, index, "drained by hand", commands, changed);
+            }
+        }
+        service.rebuild();
+    }
+
+    pub(super) fn note_leaving(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        first_hand: bool,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let chart = &self.chart;
+        let why = if first_hand { "it says it is leaving" } else { "a peer saw it leaving" };
+        let left = change_health(service, index, why, commands, |health| health.leave(chart, now));
+        if !left {
+            return;
+        }
+        service.target_mut(index).probed_at = now;
+        service.rebuild();
+        if first_hand {
+            commands.push(BoxCommand::AnnounceLeaving { service: name.into(), target: key });
+        }
+    }
+
+    pub(super) fn end_probe(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        state: Option<ReportedState>,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let back = matches!(state, Some(ReportedState::Ready | ReportedState::Cold));
+        if !back || service.target(index).hand == Some(HandOrderKind::Drain) {
+            return;
+        }
+        let chart = &self.chart;
+        change_health(service, index, "it says it is back", commands, |health| {
+            health.come_back(chart, now)
+        });
+        service.rebuild();
+    }
+
+    pub(super) fn take_verdict(
+        &mut self,
+        now: TimePoint,
+        verdict: &Verdict,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let key = verdict.target;
+        let rank = EjectionRank { source: 1, stamp: verdict.stamp, key: key.0 };
+        let ejection = Ejection { rank, scope: verdict.scope };
+        match verdict.kind {
+            VerdictKind::Convicted => {
+                let why = verdict.cause.as_str();
+                self.convict(now, &verdict.service, key, ejection, verdict.flaps, why, commands);
+            }
+            VerdictKind::Acquitted => self.acquit(now, &verdict.service, key, commands),
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one private step, called from three places")]
+    pub(super) fn convict(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        ejection: Ejection,
+        flaps: u32,
+        why: &'static str,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let chart = &self.chart;
+        let limits = service.setup().limits.clone();
+        change_health(service, index, why, commands, |health| {
+            health.convict(chart, now, ejection, flaps, &limits)
+        });
+        service.rebuild();
+    }
+
+    pub(super) fn acquit(
+        &mut self,
+        now: TimePoint,
+        name: &str,
+        key: TargetKey,
+        commands: &mut Vec<BoxCommand>,
+    ) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(index) = service.find(key) else {
+            return;
+        };
+        let scope = service.target(index).health.ejection().map(|ejection| ejection.scope);
+        if scope == Some(VerdictScope::Path) {
+            // Others reach it; whether this box does, its own trial shows.
+            return;
+        }
+        let chart = &self.chart;
+        change_health(service, index, "a judge saw its trial go well", commands, |health| {
+            health.acquit(chart, now)
+        });
+        service.rebuild();
+    }
+
+    pub(super) fn tick_health(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        let chart = &self.chart;
+        for service in self.services.values_mut() {
+            let mut changed = false;
+            for index in 0..service.targets().len() {
+                let health = &service.target(index).health;
+                match health.state() {
+                    HealthState::Healthy => continue,
+                    HealthState::Leaving => probe_leaving(service, index, now, commands),
+                    _ => {
+                        let limits = service.setup().limits.clone();
+                        changed |=
+                            change_health(service, index, "time passed", commands, |health| {
+                                health.tick(chart, now, &limits)
+                            });
+                    }
+                }
+            }
+            if changed {
+                service.rebuild();
+            }
+        }
+    }
+
+    pub(super) fn judge_locally(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
+        for verdict in self.local.tick(now) {
+            if verdict.kind == VerdictKind::Acquitted {
+                continue;
+            }
+            let key = verdict.target;
+            let rank = EjectionRank { source: 2, stamp: verdict.stamp, key: key.0 };
+            let ejection = Ejection { rank, scope: VerdictScope::Path };
+            let why = "it fails from here";
+            self.convict(now, &verdict.service, key, ejection, verdict.flaps, why, commands);
+        }
+    }
+}
+
+/// Changes a target's health and notes the change if there was one.
+pub(super) fn change_health(
+    service: &mut ServiceState,
+    index: usize,
+    why: &'static str,
+    commands: &mut Vec<BoxCommand>,
+    change: impl FnOnce(&mut TargetHealth) -> bool,
+) -> bool {
+    let name = service.setup().name.clone();
+    let target = service.target_mut(index);
+    let from = target.health.state();
+    let changed = change(&mut target.health);
+    let to = target.health.state();
+    if from != to {
+        let target = target.setup.address.clone();
+        commands.push(BoxCommand::HealthChanged(HealthNotice {
+            service: name,
+            target,
+            from,
+            to,
+            why,
+        }));
+    }
+    changed && from != to
+}
+
+fn probe_leaving(
+    service: &mut ServiceState,
+    index: usize,
+    now: TimePoint,
+    commands: &mut Vec<BoxCommand>,
+) {
+    let name = service.setup().name.clone();
+    let target = service.target_mut(index);
+    let drained = target.hand == Some(HandOrderKind::Drain);
+    if drained || now.since(target.probed_at) < PROBE_PERIOD {
+        return;
+    }
+    target.probed_at = now;
+    commands.push(BoxCommand::Probe { service: name, target: target.setup.address.clone() });
+}
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core/mod.rs
@@ -1,4 +1,10 @@
 //! The core of a box: events in, commands out.
+//!
+//! Requests and their attempts are here; who is in service is in [`health`], what
+//! outcomes say in [`evidence`].
+
+mod evidence;
+mod health;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -6,21 +12,19 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::evidence::{EvidenceBatch, EvidenceSource, SampleKind, TargetSamples};
-use crate::floor::EjectionRank;
-use crate::health::{Ejection, HealthChart, HealthState};
+use crate::core::evidence::PendingBatch;
+use crate::evidence::{EvidenceSource, SampleKind};
+use crate::health::HealthChart;
 use crate::judge::{JUDGE_WINDOW, JudgeCore};
 use crate::messages::{
-    AttemptOutcome, BoxCommand, BoxEvent, Conclusion, HealthNotice, RefuseReason, ReportedState,
-    RequestId, RequestPlan, TargetReport, Verdict, VerdictKind, VerdictScope,
+    AttemptOutcome, BoxCommand, BoxEvent, Conclusion, RefuseReason, RequestId, RequestPlan,
 };
 use crate::names::{Name, TargetKey};
 use crate::pick::{PickContext, pick_target};
 use crate::requests::{OpenAttempt, RequestPhase, RequestState, RequestTable, TimedCheck};
 use crate::selfcheck::SelfCheck;
-use crate::service::{ServiceState, says_leaving};
-use crate::setup::{HandOrder, HandOrderKind, ServiceSetup};
-use crate::sketch::LatencyBucket;
+use crate::service::ServiceState;
+use crate::setup::ServiceSetup;
 use crate::time::TimePoint;
 
 /// How long good news waits for more before it is sent; bad news goes with the next window.
@@ -48,14 +52,6 @@
     random: SmallRng,
 }
 
-/// Evidence of one service that waits to be sent.
-#[derive(Debug, Default)]
-struct PendingBatch {
-    targets: Vec<TargetSamples>,
-    since: TimePoint,
-    urgent: bool,
-}
-
 impl BoxCore {
     /// A core for the box `source`, which draws from a random source seeded with `seed`.
     pub fn new(source: EvidenceSource, chart: HealthChart, seed: u64) -> BoxCore {
@@ -139,30 +135,6 @@
         }
     }
 
-    fn set_hand(
-        &mut self,
-        now: TimePoint,
-        service: &str,
-        orders: &[HandOrder],
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(service) else {
-            return;
-        };
-        let chart = &self.chart;
-        for index in service.set_hand(orders) {
-            let changed = |health: &mut crate::health::TargetHealth| health.come_back(chart, now);
-            change_health(service, index, "restored by hand", commands, changed);
-        }
-        for index in 0..service.targets().len() {
-            if service.target(index).hand == Some(HandOrderKind::Drain) {
-                let changed = |health: &mut crate::health::TargetHealth| health.leave(chart, now);
-                change_health(service, index, "drained by hand", commands, changed);
-            }
-        }
-        service.rebuild();
-    }
-
     fn arrive(
         &mut self,
         now: TimePoint,
@@ -441,209 +413,6 @@
         target.open = target.open.saturating_sub(1);
     }
 
-    fn note_report(
-        &mut self,
-        now: TimePoint,
-        name: &str,
-        key: TargetKey,
-        report: &TargetReport,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
-            return;
-        };
-        let chart = &self.chart;
-        if service.note_report(index, now, report) {
-            self.local.forget(name, key);
-            change_health(service, index, "another target answers there", commands, |health| {
-                health.replace(now);
-                true
-            });
-            service.rebuild();
-        } else if report.state == ReportedState::Cold {
-            change_health(service, index, "it says it is cold", commands, |health| {
-                health.note_cold(chart, now)
-            });
-            service.rebuild();
-        }
-        if says_leaving(report) {
-            self.note_leaving(now, name, key, true, commands);
-        }
-    }
-
-    fn note_leaving(
-        &mut self,
-        now: TimePoint,
-        name: &str,
-        key: TargetKey,
-        first_hand: bool,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
-            return;
-        };
-        let chart = &self.chart;
-        let why = if first_hand { "it says it is leaving" } else { "a peer saw it leaving" };
-        let left = change_health(service, index, why, commands, |health| health.leave(chart, now));
-        if !left {
-            return;
-        }
-        service.target_mut(index).probed_at = now;
-        service.rebuild();
-        if first_hand {
-            commands.push(BoxCommand::AnnounceLeaving { service: name.into(), target: key });
-        }
-    }
-
-    fn end_probe(
-        &mut self,
-        now: TimePoint,
-        name: &str,
-        key: TargetKey,
-        state: Option<ReportedState>,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
-            return;
-        };
-        let back = matches!(state, Some(ReportedState::Ready | ReportedState::Cold));
-        if !back || service.target(index).hand == Some(HandOrderKind::Drain) {
-            return;
-        }
-        let chart = &self.chart;
-        change_health(service, index, "it says it is back", commands, |health| {
-            health.come_back(chart, now)
-        });
-        service.rebuild();
-    }
-
-    /// Turns an outcome into evidence.
-    fn note_outcome(
-        &mut self,
-        now: TimePoint,
-        service: &Name,
-        open: &OpenAttempt,
-        outcome: AttemptOutcome,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let kind = match outcome {
-            AttemptOutcome::Shed(_) => return,
-            AttemptOutcome::Answered(_) if open.overdue => SampleKind::Late,
-            AttemptOutcome::Answered(_) => SampleKind::Good,
-            AttemptOutcome::AnsweredError(report) if says_leaving(&report) => return,
-            AttemptOutcome::AnsweredError(_) | AttemptOutcome::NotSent | AttemptOutcome::Broken => {
-                SampleKind::Error
-            }
-        };
-        self.add_evidence(now, service, open, kind, commands);
-    }
-
-    fn add_evidence(
-        &mut self,
-        now: TimePoint,
-        name: &Name,
-        open: &OpenAttempt,
-        kind: SampleKind,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let good = matches!(kind, SampleKind::Good | SampleKind::Late);
-        self.self_check.note(!good);
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(open.target) else {
-            return;
-        };
-        let Some(kind) = as_evidence(&service.target(index).health, kind) else { return };
-        let bucket = LatencyBucket::of(now.since(open.started));
-        let batch = self.batches.entry(name.clone()).or_default();
-        let load = service.target(index).fresh_load(now);
-        batch.add(now, open.target, kind, bucket, load);
-        let chart = &self.chart;
-        let mut failed = false;
-        change_health(service, index, "its trial went well", commands, |health| {
-            failed = health.note_trial(chart, now, good);
-            true
-        });
-        if failed {
-            let rank = EjectionRank { source: 2, stamp: now.as_micros(), key: open.target.0 };
-            let ejection = Ejection { rank, scope: VerdictScope::Path };
-            self.convict(now, name, open.target, ejection, 0, "its trial failed here", commands);
-        }
-    }
-
-    fn take_verdict(&mut self, now: TimePoint, verdict: &Verdict, commands: &mut Vec<BoxCommand>) {
-        let key = verdict.target;
-        let rank = EjectionRank { source: 1, stamp: verdict.stamp, key: key.0 };
-        let ejection = Ejection { rank, scope: verdict.scope };
-        match verdict.kind {
-            VerdictKind::Convicted => {
-                let why = verdict.cause.as_str();
-                self.convict(now, &verdict.service, key, ejection, verdict.flaps, why, commands);
-            }
-            VerdictKind::Acquitted => self.acquit(now, &verdict.service, key, commands),
-        }
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "one private step, called from three places")]
-    fn convict(
-        &mut self,
-        now: TimePoint,
-        name: &str,
-        key: TargetKey,
-        ejection: Ejection,
-        flaps: u32,
-        why: &'static str,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
-            return;
-        };
-        let chart = &self.chart;
-        let limits = service.setup().limits.clone();
-        change_health(service, index, why, commands, |health| {
-            health.convict(chart, now, ejection, flaps, &limits)
-        });
-        service.rebuild();
-    }
-
-    fn acquit(
-        &mut self,
-        now: TimePoint,
-        name: &str,
-        key: TargetKey,
-        commands: &mut Vec<BoxCommand>,
-    ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
-            return;
-        };
-        let scope = service.target(index).health.ejection().map(|ejection| ejection.scope);
-        if scope == Some(VerdictScope::Path) {
-            // Others reach it; whether this box does, its own trial shows.
-            return;
-        }
-        let chart = &self.chart;
-        change_health(service, index, "a judge saw its trial go well", commands, |health| {
-            health.acquit(chart, now)
-        });
-        service.rebuild();
-    }
-
     fn tick(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
         while let Some((request, check)) = self.requests.take_due(now) {
             match check {
@@ -718,86 +487,12 @@
         self.conclude_failed(now, request, RefuseReason::Deadline, commands);
     }
 
-    fn tick_health(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
-        let chart = &self.chart;
-        for service in self.services.values_mut() {
-            let mut changed = false;
-            for index in 0..service.targets().len() {
-                let health = &service.target(index).health;
-                match health.state() {
-                    HealthState::Healthy => continue,
-                    HealthState::Leaving => probe_leaving(service, index, now, commands),
-                    _ => {
-                        let limits = service.setup().limits.clone();
-                        changed |=
-                            change_health(service, index, "time passed", commands, |health| {
-                                health.tick(chart, now, &limits)
-                            });
-                    }
-                }
-            }
-            if changed {
-                service.rebuild();
-            }
-        }
-    }
-
-    fn send_reports(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
-        let due = |batch: &PendingBatch| batch.urgent || now.since(batch.since) >= REPORT_PERIOD;
-        let ready = self.batches.iter().filter(|(_, batch)| due(batch));
-        let ready: Vec<Name> = ready.map(|(name, _)| name.clone()).collect();
-        for service in ready {
-            if let Some(batch) = self.batches.remove(&service) {
-                let batch = EvidenceBatch { service, targets: batch.targets };
-                self.local.take(now, &self.source, &batch);
-                commands.push(BoxCommand::Report(batch));
-            }
-        }
-    }
-
-    fn judge_locally(&mut self, now: TimePoint, commands: &mut Vec<BoxCommand>) {
-        for verdict in self.local.tick(now) {
-            if verdict.kind == VerdictKind::Acquitted {
-                continue;
-            }
-            let key = verdict.target;
-            let rank = EjectionRank { source: 2, stamp: verdict.stamp, key: key.0 };
-            let ejection = Ejection { rank, scope: VerdictScope::Path };
-            let why = "it fails from here";
-            self.convict(now, &verdict.service, key, ejection, verdict.flaps, why, commands);
-        }
-    }
-
     fn retry_after(&mut self) -> Duration {
         let spread = RETRY_AFTER_SPREAD.mul_f64(self.random.random());
         RETRY_AFTER_LEAST + spread
     }
 }
 
-impl PendingBatch {
-    fn add(
-        &mut self,
-        now: TimePoint,
-        target: TargetKey,
-        kind: SampleKind,
-        bucket: LatencyBucket,
-        load: f32,
-    ) {
-        if self.targets.is_empty() {
-            self.since = now;
-        }
-        self.urgent |= matches!(kind, SampleKind::Error | SampleKind::Overdue);
-        let known = self.targets.iter().position(|samples| samples.target == target);
-        let index = known.unwrap_or_else(|| {
-            self.targets.push(TargetSamples::new(target));
-            self.targets.len() - 1
-        });
-        let seen = &mut self.targets[index];
-        seen.load = seen.load.max(load);
-        seen.add(kind, bucket);
-    }
-}
-
 impl OpenAttempt {
     /// The place of an attempt that is about to be made.
     fn none(now: TimePoint) -> OpenAttempt {
@@ -808,58 +503,3 @@
 fn not_run(request: RequestId, reason: RefuseReason, retry_after: Duration) -> BoxCommand {
     BoxCommand::Conclude { request, conclusion: Conclusion::NotRun { reason, retry_after } }
 }
-
-/// Changes a target's health and notes the change if there was one.
-fn change_health(
-    service: &mut ServiceState,
-    index: usize,
-    why: &'static str,
-    commands: &mut Vec<BoxCommand>,
-    change: impl FnOnce(&mut crate::health::TargetHealth) -> bool,
-) -> bool {
-    let name = service.setup().name.clone();
-    let target = service.target_mut(index);
-    let from = target.health.state();
-    let changed = change(&mut target.health);
-    let to = target.health.state();
-    if from != to {
-        let target = target.setup.address.clone();
-        commands.push(BoxCommand::HealthChanged(HealthNotice {
-            service: name,
-            target,
-            from,
-            to,
-            why,
-        }));
-    }
-    changed && from != to
-}
-
-/// What an outcome says of a target's health. Draining is no sickness, and neither is
-/// the slowness of a cold start: what it answers says only that it answers.
-fn as_evidence(health: &crate::health::TargetHealth, kind: SampleKind) -> Option<SampleKind> {
-    match (health.state(), kind) {
-        (HealthState::Leaving, _) => None,
-        (HealthState::Warming, SampleKind::Overdue) if health.ejection().is_none() => None,
-        (HealthState::Warming, SampleKind::Good) if health.ejection().is_none() => {
-            Some(SampleKind::Late)
-        }
-        _ => Some(kind),
-    }
-}
-
-fn probe_leaving(
-    service: &mut ServiceState,
-    index: usize,
-    now: TimePoint,
-    commands: &mut Vec<BoxCommand>,
-) {
-    let name = service.setup().name.clone();
-    let target = service.target_mut(index);
-    let drained = target.hand == Some(HandOrderKind::Drain);
-    if drained || now.since(target.probed_at) < PROBE_PERIOD {
-        return;
-    }
-    target.probed_at = now;
-    commands.push(BoxCommand::Probe { service: name, target: target.setup.address.clone() });
-}
