Run I/O on one thread by default

Cause: with async-std's pool of a thread for each core, a box at its usual rate (200 requests a second) spends its time waking sleeping threads: each request makes some ten steps, and each step goes to another thread. Ruled out: the policy engine, decoding and the decision thread (a flat profile; no function above 4 %); buffers (read and write sizes changed nothing). Change: --io-threads, 1 by default, for proxy and agent; the pool is sized before its first task.

--- a/crates/agent/src/bin/wingbridge-agent.rs
+++ b/crates/agent/src/bin/wingbridge-agent.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use wingbridge_agent::{agent_command, resolve, run};
+use wingbridge_process::io_pool::start_io_pool;
 use wingbridge_process::logs::start_logs;
 use wingbridge_process::metrics::start_metrics;
 use wingbridge_process::stop::stop_on_signals;
@@ -16,6 +17,7 @@
     let settings = resolve(&agent_command().get_matches())?;
     let _logs = start_logs(&settings.log_level)?;
     start_metrics();
+    start_io_pool(settings.io_threads);
     let stop = stop_on_signals()?;
     run(&settings, &stop, |addresses| {
         println!(
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -30,6 +30,8 @@
     pub digest_period: Duration,
     /// Time between two whole readings of the store by a watcher.
     pub resync_period: Duration,
+    /// Threads for connections and requests.
+    pub io_threads: usize,
     /// How much is logged.
     pub log_level: String,
 }
@@ -49,6 +51,7 @@
         .arg(setting("seed-peers", "Agents to ask while the store does not answer", "Addresses with commas between them. A new box needs them only during an outage of the store.").default_value(""))
         .arg(setting("digest-ms", "Time between two comparisons with a neighbour, in milliseconds", "Shorter heals lost messages sooner and costs more bytes at rest.").default_value("1000"))
         .arg(setting("resync-s", "Time between two whole readings of the store, in seconds", "Only the watchers of a data centre do this; it finds what a watch left out.").default_value("60"))
+        .arg(setting("io-threads", "Threads for connections and requests", "1 to 256. One is best up to some hundred requests a second: an idle pool of many wakes a sleeping thread for each step.").default_value("1"))
         .arg(setting("log-level", "How much is logged", "error, warn, info, debug or trace.").default_value("info"))
 }
 
@@ -73,6 +76,7 @@
         seed_peers: settings::addresses(matches, "seed-peers")?,
         digest_period: settings::millis(matches, "digest-ms", 50..=60_000)?,
         resync_period: Duration::from_secs(settings::number(matches, "resync-s", 1..=86_400)?),
+        io_threads: settings::number(matches, "io-threads", 1..=256)? as usize,
         log_level: settings::log_level(matches)?,
     })
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -6,6 +6,7 @@
 use eyre::eyre;
 use serde::Serialize;
 use wingbridge_process::Outcome;
+use wingbridge_process::io_pool::start_io_pool;
 use wingbridge_process::metrics::start_metrics;
 use wingbridge_process::settings::number;
 use wingctl::output::table;
@@ -36,6 +37,7 @@
     match matches.subcommand() {
         Some(("decide", matches)) => run_decide(matches, json),
         Some(("path", matches)) => {
+            start_io_pool(number(matches, "io-threads", 1..=256)? as usize);
             let rows = measure_path(
                 number(matches, "seconds", 1..=60)?,
                 number(matches, "rate", 0..=1_000_000)?,
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -82,6 +82,14 @@
             setting("seconds", "Seconds for each number of connections", "1 to 60.")
                 .default_value("8"),
         )
+        .arg(
+            setting(
+                "io-threads",
+                "Threads of the I/O pool",
+                "It is shared by callers, proxy and targets here.",
+            )
+            .default_value("1"),
+        )
         .arg(
             setting(
                 "rate",
--- a/crates/demo/src/bin/wingbridge-demo.rs
+++ b/crates/demo/src/bin/wingbridge-demo.rs
@@ -5,6 +5,7 @@
 use wingbridge_demo::SmallSystem;
 use wingbridge_demo::experiment::{ExperimentReport, run_experiment};
 use wingbridge_demo::settings::{demo_command, demo_setup};
+use wingbridge_process::io_pool::start_io_pool;
 use wingbridge_process::metrics::start_metrics;
 use wingbridge_process::settings::number;
 use wingbridge_process::stop::stop_on_signals;
@@ -20,6 +21,7 @@
     let seconds = number(&matches, "seconds", 0..=600)?;
     let json = matches.get_flag("json");
     start_metrics();
+    start_io_pool(1);
     let mut system = SmallSystem::start(demo_setup())?;
     if !json {
         introduce(&system);
--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -289,6 +289,7 @@
             seed_peers: self.boxes.iter().map(|one| one.agent.peers).take(2).collect(),
             digest_period: Duration::from_millis(500),
             resync_period: Duration::from_secs(10),
+            io_threads: 1,
             log_level: "off".into(),
         };
         let cuts = cuts.clone();
@@ -318,6 +319,7 @@
             stall_time: Duration::from_secs(2),
             leave_time: self.setup.leave_time,
             drain_time: Duration::from_secs(30),
+            io_threads: 1,
             log_level: "off".into(),
         };
         start_part(&format!("{box_id} proxy"), move |stop, started| {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod exit;
+pub mod io_pool;
 pub mod logs;
 pub mod metrics;
 pub mod settings;
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -38,6 +38,8 @@
     pub leave_time: Duration,
     /// At a planned stop: time for requests in flight, at most.
     pub drain_time: Duration,
+    /// Threads for connections and requests.
+    pub io_threads: usize,
     /// How much is logged.
     pub log_level: String,
 }
@@ -61,6 +63,7 @@
         .arg(setting("stall-ms", "Time that an answer on its way may stand still, in milliseconds", "Then it counts as broken off.").default_value("5000"))
         .arg(setting("leave-ms", "Planned stop: time between 'not ready' and the last new connection, in milliseconds", "As long as the balancer needs to see it.").default_value("3000"))
         .arg(setting("drain-ms", "Planned stop: time for requests in flight at most, in milliseconds", "Then they are cut.").default_value("60000"))
+        .arg(setting("io-threads", "Threads for connections and requests", "1 to 256. One is best up to some hundred requests a second: an idle pool of many wakes a sleeping thread for each step.").default_value("1"))
         .arg(setting("log-level", "How much is logged", "error, warn, info, debug or trace.").default_value("info"))
 }
 
@@ -89,6 +92,7 @@
         stall_time: settings::millis(matches, "stall-ms", 10..=600_000)?,
         leave_time: settings::millis(matches, "leave-ms", 0..=600_000)?,
         drain_time: settings::millis(matches, "drain-ms", 0..=3_600_000)?,
+        io_threads: settings::number(matches, "io-threads", 1..=256)? as usize,
         log_level: settings::log_level(matches)?,
     })
 }
