Share one policy engine between all policies

Cause: wingbench box showed 245 MB for 870 services with 14,790 targets: each compiled policy had an engine of its own, of some hundred kilobytes. Ruled out: judges (214 to 800 bytes a target), the exchange's map (some 2 MB), listed boxes. Change: one engine for the process; a program keeps its compiled text alone. New: wingbench box.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! `wingbench`: the measurements that decisions are made by.
 
+pub mod box_size;
 pub mod chart;
 pub mod decide;
 pub mod memory;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -11,6 +11,7 @@
 use wingbridge_process::settings::number;
 use wingctl::output::table;
 
+use crate::box_size::{BoxSizeRow, measure_box};
 use crate::chart::draw_curve;
 use crate::decide::cost::{CostRow, measure_cost};
 use crate::decide::curve::measure_curve;
@@ -44,6 +45,12 @@
             )?;
             show(json, &RowsReport { rows: &rows }, || path_table(&rows))
         }
+        Some(("box", _)) => {
+            start_metrics();
+            start_io_pool(1);
+            let rows = measure_box()?;
+            show(json, &RowsReport { rows: &rows }, || box_table(&rows))
+        }
         Some(("spread", matches)) => {
             let rows = run_spread(matches)?;
             show(json, &RowsReport { rows: &rows }, || spread_table(&rows))
@@ -95,6 +102,21 @@
     table(&headings, &cells.collect::<Vec<_>>())
 }
 
+fn box_table(rows: &[BoxSizeRow]) -> String {
+    let cells = rows.iter().map(|row| {
+        vec![
+            row.services.to_string(),
+            row.targets.to_string(),
+            row.boxes.to_string(),
+            format!("{:.1}", row.rss_mb),
+            format!("{:.2}%", row.cpu_share * 100.0),
+            format!("{:.0}", row.in_force_ms),
+        ]
+    });
+    let headings = ["services", "targets", "boxes", "MB", "core at rest", "in force ms"];
+    table(&headings, &cells.collect::<Vec<_>>())
+}
+
 fn spread_table(rows: &[SpreadRow]) -> String {
     let cells = rows.iter().map(|row| {
         vec![
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -24,6 +24,10 @@
         .subcommand(decide_command())
         .subcommand(path_command())
         .subcommand(spread_command())
+        .subcommand(
+            Command::new("box")
+                .about("Memory and processor time of one box at rest, by how much is configured"),
+        )
 }
 
 fn decide_command() -> Command {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 mod request;
 
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use rhai::{AST, Engine, EvalAltResult, Position, Scope};
 
@@ -25,7 +25,6 @@
 /// A compiled and checked policy. Clones share it.
 #[derive(Clone)]
 pub struct PolicyProgram {
-    engine: Arc<Engine>,
     ast: Arc<AST>,
 }
 
@@ -36,7 +35,7 @@
     /// The program does not compile, has no `plan(request)`, or fails on one of
     /// the requests it is tried on; with line and column.
     pub fn compile(text: &str) -> Result<PolicyProgram, PolicyFault> {
-        let engine = engine::policy_engine();
+        let engine = shared_engine();
         let ast = engine
             .compile(text)
             .map_err(|error| PolicyFault::at(error.position(), error.err_type().to_string()))?;
@@ -46,7 +45,7 @@
         if !planned {
             return Err(PolicyFault::at(Position::NONE, "it defines no 'fn plan(request)'".into()));
         }
-        let program = PolicyProgram { engine: Arc::new(engine), ast: Arc::new(ast) };
+        let program = PolicyProgram { ast: Arc::new(ast) };
         for method in ["GET", "HEAD", "POST", "PUT", "DELETE"] {
             let request = RequestView::new(method, "/", "", "caller", Vec::new());
             program.plan(request).map_err(|fault| fault.on(method))?;
@@ -61,7 +60,7 @@
     pub fn plan(&self, request: RequestView) -> Result<PolicyDecision, PolicyFault> {
         let mut scope = Scope::new();
         let result =
-            self.engine.call_fn::<PolicyDecision>(&mut scope, &self.ast, "plan", (request,));
+            shared_engine().call_fn::<PolicyDecision>(&mut scope, &self.ast, "plan", (request,));
         result.map_err(|error| PolicyFault::run_time(&error))
     }
 }
@@ -118,6 +117,12 @@
 
 impl std::error::Error for PolicyFault {}
 
+/// One engine for all programs: it is some hundred kilobytes, a program a few.
+fn shared_engine() -> &'static Engine {
+    static ENGINE: OnceLock<Engine> = OnceLock::new();
+    ENGINE.get_or_init(engine::policy_engine)
+}
+
 fn innermost(error: &EvalAltResult) -> &EvalAltResult {
     match error {
         EvalAltResult::ErrorInFunctionCall(_, _, inner, _) => innermost(inner),
