Gather good news longer in a large fleet, and count other centres' stalls three times again

Cause: at the planned size nearly each request would have been a message to two judges: 189 samples a second over 164 judges, some 40 KB/s by the sizes of the messages, twice the budget. Ruled out: fewer judges for all services (their load would pass the budget); a proxy that waits (its own judge and its deadlines need the news). Change: the agent holds good news for 2.5 ms for each box of the fleet, 5 s at most; bad news goes at once and takes the good along. The factor is three again.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -4,7 +4,7 @@
 //! [`JudgeCore`] for evidence) with what connections, the store, the timer and
 //! operators put into its ring, and sends what they command.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -13,11 +13,12 @@
 use async_channel::{Receiver, Sender};
 use serde::Serialize;
 use wingbridge_config::{HAND_PREFIX, POLICY_PREFIX, SERVICE_PREFIX, parse_service};
-use wingbridge_decide::{EvidenceBatch, JudgeCore, Name, TimePoint};
+use wingbridge_decide::{JudgeCore, Name, TimePoint};
 use wingbridge_process::ProcessClock;
 use wingbridge_spread::core::SpreadEvent;
 use wingbridge_spread::gossip::HeardNews;
 use wingbridge_spread::map::key_stamp;
+use wingbridge_spread::members::SMALL_FLEET;
 use wingbridge_spread::{BoxIdentity, MemberState, SpreadCommand, SpreadCore};
 use wingbridge_trace::TimeLine;
 use wingbridge_wire::convert::{batches_of, service_evidence, verdict_message};
@@ -28,6 +29,7 @@
 
 use crate::admin::AdminQuestion;
 use crate::links::{PeerLinks, SEED_PREFIX};
+use crate::outgoing::OutgoingEvidence;
 use crate::self_suspicion::SelfSuspicion;
 use crate::store_duty::StoreOrders;
 use crate::views::{BoxView, KeyView, StatusView, TargetView};
@@ -79,7 +81,7 @@
     proxy: Option<Sender<FrameBody>>,
     proxy_state: ProxyState,
     in_force: HashMap<String, Stamp>,
-    outgoing: BTreeMap<Arc<str>, Vec<EvidenceBatch>>,
+    outgoing: OutgoingEvidence,
     heard: HeardNews<NewsKey>,
     recent: Vec<(TimePoint, FrameBody)>,
     leavings: u64,
@@ -105,7 +107,7 @@
             proxy: None,
             proxy_state: ProxyState::default(),
             in_force: HashMap::new(),
-            outgoing: BTreeMap::new(),
+            outgoing: OutgoingEvidence::default(),
             heard: HeardNews::new(HEARD),
             recent: Vec::new(),
             leavings: 0,
@@ -147,7 +149,7 @@
         let identity = &self.parts.identity;
         let watches = self.parts.core.members().watches(identity);
         self.parts.orders.watch.store(watches, Ordering::Release);
-        self.send_evidence();
+        self.send_evidence(now);
         for verdict in self.judge.tick(now) {
             let message = verdict_message(&verdict);
             self.parts.line.note(
@@ -279,25 +281,37 @@
         let (_, batches) = batches_of(evidence);
         let identity = self.parts.identity.clone();
         for batch in batches {
-            let judges = self.parts.core.members().judges(&batch.service, &identity.data_centre);
-            let mut judged_here = judges.is_empty();
-            for judge in judges {
+            for judge in self.judges_up(&batch.service) {
                 if judge == identity.box_id {
-                    judged_here = true;
-                } else if !self.parts.links.is_down(&judge) {
-                    self.outgoing.entry(judge).or_default().push(batch.clone());
+                    self.judge.take(now, &source_of(&identity), &batch);
+                } else {
+                    self.outgoing.add(now, judge, &batch);
                 }
             }
-            if judged_here {
-                let source = source_of(&identity);
-                self.judge.take(now, &source, &batch);
-            }
         }
     }
 
-    fn send_evidence(&mut self) {
+    /// The judges to tell. A small fleet tells all of them; in a large one the first that
+    /// is up is enough, and a second would cost as many bytes again. A box that knows no
+    /// other judges for itself.
+    fn judges_up(&self, service: &str) -> Vec<Arc<str>> {
+        let identity = &self.parts.identity;
+        let members = self.parts.core.members();
+        let mut judges = members.judges(service, &identity.data_centre);
+        judges.retain(|judge| !self.parts.links.is_down(judge));
+        if members.len() > SMALL_FLEET {
+            judges.truncate(1);
+        }
+        if judges.is_empty() {
+            judges.push(identity.box_id.clone());
+        }
+        judges
+    }
+
+    fn send_evidence(&mut self, now: TimePoint) {
         let identity = self.parts.identity.clone();
-        for (judge, batches) in std::mem::take(&mut self.outgoing) {
+        let boxes = self.parts.core.members().len();
+        for (judge, batches) in self.outgoing.take_due(now, boxes) {
             let evidence = Evidence {
                 box_id: identity.box_id.to_string(),
                 data_centre: identity.data_centre.to_string(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod exchange;
 mod links;
+pub mod outgoing;
 pub mod run;
 mod self_suspicion;
 pub mod settings;
--- /dev/null
+++ b/crates/agent/src/outgoing.rs
@@ -0,0 +1,58 @@
+//! Evidence on its way to other boxes' judges, gathered so that it costs few messages.
+//!
+//! Bad news goes at once, with whatever waits for the same judge. Good news waits for
+//! more: the longer the larger the fleet, since there each judge hears from more boxes
+//! and each box tells more judges. At 40 boxes that is a tenth of a second, at 1,800
+//! four and a half.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wingbridge_decide::{EvidenceBatch, SampleKind, TimePoint};
+
+/// Good news waits for so long for each box of the fleet.
+const WAIT_PER_BOX: Duration = Duration::from_micros(2500);
+const WAIT_MOST: Duration = Duration::from_secs(5);
+
+/// What waits, by judge.
+#[derive(Debug, Default)]
+pub struct OutgoingEvidence {
+    judges: BTreeMap<Arc<str>, WaitingEvidence>,
+}
+
+#[derive(Debug)]
+struct WaitingEvidence {
+    since: TimePoint,
+    urgent: bool,
+    batches: Vec<EvidenceBatch>,
+}
+
+impl OutgoingEvidence {
+    /// Adds a batch for `judge`.
+    pub fn add(&mut self, now: TimePoint, judge: Arc<str>, batch: &EvidenceBatch) {
+        let new = || WaitingEvidence { since: now, urgent: false, batches: Vec::new() };
+        let waiting = self.judges.entry(judge).or_insert_with(new);
+        waiting.urgent |= is_bad_news(batch);
+        waiting.batches.push(batch.clone());
+    }
+
+    /// Takes what is to be sent now, in a fleet of `boxes`.
+    pub fn take_due(
+        &mut self,
+        now: TimePoint,
+        boxes: usize,
+    ) -> Vec<(Arc<str>, Vec<EvidenceBatch>)> {
+        let boxes = u32::try_from(boxes).unwrap_or(u32::MAX);
+        let wait = WAIT_PER_BOX.saturating_mul(boxes).min(WAIT_MOST);
+        let due = self
+            .judges
+            .extract_if(.., |_, waiting| waiting.urgent || now.since(waiting.since) >= wait);
+        due.map(|(judge, waiting)| (judge, waiting.batches)).collect()
+    }
+}
+
+fn is_bad_news(batch: &EvidenceBatch) -> bool {
+    let samples = batch.targets.iter().flat_map(|target| &target.samples);
+    samples.into_iter().any(|s| matches!(s.kind, SampleKind::Error | SampleKind::Overdue))
+}
--- /dev/null
+++ b/crates/agent/tests/outgoing_evidence.rs
@@ -0,0 +1,77 @@
+//! Bad news goes at once and takes the good along; good news waits as the fleet is large.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wingbridge_agent::outgoing::OutgoingEvidence;
+use wingbridge_decide::sketch::LatencyBucket;
+use wingbridge_decide::{EvidenceBatch, SampleKind, TargetKey, TargetSamples, TimePoint};
+
+struct WaitCase {
+    name: &'static str,
+    boxes: usize,
+    kinds: &'static [SampleKind],
+    waited_ms: u64,
+    sent: usize,
+}
+
+fn batch(kind: SampleKind) -> EvidenceBatch {
+    let mut seen = TargetSamples::new(TargetKey(7));
+    seen.add(kind, LatencyBucket(9));
+    EvidenceBatch { service: "huts".into(), targets: vec![seen] }
+}
+
+#[test]
+fn evidence_waits_by_kind_and_size_of_the_fleet() {
+    use SampleKind::{Error, Good, Late, Overdue};
+    let cases = [
+        WaitCase {
+            name: "good, small fleet, early",
+            boxes: 40,
+            kinds: &[Good],
+            waited_ms: 50,
+            sent: 0,
+        },
+        WaitCase { name: "good, small fleet", boxes: 40, kinds: &[Good], waited_ms: 100, sent: 1 },
+        WaitCase {
+            name: "good, large fleet, early",
+            boxes: 1800,
+            kinds: &[Good, Late],
+            waited_ms: 4000,
+            sent: 0,
+        },
+        WaitCase {
+            name: "good, large fleet",
+            boxes: 1800,
+            kinds: &[Good, Late],
+            waited_ms: 4500,
+            sent: 2,
+        },
+        WaitCase {
+            name: "error takes good along",
+            boxes: 1800,
+            kinds: &[Good, Error],
+            waited_ms: 0,
+            sent: 2,
+        },
+        WaitCase { name: "overdue", boxes: 1800, kinds: &[Overdue], waited_ms: 0, sent: 1 },
+        WaitCase {
+            name: "never more than five seconds",
+            boxes: 1_000_000,
+            kinds: &[Good],
+            waited_ms: 5000,
+            sent: 1,
+        },
+    ];
+    for case in cases {
+        let mut outgoing = OutgoingEvidence::default();
+        let judge: Arc<str> = "box-1".into();
+        let start = TimePoint::from_micros(1_000_000);
+        for kind in case.kinds {
+            outgoing.add(start, judge.clone(), &batch(*kind));
+        }
+        let now = start + Duration::from_millis(case.waited_ms);
+        let sent: usize = outgoing.take_due(now, case.boxes).iter().map(|(_, b)| b.len()).sum();
+        assert_eq!(sent, case.sent, "case {}", case.name);
+    }
+}
--- a/crates/decide/src/judge/hypotheses.rs
+++ b/crates/decide/src/judge/hypotheses.rs
@@ -68,7 +68,7 @@
         rate: 0.999,
         factor: 4.0,
         window_share: 0.25,
-        remote_factor: 6.0,
+        remote_factor: 3.0,
     },
     Hypothesis {
         measure: Measure::Slow,
