Ask fewer boxes while a change spreads, and read a whole store less often

Ruled out: dropping the whole reading (a watch may skip a change; a test causes it). Change: wingctl asks only boxes that lack the change, with waits that double; a whole reading each ten minutes. The look-ups of a target and the commands that policies and services share stand once now.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -50,7 +50,7 @@
         .arg(setting("fleet-key", "Secret that all boxes of the fleet share", "At least 16 characters. Better set by the environment, where other users of the machine do not see it."))
         .arg(setting("seed-peers", "Agents to ask while the store does not answer", "Addresses with commas between them. A new box needs them only during an outage of the store.").default_value(""))
         .arg(setting("digest-ms", "Time between two comparisons with a neighbour, in milliseconds", "Shorter heals lost messages sooner and costs more bytes at rest.").default_value("1000"))
-        .arg(setting("resync-s", "Time between two whole readings of the store, in seconds", "Only the watchers of a data centre do this; it finds what a watch left out.").default_value("60"))
+        .arg(setting("resync-s", "Time between two whole readings of the store, in seconds", "Only the watchers of a data centre do this; it finds what a watch left out.").default_value("600"))
         .arg(setting("io-threads", "Threads for connections and requests", "1 to 256. One is best up to some hundred requests a second: an idle pool of many wakes a sleeping thread for each step.").default_value("1"))
         .arg(setting("log-level", "How much is logged", "error, warn, info, debug or trace.").default_value("info"))
 }
--- a/crates/bench/src/decide/cost.rs
+++ b/crates/bench/src/decide/cost.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use prost::Message;
 use serde::Serialize;
 use wingbridge_decide::sketch::LatencyBucket;
 use wingbridge_decide::{
@@ -10,9 +11,13 @@
     JudgeCore, LimitSetup, Name, RequestId, RequestPlan, SampleKind, ServiceSetup, TargetKey,
     TargetReport, TargetSamples, TargetSetup, TimePoint,
 };
+use wingbridge_wire::convert::service_evidence;
+use wingbridge_wire::{Evidence, Frame, FrameBody};
 
 use crate::memory::resident_bytes;
 
+/// Length prefix and packet headers of one message.
+const MESSAGE_OVERHEAD: usize = 4 + 66;
 /// Requests that are timed for each size.
 const REQUESTS: u64 = 200_000;
 
@@ -42,6 +47,35 @@
     [(15, 1), (1000, 58), (5000, 290), (15_000, 870)].map(|(t, s)| measure_size(t, s)).to_vec()
 }
 
+/// Bytes of evidence on the wire, by how much travels together.
+#[derive(Debug, Clone, Serialize)]
+pub struct EvidenceRow {
+    /// Samples in one message, each of another service.
+    pub samples: usize,
+    /// Bytes for each, packet headers counted.
+    pub bytes_per_sample: f64,
+}
+
+/// Measures the bytes of evidence, from real encodings.
+pub fn measure_evidence() -> Vec<EvidenceRow> {
+    [1, 5, 10, 50].map(evidence_row).to_vec()
+}
+
+fn evidence_row(samples: usize) -> EvidenceRow {
+    let batch = |number: usize| EvidenceBatch {
+        service: format!("service-{number}").into(),
+        targets: vec![one_sample(TargetKey::of(&format!("10.0.0.{number}:80")))],
+    };
+    let evidence = Evidence {
+        box_id: "box-1234".into(),
+        data_centre: "zilina-1".into(),
+        services: (0..samples).map(|number| service_evidence(&batch(number))).collect(),
+    };
+    let frame = Frame { clock: u64::MAX, body: Some(FrameBody::Evidence(evidence)) };
+    let bytes = frame.encoded_len() + MESSAGE_OVERHEAD;
+    EvidenceRow { samples, bytes_per_sample: bytes as f64 / samples as f64 }
+}
+
 fn measure_size(targets: usize, services: usize) -> CostRow {
     let setups: Vec<ServiceSetup> =
         (0..services).map(|number| service_setup(number, targets / services)).collect();
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -13,7 +13,7 @@
 
 use crate::box_size::{BoxSizeRow, measure_box};
 use crate::chart::draw_curve;
-use crate::decide::cost::{CostRow, measure_cost};
+use crate::decide::cost::{CostRow, EvidenceRow, measure_cost, measure_evidence};
 use crate::decide::curve::measure_curve;
 use crate::decide::report::{DecideReport, Detection, FaultRow};
 use crate::decide::{DecideSetup, measure};
@@ -159,8 +159,8 @@
 fn run_decide(matches: &ArgMatches, json: bool) -> eyre::Result<Outcome> {
     let setup = resolve_decide(matches)?;
     if matches.get_flag("cost") {
-        let rows = measure_cost();
-        return show(json, &RowsReport { rows: &rows }, || cost_table(&rows));
+        let report = CostReport { rows: measure_cost(), evidence: measure_evidence() };
+        return show(json, &report, || cost_table(&report));
     }
     if let Some(file) = matches.get_one::<String>("curve") {
         let points = measure_curve(&setup);
@@ -181,8 +181,15 @@
     Ok(Outcome::Done)
 }
 
-fn cost_table(rows: &[CostRow]) -> String {
-    let cells = rows.iter().map(|row| {
+/// What decisions cost.
+#[derive(Debug, Serialize)]
+struct CostReport {
+    rows: Vec<CostRow>,
+    evidence: Vec<EvidenceRow>,
+}
+
+fn cost_table(report: &CostReport) -> String {
+    let cells = report.rows.iter().map(|row| {
         vec![
             row.targets.to_string(),
             row.services.to_string(),
@@ -204,7 +211,15 @@
         "judge ns/sample",
         "judge B/target",
     ];
-    table(&headings, &cells.collect::<Vec<_>>())
+    let sizes = report
+        .evidence
+        .iter()
+        .map(|row| vec![row.samples.to_string(), format!("{:.0}", row.bytes_per_sample)]);
+    format!(
+        "{}\n\n{}",
+        table(&headings, &cells.collect::<Vec<_>>()),
+        table(&["samples in a message", "bytes for each"], &sizes.collect::<Vec<_>>())
+    )
 }
 
 fn decide_table(setup: &DecideSetup, report: &DecideReport) -> String {
--- a/crates/bench/src/spread/cores.rs
+++ b/crates/bench/src/spread/cores.rs
@@ -38,7 +38,7 @@
 const STORE_MICROS: u64 = 10_000;
 /// Time that a watch waits, and between two whole readings.
 const WATCH_SECONDS: f64 = 10.0;
-const RESYNC_SECONDS: f64 = 60.0;
+const RESYNC_SECONDS: f64 = 600.0;
 
 /// Measures all rows.
 pub fn measure_cores(bench: &SpreadBench) -> Vec<SpreadRow> {
--- a/crates/ctl/src/changes.rs
+++ b/crates/ctl/src/changes.rs
@@ -17,7 +17,9 @@
 
 /// Tries against the store before a change is given up.
 const TRIES: u32 = 8;
-const POLL: Duration = Duration::from_millis(100);
+/// Between two looks at the boxes that lack a change; doubled each time.
+const FIRST_POLL: Duration = Duration::from_millis(50);
+const MOST_POLL: Duration = Duration::from_secs(2);
 /// Data centres whose agents must hold a change before it counts as accepted.
 const ACCEPTING_CENTRES: usize = 2;
 
@@ -128,43 +130,39 @@
 
     async fn watch_spread(&self, key: &str, generation: u64, revision: u64) -> ChangeReport {
         let started = Instant::now();
+        let mut spread = SpreadView::default();
+        let mut poll = FIRST_POLL;
         loop {
-            let mut report = self.look(key, generation, revision).await;
-            report.waited_ms = started.elapsed().as_millis() as u64;
+            self.look(key, generation, &mut spread).await;
+            let report = spread.report(key, generation, revision, started.elapsed());
             let done = report.accepted && report.lacking.is_empty();
             if done || started.elapsed() >= self.wait {
                 return report;
             }
-            task::sleep(POLL).await;
+            task::sleep(poll).await;
+            poll = (poll * 2).min(MOST_POLL);
         }
     }
 
-    async fn look(&self, key: &str, generation: u64, revision: u64) -> ChangeReport {
-        let mut report = ChangeReport {
-            key: key.to_string(),
-            generation,
-            revision,
-            accepted: false,
-            in_force: 0,
-            boxes: 0,
-            lacking: Vec::new(),
-            waited_ms: 0,
-        };
-        let Ok(boxes) = self.fleet.boxes().await else {
-            return report;
-        };
-        report.boxes = boxes.len();
-        let mut centres: BTreeSet<String> = BTreeSet::new();
+    /// Asks the boxes that were not seen to have it in force yet.
+    async fn look(&self, key: &str, generation: u64, spread: &mut SpreadView) {
+        let Ok(boxes) = self.fleet.boxes().await else { return };
+        spread.lacking.clear();
+        spread.in_force.retain(|known| boxes.iter().any(|one| one.box_id == *known));
+        let open: Vec<BoxView> =
+            boxes.iter().filter(|one| !spread.in_force.contains(&one.box_id)).cloned().collect();
+        spread.boxes = boxes.len();
+        spread.all_centres = boxes.into_iter().map(|one| one.data_centre).collect();
         let answers: Vec<BoxAnswer<Vec<KeyView>>> =
-            self.fleet.ask_all(&boxes, &keys_path(key)).await;
+            self.fleet.ask_all(&open, &keys_path(key)).await;
         for BoxAnswer { asked, answer } in answers {
             let view = answer.map(|views| views.into_iter().find(|view| view.key == key));
             let why = match view {
                 Err(error) => format!("its agent does not answer: {error}"),
                 Ok(Some(view)) if view.generation >= generation => {
-                    centres.insert(asked.data_centre);
+                    spread.holding_centres.insert(asked.data_centre);
                     if view.in_force {
-                        report.in_force += 1;
+                        spread.in_force.insert(asked.box_id);
                         continue;
                     }
                     "its agent has it, its proxy has not put it in force".into()
@@ -172,11 +170,35 @@
                 Ok(Some(view)) => format!("it still has generation {}", view.generation),
                 Ok(None) => "it has not heard of it".into(),
             };
-            report.lacking.push((asked.box_id, why));
+            spread.lacking.push((asked.box_id, why));
+        }
+    }
+}
+
+/// How far a change was seen to have spread.
+#[derive(Debug, Default)]
+struct SpreadView {
+    boxes: usize,
+    all_centres: BTreeSet<String>,
+    holding_centres: BTreeSet<String>,
+    in_force: BTreeSet<String>,
+    lacking: Vec<(String, String)>,
+}
+
+impl SpreadView {
+    fn report(&self, key: &str, generation: u64, revision: u64, waited: Duration) -> ChangeReport {
+        let needed = self.all_centres.len().min(ACCEPTING_CENTRES);
+        let holding = self.holding_centres.len();
+        ChangeReport {
+            key: key.to_string(),
+            generation,
+            revision,
+            accepted: holding > 0 && holding >= needed,
+            in_force: self.in_force.len(),
+            boxes: self.boxes,
+            lacking: self.lacking.clone(),
+            waited_ms: waited.as_millis() as u64,
         }
-        let all: BTreeSet<&String> = boxes.iter().map(|one| &one.data_centre).collect();
-        report.accepted = !centres.is_empty() && centres.len() >= all.len().min(ACCEPTING_CENTRES);
-        report
     }
 }
 
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -58,20 +58,13 @@
     fleet: FleetClient,
     matches: &ArgMatches,
 ) -> eyre::Result<Outcome> {
-    let json = settings.json;
     match matches.subcommand() {
         Some(("check", matches)) => check_policy(matches),
-        Some(("put", matches)) => put_policy(&changer(settings, fleet)?, matches, json).await,
-        Some(("get", matches)) => get(&store(settings)?, POLICY_PREFIX, matches, json).await,
-        Some(("delete", matches)) => {
-            delete(&changer(settings, fleet)?, POLICY_PREFIX, matches, json).await
+        Some(("put", matches)) => {
+            put_policy(&changer(settings, fleet)?, matches, settings.json).await
         }
-        Some(("list", _)) => list(&store(settings)?, POLICY_PREFIX, json).await,
         Some(("diff", matches)) => diff_policy(&store(settings)?, matches).await,
-        Some(("history", matches)) => {
-            history(&store(settings)?, POLICY_PREFIX, matches, json).await
-        }
-        _ => Err(eyre!("no command was given")),
+        _ => run_on_keys(settings, fleet, POLICY_PREFIX, matches).await,
     }
 }
 
@@ -80,18 +73,30 @@
     fleet: FleetClient,
     matches: &ArgMatches,
 ) -> eyre::Result<Outcome> {
-    let json = settings.json;
     match matches.subcommand() {
         Some(("check", matches)) => check_config(matches),
-        Some(("put", matches)) => put_config(&changer(settings, fleet)?, matches, json).await,
-        Some(("get", matches)) => get(&store(settings)?, SERVICE_PREFIX, matches, json).await,
-        Some(("delete", matches)) => {
-            delete(&changer(settings, fleet)?, SERVICE_PREFIX, matches, json).await
+        Some(("put", matches)) => {
+            put_config(&changer(settings, fleet)?, matches, settings.json).await
         }
-        Some(("list", _)) => list(&store(settings)?, SERVICE_PREFIX, json).await,
-        Some(("history", matches)) => {
-            history(&store(settings)?, SERVICE_PREFIX, matches, json).await
+        _ => run_on_keys(settings, fleet, SERVICE_PREFIX, matches).await,
+    }
+}
+
+/// What policies and services have in common.
+async fn run_on_keys(
+    settings: &CtlSettings,
+    fleet: FleetClient,
+    prefix: &str,
+    matches: &ArgMatches,
+) -> eyre::Result<Outcome> {
+    let json = settings.json;
+    match matches.subcommand() {
+        Some(("get", matches)) => get(&store(settings)?, prefix, matches, json).await,
+        Some(("delete", matches)) => {
+            delete(&changer(settings, fleet)?, prefix, matches, json).await
         }
+        Some(("list", _)) => list(&store(settings)?, prefix, json).await,
+        Some(("history", matches)) => history(&store(settings)?, prefix, matches, json).await,
         _ => Err(eyre!("no command was given")),
     }
 }
--- a/crates/decide/src/core/evidence.rs
+++ b/crates/decide/src/core/evidence.rs
@@ -1,7 +1,7 @@
 //! What outcomes say of targets, gathered and sent.
 
 use crate::core::health::change_health;
-use crate::core::{BoxCore, REPORT_PERIOD};
+use crate::core::{BoxCore, REPORT_PERIOD, locate};
 use crate::evidence::{EvidenceBatch, SampleKind, TargetSamples};
 use crate::floor::EjectionRank;
 use crate::health::{Ejection, HealthState, TargetHealth};
@@ -29,10 +29,7 @@
         report: &TargetReport,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
+        let Some((service, index)) = locate(&mut self.services, name, key) else {
             return;
         };
         let chart = &self.chart;
@@ -85,10 +82,7 @@
     ) {
         let good = matches!(kind, SampleKind::Good | SampleKind::Late);
         self.self_check.note(!good);
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(open.target) else {
+        let Some((service, index)) = locate(&mut self.services, name, open.target) else {
             return;
         };
         let Some(kind) = as_evidence(&service.target(index).health, kind) else { return };
--- a/crates/decide/src/core/health.rs
+++ b/crates/decide/src/core/health.rs
@@ -1,6 +1,6 @@
 //! Who is in service: verdicts, orders by hand, leaving targets, and the chart's time.
 
-use crate::core::{BoxCore, PROBE_PERIOD};
+use crate::core::{BoxCore, PROBE_PERIOD, locate};
 use crate::floor::EjectionRank;
 use crate::health::{Ejection, HealthState, TargetHealth};
 use crate::messages::{
@@ -44,10 +44,7 @@
         first_hand: bool,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
+        let Some((service, index)) = locate(&mut self.services, name, key) else {
             return;
         };
         let chart = &self.chart;
@@ -71,10 +68,7 @@
         state: Option<ReportedState>,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
+        let Some((service, index)) = locate(&mut self.services, name, key) else {
             return;
         };
         let back = matches!(state, Some(ReportedState::Ready | ReportedState::Cold));
@@ -117,10 +111,7 @@
         why: &'static str,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
+        let Some((service, index)) = locate(&mut self.services, name, key) else {
             return;
         };
         let chart = &self.chart;
@@ -138,10 +129,7 @@
         key: TargetKey,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(index) = service.find(key) else {
+        let Some((service, index)) = locate(&mut self.services, name, key) else {
             return;
         };
         let scope = service.target(index).health.ejection().map(|ejection| ejection.scope);
--- a/crates/decide/src/core/mod.rs
+++ b/crates/decide/src/core/mod.rs
@@ -403,10 +403,7 @@
     }
 
     fn close_attempt(&mut self, service: &str, target: TargetKey) {
-        let Some(service) = self.services.get_mut(service) else {
-            return;
-        };
-        let Some(index) = service.find(target) else {
+        let Some((service, index)) = locate(&mut self.services, service, target) else {
             return;
         };
         let target = service.target_mut(index);
@@ -503,3 +500,14 @@
 fn not_run(request: RequestId, reason: RefuseReason, retry_after: Duration) -> BoxCommand {
     BoxCommand::Conclude { request, conclusion: Conclusion::NotRun { reason, retry_after } }
 }
+
+/// A service and the index of one of its targets.
+fn locate<'a>(
+    services: &'a mut BTreeMap<Name, ServiceState>,
+    name: &str,
+    target: TargetKey,
+) -> Option<(&'a mut ServiceState, usize)> {
+    let service = services.get_mut(name)?;
+    let index = service.find(target)?;
+    Some((service, index))
+}
