--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -5,7 +5,7 @@
 
 use clap::{ArgMatches, Command};
 use wingbridge_process::SettingError;
-use wingbridge_process::settings::{self, setting};
+use wingbridge_process::settings::{self, secret_setting, setting};
 
 /// Checked settings.
 #[derive(Debug, Clone)]
@@ -47,7 +47,7 @@
         .arg(setting("peer-listen", "Address for other agents", "An IP number and a port. The platform's box list must show it.").default_value("127.0.0.1:0"))
         .arg(setting("proxy-listen", "Address for this box's proxy", "An IP number and a port, on loopback.").default_value("127.0.0.1:0"))
         .arg(setting("admin-listen", "Address for operators and metrics", "An IP number and a port. The platform's box list must show it.").default_value("127.0.0.1:0"))
-        .arg(setting("fleet-key", "Secret that all boxes of the fleet share", "At least 16 characters. Better set by the environment, where other users of the machine do not see it."))
+        .arg(secret_setting("fleet-key", "Secret that all boxes of the fleet share", "At least 16 characters. Better set by the environment, where other users of the machine do not see it."))
         .arg(setting("seed-peers", "Agents to ask while the store does not answer", "Addresses with commas between them. A new box needs them only during an outage of the store.").default_value(""))
         .arg(setting("digest-ms", "Time between two comparisons with a neighbour, in milliseconds", "Shorter heals lost messages sooner and costs more bytes at rest.").default_value("1000"))
         .arg(setting("resync-s", "Time between two whole readings of the store, in seconds", "Only the watchers of a data centre do this; it finds what a watch left out.").default_value("600"))
--- a/crates/demo/src/bin/wingbridge-demo.rs
+++ b/crates/demo/src/bin/wingbridge-demo.rs
@@ -1,6 +1,7 @@
 //! The demonstration.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use wingbridge_demo::SmallSystem;
 use wingbridge_demo::experiment::{ExperimentReport, run_experiment};
@@ -9,9 +10,13 @@
 use wingbridge_process::metrics::start_metrics;
 use wingbridge_process::settings::number;
 use wingbridge_process::stop::stop_on_signals;
-use wingbridge_process::{Outcome, exit_code};
+use wingbridge_process::{Outcome, StopSignal, exit_code};
+use wingbridge_trace::page::as_text;
 use wingctl::output::table;
 
+/// Between two looks at the time line.
+const EVENTS_PERIOD: Duration = Duration::from_secs(1);
+
 fn main() -> ExitCode {
     exit_code("wingbridge-demo", start())
 }
@@ -27,7 +32,8 @@
         introduce(&system);
     }
     if seconds == 0 {
-        async_std::task::block_on(stop_on_signals()?.wait());
+        let stop = stop_on_signals()?;
+        async_std::task::block_on(tell_events(&system, &stop));
         return Ok(Outcome::Done);
     }
     let report = run_experiment(&mut system, seconds.max(4))?;
@@ -39,6 +45,21 @@
     Ok(if report.broken.is_empty() { Outcome::Done } else { Outcome::CheckFailed })
 }
 
+/// Prints what happens, as it happens, until the stop.
+async fn tell_events(system: &SmallSystem, stop: &StopSignal) {
+    let fleet = system.fleet();
+    let mut last = 0;
+    while !stop.is_stopped() {
+        // An agent that does not answer now is asked again in a second.
+        if let Ok((events, _)) = wingctl::timeline::gather(&fleet).await {
+            let news: Vec<_> = events.into_iter().filter(|event| event.stamp > last).collect();
+            last = news.last().map_or(last, |event| event.stamp);
+            print!("{}", as_text(&news));
+        }
+        let _ = async_std::future::timeout(EVENTS_PERIOD, stop.wait()).await;
+    }
+}
+
 fn introduce(system: &SmallSystem) {
     println!("store      {}", system.store_address);
     for one in &system.boxes {
--- a/crates/demo/tests/programs/mod.rs
+++ b/crates/demo/tests/programs/mod.rs
@@ -204,3 +204,10 @@
     let output = Command::new(program_path(name)).args(arguments).output().expect("it runs");
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
+
+/// What a program's help says while the environment holds a fleet key.
+pub fn help_with_key(name: &str, flag: &str, key: &str) -> String {
+    let mut command = Command::new(program_path(name));
+    let output = command.arg(flag).env("WINGBRIDGE_FLEET_KEY", key).output().expect("it runs");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
--- a/crates/demo/tests/separate_processes.rs
+++ b/crates/demo/tests/separate_processes.rs
@@ -115,6 +115,49 @@
     assert!(all_answered(&outcomes(&fleet, 1, 100)));
 }
 
+#[test]
+fn every_command_of_wingctl_ends_as_documented() {
+    let fleet = ready_fleet(1, 2);
+    let file = std::env::temp_dir().join(format!("wingbridge-{}.html", std::process::id()));
+    let page = format!("--html={}", file.display());
+    let cases: [(&[&str], &str, i32); 17] = [
+        (&["policy", "check", "-"], POLICY, 0),
+        (&["policy", "check", "-"], "fn plan(", 1),
+        (&["policy", "get", "read"], "", 0),
+        (&["--json", "policy", "list"], "", 0),
+        (&["policy", "history", "read"], "", 0),
+        (&["policy", "diff", "read", "-"], POLICY, 0),
+        (&["policy", "diff", "read", "-"], "// other", 1),
+        (&["policy", "put", "read", "-", "--expect=999"], POLICY, 1),
+        (&["policy", "put", "No Name", "-"], POLICY, 2),
+        (&["policy", "delete", "read"], "", 0),
+        (&["policy", "get", "read"], "", 1),
+        (&["config", "get", "huts"], "", 0),
+        (&["status"], "", 0),
+        (&["boxes"], "", 0),
+        (&["targets"], "", 0),
+        (&["timeline", &page], "", 0),
+        (&["completions", "bash"], "", 0),
+    ];
+    for (arguments, input, code) in cases {
+        assert_eq!(fleet.ctl_code(arguments, input), Some(code), "wingctl {arguments:?}");
+    }
+    let html = std::fs::read_to_string(&file).expect("a page");
+    std::fs::remove_file(&file).expect("it was there");
+    assert!(html.contains("<svg") && html.contains("config-in-force"), "a picture of events");
+}
+
+#[test]
+fn the_help_does_not_show_the_fleet_key() {
+    for program in ["wingbridge-agent", "wingbridge-proxy"] {
+        for flag in ["-h", "--help"] {
+            let help = programs::help_with_key(program, flag, "a secret of the fleet");
+            assert!(help.contains("--fleet-key"), "{program} {flag}");
+            assert!(!help.contains("a secret of the fleet"), "{program} {flag}");
+        }
+    }
+}
+
 #[test]
 fn wrong_settings_are_named_and_nothing_starts() {
     let cases: [(&str, &[&str], &str); 5] = [
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -46,6 +46,15 @@
         .long_help(format!("{short_help}.\n\n{long_help}"))
 }
 
+/// A [`setting`] whose value is not shown by the help, wherever it comes from.
+pub fn secret_setting(
+    name: &'static str,
+    short_help: &'static str,
+    long_help: &'static str,
+) -> Arg {
+    setting(name, short_help, long_help).hide_env_values(true)
+}
+
 /// The raw text of a setting, or an empty one.
 pub fn raw_text(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -5,7 +5,7 @@
 
 use clap::{ArgMatches, Command};
 use wingbridge_process::SettingError;
-use wingbridge_process::settings::{self, setting};
+use wingbridge_process::settings::{self, secret_setting, setting};
 
 /// Checked settings.
 #[derive(Debug, Clone)]
@@ -54,7 +54,7 @@
         .arg(setting("listen", "Address for callers", "An IP number and a port.").default_value("127.0.0.1:0"))
         .arg(setting("admin-listen", "Address for readiness and metrics", "An IP number and a port: GET /ready and GET /metrics.").default_value("127.0.0.1:0"))
         .arg(setting("agent", "Address of this box's agent", "What the agent has as --proxy-listen."))
-        .arg(setting("fleet-key", "Secret that all boxes of the fleet share", "At least 16 characters. Better set by the environment, where other users of the machine do not see it."))
+        .arg(secret_setting("fleet-key", "Secret that all boxes of the fleet share", "At least 16 characters. Better set by the environment, where other users of the machine do not see it."))
         .arg(setting("connect-ms", "Time to connect to a target, in milliseconds", "A target that can't be connected to in time has not run the request.").default_value("500"))
         .arg(setting("held-bytes", "Longest answer that is held whole, in bytes", "A longer one is passed on as it comes, and resumed at another target if it breaks off.").default_value("262144"))
         .arg(setting("request-bytes", "Longest request body, in bytes", "Bodies are held whole, so that a request can be sent again.").default_value("1048576"))
