--- a/crates/demo/tests/programs/mod.rs
+++ b/crates/demo/tests/programs/mod.rs
@@ -25,7 +25,9 @@
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
-            .unwrap_or_else(|error| panic!("{name} starts: {error}"));
+            .unwrap_or_else(|error| {
+                panic!("{name} starts (cargo test --workspace builds it): {error}")
+            });
         let mut lines = BufReader::new(child.stdout.take().expect("piped"));
         let mut line = String::new();
         lines.read_line(&mut line).expect("a line");
