--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -40,7 +40,7 @@
 const HEARD: usize = 4096;
 /// Verdicts and leavings are told to boxes that join within this time.
 const RECENT: Duration = Duration::from_secs(60);
-/// Bytes of entries in one message to the proxy.
+/// Entries in one message to the proxy.
 const ENTRIES_AT_ONCE: usize = 64;
 
 /// Events into the exchange.
