Say what the bias really changes, and have one piece for what stood twice

Whether an outcome is bad was written out in four places, and how the agent hands configuration to its proxy in two. The agent no longer copies the listed boxes when its proxy connects. No behaviour changes. Whether overdue should depend on the bias is open, to be measured.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -201,12 +201,7 @@
                 self.parts.line.note("config-received", &fields);
             }
         }
-        let config: Vec<Entry> =
-            entries.iter().filter(|entry| is_config(&entry.key)).cloned().collect();
-        for part in config.chunks(ENTRIES_AT_ONCE) {
-            let entries = part.to_vec();
-            self.to_proxy(FrameBody::Entries(Entries { entries, push: false }));
-        }
+        self.send_config(entries.iter());
     }
 
     fn configure_judge(&mut self, name: &str, entry: &Entry) {
@@ -394,13 +389,7 @@
         self.proxy = Some(ring);
         self.in_force.clear();
         self.parts.line.note("proxy-connected", &[]);
-        let entries: Vec<Entry> = self.parts.core.map().entries().cloned().collect();
-        let config: Vec<Entry> =
-            entries.into_iter().filter(|entry| is_config(&entry.key)).collect();
-        for part in config.chunks(ENTRIES_AT_ONCE) {
-            let entries = part.to_vec();
-            self.to_proxy(FrameBody::Entries(Entries { entries, push: false }));
-        }
+        self.send_config(self.parts.core.map().entries());
         for (_, body) in self.recent.clone() {
             self.to_proxy(body);
         }
@@ -412,6 +401,15 @@
         self.to_proxy(FrameBody::CaughtUp(CaughtUp { whole: self.whole }));
     }
 
+    /// Hands the proxy what of `entries` is configuration, in messages of bounded length.
+    fn send_config<'a>(&self, entries: impl Iterator<Item = &'a Entry>) {
+        let config: Vec<Entry> = entries.filter(|entry| is_config(&entry.key)).cloned().collect();
+        for part in config.chunks(ENTRIES_AT_ONCE) {
+            let entries = part.to_vec();
+            self.to_proxy(FrameBody::Entries(Entries { entries, push: false }));
+        }
+    }
+
     fn to_proxy(&self, body: FrameBody) {
         let Some(proxy) = &self.proxy else { return };
         // The proxy's ring is drained by a writer of its own; when it stays full the proxy
--- a/crates/agent/src/outgoing.rs
+++ b/crates/agent/src/outgoing.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wingbridge_decide::{EvidenceBatch, SampleKind, TimePoint};
+use wingbridge_decide::{EvidenceBatch, TimePoint};
 
 /// Good news waits for so long for each box of the fleet.
 const WAIT_PER_BOX: Duration = Duration::from_micros(2500);
@@ -54,5 +54,5 @@
 
 fn is_bad_news(batch: &EvidenceBatch) -> bool {
     let samples = batch.targets.iter().flat_map(|target| &target.samples);
-    samples.into_iter().any(|s| matches!(s.kind, SampleKind::Error | SampleKind::Overdue))
+    samples.into_iter().any(|sample| sample.kind.is_bad())
 }
--- a/crates/decide/src/core/evidence.rs
+++ b/crates/decide/src/core/evidence.rs
@@ -80,7 +80,7 @@
         kind: SampleKind,
         commands: &mut Vec<BoxCommand>,
     ) {
-        let good = matches!(kind, SampleKind::Good | SampleKind::Late);
+        let good = !kind.is_bad();
         self.self_check.note(!good);
         let Some((service, index)) = locate(&mut self.services, name, open.target) else {
             return;
@@ -129,7 +129,7 @@
         if self.targets.is_empty() {
             self.since = now;
         }
-        self.urgent |= matches!(kind, SampleKind::Error | SampleKind::Overdue);
+        self.urgent |= kind.is_bad();
         let known = self.targets.iter().position(|samples| samples.target == target);
         let index = known.unwrap_or_else(|| {
             self.targets.push(TargetSamples::new(target));
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -25,6 +25,13 @@
     Late,
 }
 
+impl SampleKind {
+    /// Whether it speaks against the target.
+    pub fn is_bad(self) -> bool {
+        matches!(self, SampleKind::Error | SampleKind::Overdue)
+    }
+}
+
 /// Attempts of one kind and speed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sample {
--- a/crates/decide/src/judge/service.rs
+++ b/crates/decide/src/judge/service.rs
@@ -31,10 +31,15 @@
 const SKETCH_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Least latencies remembered before slowness is judged.
 const SKETCH_LEAST: f32 = 30.0;
-/// An attempt is overdue at so many times the time that 99 in 100 take, by how careful
-/// the operator wants the judge.
-const OVERDUE_LEAST: f64 = 1.2;
-const OVERDUE_MOST: f64 = 2.0;
+/// An attempt is overdue at so many times the time that 99 in 100 take, within bounds
+/// of so many medians.
+const OVERDUE_TAIL: f64 = 1.3;
+const OVERDUE_MEDIANS_LEAST: f64 = 3.0;
+const OVERDUE_MEDIANS_MOST: f64 = 8.0;
+/// How careful the operator wants the judge, from `quick` to `careful`: half the
+/// logarithm of the bias, within these bounds.
+const CARE_LEAST: f64 = 1.2;
+const CARE_MOST: f64 = 2.0;
 /// A stall is a silence of so many times the time after which an attempt is overdue: this
 /// much, and more for each unit of how careful the operator wants the judge.
 const STALL_SILENCE: f64 = 0.7;
@@ -57,7 +62,7 @@
     pub(super) very_slow_limit: LatencyBucket,
     pub(super) dispersion: [Dispersion; MEASURES],
     pub(super) span_started: TimePoint,
-    pub(super) overdue_factor: f64,
+    pub(super) care: f64,
     pub(super) backoff: Duration,
     pub(super) backoff_most: Duration,
     pub(super) dirty: bool,
@@ -75,7 +80,7 @@
             very_slow_limit: LatencyBucket(u8::MAX),
             dispersion: ASSUMED_DISPERSION.map(Dispersion::new),
             span_started: TimePoint::default(),
-            overdue_factor: OVERDUE_MOST,
+            care: CARE_MOST,
             backoff: Duration::ZERO,
             backoff_most: Duration::ZERO,
             dirty: false,
@@ -86,7 +91,7 @@
         let chances = setup.false_alarm_days * LOOKS_PER_DAY * HYPOTHESES.len() as f64;
         self.threshold = chances.max(std::f64::consts::E).ln() as f32;
         let careful = setup.false_alarm_days.max(1.0).log10() / 2.0;
-        self.overdue_factor = careful.clamp(OVERDUE_LEAST, OVERDUE_MOST);
+        self.care = careful.clamp(CARE_LEAST, CARE_MOST);
         self.backoff = setup.limits.backoff;
         self.backoff_most = setup.limits.backoff_most;
         let mut known: HashMap<TargetKey, JudgedTarget> =
@@ -115,7 +120,8 @@
         let tail = self.sketch.quantile(0.99)?.upper();
         let median = self.sketch.quantile(0.5)?.upper();
         // Beyond nearly all, yet not chasing a tail of stalls among the answers.
-        Some(tail.mul_f64(1.3).min(median.mul_f64(8.0)).max(median.mul_f64(3.0)))
+        let overdue = tail.mul_f64(OVERDUE_TAIL).min(median.mul_f64(OVERDUE_MEDIANS_MOST));
+        Some(overdue.max(median.mul_f64(OVERDUE_MEDIANS_LEAST)))
     }
 
     pub(super) fn add_sample(
@@ -135,7 +141,7 @@
         }
         let effect = self.effect_of(sample);
         let own = source.data_centre == 0;
-        if own && matches!(sample.kind, SampleKind::Good | SampleKind::Late) {
+        if own && !sample.kind.is_bad() {
             self.targets[index].last_good = now;
         }
         self.targets[index].window_of(source).tally.note(sample.count as f32, effect);
@@ -258,7 +264,7 @@
         let Some(overdue) = self.overdue_after() else { return false };
         let target = &self.targets[index];
         let queued = target.load >= QUEUED_LOAD && now.since(target.load_at) <= LOAD_COUNTS;
-        let usual = STALL_SILENCE + CAREFUL_SILENCE * self.overdue_factor;
+        let usual = STALL_SILENCE + CAREFUL_SILENCE * self.care;
         let patience = if queued { QUEUED_SILENCE } else { usual };
         let silence = now.since(target.last_good);
         measure == Measure::Overdue && silence < overdue.mul_f64(patience)
