--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -7,9 +7,9 @@
 
 use async_std::net::TcpListener;
 use async_std::task;
-use wingbridge_platform::StoreClient;
 use wingbridge_process::{Outcome, ProcessClock, StopSignal, TimerService};
 use wingbridge_spread::{BoxIdentity, SpreadCore, SpreadSetup};
+use wingbridge_store::StoreClient;
 use wingbridge_trace::TimeLine;
 use wingbridge_wire::{FleetKey, Hello};
 
--- a/crates/agent/src/store_duty.rs
+++ b/crates/agent/src/store_duty.rs
@@ -8,11 +8,11 @@
 use async_std::task;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use wingbridge_platform::{
-    Backoff, BoxListing, BoxRecord, CallBudget, KeyListing, StoreClient, StoreError, StoredValue,
-};
 use wingbridge_process::StopSignal;
 use wingbridge_spread::members::{BOX_PREFIX, MemberState, MemberValue};
+use wingbridge_store::{
+    Backoff, BoxListing, BoxRecord, CallBudget, KeyListing, StoreClient, StoreError, StoredValue,
+};
 use wingbridge_wire::{Entry, Stamp};
 
 use crate::exchange::AgentEvent;
--- a/crates/bench/src/box_size.rs
+++ b/crates/bench/src/box_size.rs
@@ -10,8 +10,8 @@
 use eyre::ensure;
 use serde::Serialize;
 use wingbridge_demo::{SmallSystem, SystemSetup};
-use wingbridge_platform::value::ValueVersion;
-use wingbridge_platform::{BoxRecord, StoredValue};
+use wingbridge_store::value::ValueVersion;
+use wingbridge_store::{BoxRecord, StoredValue};
 use wingctl::fleet::{BoxAnswer, KeyView};
 
 use crate::memory::{processor_time, resident_bytes};
--- a/crates/ctl/src/changes.rs
+++ b/crates/ctl/src/changes.rs
@@ -9,8 +9,8 @@
 use rand::rngs::StdRng;
 use serde::Serialize;
 use similar::TextDiff;
-use wingbridge_platform::{ChangeOutcome, ChangeRequest, StoreClient, StoredValue, submit_change};
 use wingbridge_process::Outcome;
+use wingbridge_store::{ChangeOutcome, ChangeRequest, StoreClient, StoredValue, submit_change};
 use wingbridge_trace::clock::wall_millis;
 
 use crate::fleet::{BoxAnswer, BoxView, FleetClient, KeyView};
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -7,9 +7,9 @@
 use serde::Serialize;
 use similar::TextDiff;
 use wingbridge_config::{POLICY_PREFIX, SERVICE_PREFIX, ServiceConfig, parse_services};
-use wingbridge_platform::{StoreClient, StoredValue};
 use wingbridge_policy::PolicyProgram;
 use wingbridge_process::Outcome;
+use wingbridge_store::{StoreClient, StoredValue};
 
 use crate::changes::{ChangeReport, Changer, read_value};
 use crate::output::{print, table};
@@ -144,7 +144,7 @@
     let (_, value) = read_value(store, &key).await?;
     let versions: Vec<_> = std::iter::once(&value.current).chain(&value.history).collect();
     print(json, &versions, || {
-        let row = |version: &&wingbridge_platform::value::ValueVersion| {
+        let row = |version: &&wingbridge_store::value::ValueVersion| {
             let what = if version.deleted { "deleted" } else { "changed" };
             let lines = version.text.lines().count();
             vec![
--- a/crates/ctl/src/hands.rs
+++ b/crates/ctl/src/hands.rs
@@ -2,7 +2,7 @@
 
 use wingbridge_config::{HAND_PREFIX, hand_text, parse_hand};
 use wingbridge_decide::{HandOrder, HandOrderKind};
-use wingbridge_platform::StoredValue;
+use wingbridge_store::StoredValue;
 
 use crate::changes::{ChangeReport, Changer};
 
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -5,8 +5,8 @@
 use eyre::eyre;
 use wingbridge_config::{POLICY_PREFIX, SERVICE_PREFIX};
 use wingbridge_decide::HandOrderKind;
-use wingbridge_platform::StoreClient;
 use wingbridge_process::{Outcome, SettingError};
+use wingbridge_store::StoreClient;
 
 use crate::boxes::{show_boxes, show_status, show_targets};
 use crate::changes::Changer;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod service;
 pub mod setup;
 pub mod sketch;
+pub mod steer;
 pub mod time;
 
 pub use crate::core::BoxCore;
--- /dev/null
+++ b/crates/decide/src/steer/mod.rs
@@ -0,0 +1,419 @@
+//! The choice of a target by expected loss, before any verdict.
+//!
+//! Ejection takes a target out when the evidence is beyond doubt. Most of what is
+//! lost is lost before: the first requests of each spell of failures, and orders
+//! that can't be sent again. With slots to spare it costs next to nothing to send
+//! work elsewhere on a mere suspicion, so each pick weighs how likely an attempt is
+//! to fail here ([`belief`]), what that would cost this request, how long it would
+//! wait, and what it costs to leave the data centre. Nothing is taken out here, so no
+//! floor can be broken by a wrong suspicion: a target is only less likely to be picked.
+
+pub mod belief;
+pub mod pool;
+pub mod split;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::budget::RetryBudget;
+use crate::names::{Name, TargetKey};
+use crate::steer::belief::{BeliefSample, TargetBelief};
+use crate::steer::pool::{SteerTarget, TargetPool, TargetRecord};
+use crate::time::TimePoint;
+
+/// Score differences of this size (in worth of requests) change how often a target is
+/// picked by a factor of e. Smaller herds all boxes onto one target; larger sends work
+/// to suspects. Source: `docs/MEASURED.md`, steering.
+const TEMPERATURE: f64 = 0.04;
+/// What a failed attempt costs where the request can be sent again, as a share of its
+/// worth: the time of the second attempt, a retry of the budget, and that it fails too.
+const REPEAT_COST: f64 = 0.3;
+/// What waiting as long as the goal costs, as a share of the worth.
+const WAIT_COST: f64 = 0.5;
+/// What each busy slot costs, so that equal targets share the work.
+const BUSY_COST: f64 = 0.03;
+/// Service time that is assumed while none was seen. Source: the users' work times, 190 to 420 ms.
+const ASSUMED_TIME: Duration = Duration::from_millis(300);
+/// A suspect that nobody has tried for this long is tried again. Source: in the users'
+/// trial 3 s lost least, 5 s left too few targets in use.
+const TRIAL_AFTER: Duration = Duration::from_secs(3);
+/// How many trials of one suspect a second all boxes together make, on average.
+const TRIALS_PER_S: f64 = 1.0;
+/// A target is a suspect from this probability of failure on.
+const SUSPECT_FROM: f64 = 0.2;
+/// Weight of the newest request in a service's rate, time and size of answers.
+const AVERAGE_WEIGHT: f64 = 0.1;
+
+/// How the core is set.
+#[derive(Debug, Clone)]
+pub struct SteerSetup {
+    /// This box's data centre.
+    pub data_centre: Name,
+    /// What a kilobyte to or from another data centre costs, in worth of requests.
+    pub cross_cost: f64,
+    /// Retries that a request earns, 0 to 1. All boxes earn alike.
+    pub retry_share: f64,
+    /// Retries ahead of what was earned, of all boxes together.
+    pub retry_slack: f64,
+    /// Seeds the random choices.
+    pub seed: u64,
+}
+
+/// What a choice is made for.
+#[derive(Debug, Clone)]
+pub struct SteerRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Whether it may run more than once, and another attempt is left.
+    pub repeatable: bool,
+    /// What it is worth to be answered; 1 for an ordinary request.
+    pub worth: f64,
+    /// The time within which its answer is worth most.
+    pub goal: Duration,
+    /// The time that is left for it.
+    pub left: Duration,
+    /// Targets that were tried for it.
+    pub tried: &'a [TargetKey],
+}
+
+/// A chosen target, with what decided it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SteerPick {
+    /// The target.
+    pub key: TargetKey,
+    /// Its instance's name, which the target checks.
+    pub id: Name,
+    /// Its address.
+    pub address: Name,
+    /// How likely the attempt was taken to fail, 0 to 1.
+    pub risk: f64,
+    /// Requests that it was taken to hold.
+    pub busy: f64,
+    /// Whether it is a suspect that is tried again.
+    pub trial: bool,
+}
+
+/// Why there is no choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPick {
+    /// The service has no target that takes work, or each was tried.
+    NoTarget,
+    /// Each target is so full that the request can't be answered in time.
+    Overloaded,
+}
+
+/// How an attempt ended, as far as it tells of the target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SteerOutcome {
+    /// A whole answer that speaks well of it, after this time.
+    Good(Duration),
+    /// A whole answer that says that it failed.
+    Failed,
+    /// No whole answer came back.
+    Broken,
+    /// It is open for longer than nearly all.
+    Overdue,
+    /// The target refused before it ran anything.
+    Shed,
+    /// The connection did not come up.
+    NotConnected,
+    /// Another target listens at the address.
+    WrongTarget,
+    /// Dropped by us, for reasons of our own.
+    Dropped,
+}
+
+/// What a target says of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it works on or that wait there.
+    pub held: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// What some boxes saw of one target since they last told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PeerSample {
+    /// Attempts that went well.
+    pub good: u32,
+    /// Attempts that failed.
+    pub bad: u32,
+    /// Attempts that are open for too long.
+    pub overdue: u32,
+    /// Mean time of the good ones, in milliseconds; 0 if unknown.
+    pub millis: u32,
+    /// What the target last said it holds.
+    pub held: Option<u32>,
+}
+
+/// Targets, beliefs about them, and the choice among them.
+#[derive(Debug)]
+pub struct SteerCore {
+    setup: SteerSetup,
+    pools: HashMap<Name, TargetPool>,
+    services: HashMap<TargetKey, Name>,
+    budgets: HashMap<Name, RetryBudget>,
+    boxes: usize,
+    random: SmallRng,
+}
+
+/// Fewer boxes are never assumed for the shares of the retry slack: a box that knows
+/// no peers must not take the whole of it. Source: 36 to 40 boxes at either user.
+const LEAST_BOXES: usize = 40;
+
+impl SteerCore {
+    /// A core that knows no targets.
+    pub fn new(setup: SteerSetup) -> SteerCore {
+        let random = SmallRng::seed_from_u64(setup.seed);
+        SteerCore {
+            setup,
+            pools: HashMap::new(),
+            services: HashMap::new(),
+            budgets: HashMap::new(),
+            boxes: 1,
+            random,
+        }
+    }
+
+    /// Takes all targets that take work. Those that stay keep what is known of them.
+    pub fn set_targets(&mut self, now: TimePoint, targets: Vec<SteerTarget>) {
+        let mut known: HashMap<TargetKey, TargetRecord> = HashMap::new();
+        let first = self.services.is_empty();
+        for pool in self.pools.values_mut() {
+            known.extend(pool.take_all());
+        }
+        self.services.clear();
+        for target in targets {
+            let key = target.key();
+            let service = target.service.clone();
+            let record = match known.remove(&key) {
+                Some(record) => record.with_setup(target),
+                None => TargetRecord::new(target, now, first),
+            };
+            self.services.insert(key, service.clone());
+            self.pools.entry(service).or_default().insert(key, record);
+        }
+        self.pools.retain(|_, pool| !pool.is_empty());
+    }
+
+    /// How many boxes share the budgets.
+    pub fn set_boxes(&mut self, boxes: usize) {
+        self.boxes = boxes.max(1);
+    }
+
+    /// Whether a target is known as one that takes work.
+    pub fn knows(&self, key: TargetKey) -> bool {
+        self.services.contains_key(&key)
+    }
+
+    /// A request for `service` came.
+    pub fn note_request(&mut self, now: TimePoint, service: &str) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.note_request(now);
+        }
+        self.budget(service).earn();
+    }
+
+    /// Takes a retry from the service's budget, if one is there.
+    pub fn spend_retry(&mut self, service: &str) -> bool {
+        self.budget(service).spend()
+    }
+
+    /// Chooses a target.
+    ///
+    /// # Errors
+    /// There is none that could answer in time.
+    pub fn pick(
+        &mut self,
+        now: TimePoint,
+        request: &SteerRequest<'_>,
+    ) -> Result<SteerPick, NoPick> {
+        let Some(pool) = self.pools.get(request.service) else {
+            return Err(NoPick::NoTarget);
+        };
+        let drawn = self.random.random::<f64>();
+        if let Some(pick) = self.trial(now, pool, request, drawn) {
+            return Ok(pick);
+        }
+        let mut scored: Vec<(TargetKey, f64)> = Vec::new();
+        let mut in_time = false;
+        for (key, record) in pool.records() {
+            if request.tried.contains(&key) {
+                continue;
+            }
+            let wait = record.wait(now, pool.usual_time(ASSUMED_TIME));
+            in_time |= wait < request.left;
+            scored.push((key, self.score(now, pool, record, wait, request)));
+        }
+        if scored.is_empty() {
+            return Err(NoPick::NoTarget);
+        }
+        if !in_time {
+            return Err(NoPick::Overloaded);
+        }
+        let key = sample(&scored, &mut self.random);
+        Ok(make_pick(key, &pool[key], now, false))
+    }
+
+    /// An attempt at a target begins.
+    pub fn begin(&mut self, now: TimePoint, key: TargetKey) {
+        if let Some(record) = self.record_mut(key) {
+            record.begin(now);
+        }
+    }
+
+    /// An attempt that began at `started` ended. Its answer had `bytes` bytes.
+    pub fn end(&mut self, now: TimePoint, key: TargetKey, outcome: SteerOutcome, bytes: usize) {
+        if let SteerOutcome::Good(time) = outcome
+            && let Some(pool) = self.pool_mut(key)
+        {
+            pool.note_answer(time, bytes, AVERAGE_WEIGHT);
+        }
+        let Some(record) = self.record_mut(key) else {
+            return;
+        };
+        if outcome != SteerOutcome::Overdue {
+            record.finish();
+        }
+        record.note_own(now, outcome);
+    }
+
+    /// A target told its load.
+    pub fn note_load(&mut self, now: TimePoint, key: TargetKey, load: LoadReport) {
+        if let Some(record) = self.record_mut(key) {
+            record.note_load(now, load.held);
+        }
+    }
+
+    /// Takes what a peer saw.
+    pub fn take_peer(&mut self, now: TimePoint, key: TargetKey, sample: &PeerSample) {
+        let Some(record) = self.record_mut(key) else {
+            return;
+        };
+        if let Some(held) = sample.held {
+            record.note_load(now, held);
+        }
+        if sample.millis > 0 {
+            record.note_time(Duration::from_millis(u64::from(sample.millis)));
+        }
+        record.note_peer(now, sample);
+    }
+
+    /// The time after which an attempt for `service` is longer open than nearly all.
+    pub fn overdue_after(&self, service: &str) -> Duration {
+        /// Times the usual time. Source: 1 in 100 sound answers takes over 3 times as long.
+        const OVERDUE_FACTOR: f64 = 3.5;
+        let pool = self.pools.get(service);
+        pool.map_or(ASSUMED_TIME, |pool| pool.usual_time(ASSUMED_TIME)).mul_f64(OVERDUE_FACTOR)
+    }
+
+    /// Probability that the next attempt at a target fails, for status pages and tests.
+    pub fn risk(&self, now: TimePoint, key: TargetKey) -> Option<f64> {
+        let service = self.services.get(&key)?;
+        Some(self.pools.get(service)?[key].risk(now))
+    }
+
+    fn score(
+        &self,
+        now: TimePoint,
+        pool: &TargetPool,
+        record: &TargetRecord,
+        wait: Duration,
+        request: &SteerRequest<'_>,
+    ) -> f64 {
+        let loss = if request.repeatable { request.worth * REPEAT_COST } else { request.worth };
+        let late = wait.as_secs_f64() / request.goal.as_secs_f64().max(0.001);
+        let cold = record.cold_left(now).as_secs_f64().min(1.0);
+        let away = record.setup.data_centre != self.setup.data_centre;
+        let crossing = if away { pool.answer_kb() * self.setup.cross_cost } else { 0.0 };
+        record.risk(now) * loss
+            + late * WAIT_COST * request.worth
+            + record.busy(now) / f64::from(record.setup.slots.max(1)) * BUSY_COST
+            + cold * BUSY_COST
+            + crossing
+    }
+
+    /// A suspect that nobody has tried for long, if it is this request's turn to try it.
+    /// Each box draws for itself, so that all together make about [`TRIALS_PER_S`].
+    fn trial(
+        &self,
+        now: TimePoint,
+        pool: &TargetPool,
+        request: &SteerRequest<'_>,
+        drawn: f64,
+    ) -> Option<SteerPick> {
+        let rate = pool.request_rate(now).max(0.1) * self.boxes as f64;
+        let chance = (TRIALS_PER_S / rate).min(0.5);
+        let due = pool.records().find(|(key, record)| {
+            record.risk(now) >= SUSPECT_FROM
+                && record.untried(now) >= TRIAL_AFTER
+                && record.path_clear(now)
+                && !request.tried.contains(key)
+        });
+        let (key, record) = due?;
+        (drawn < chance).then(|| make_pick(key, record, now, true))
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let burst = (self.setup.retry_slack / self.boxes.max(LEAST_BOXES) as f64).max(1.0);
+        let share = self.setup.retry_share;
+        self.budgets.entry(service.into()).or_insert_with(|| RetryBudget::new(share, burst))
+    }
+
+    fn pool_mut(&mut self, key: TargetKey) -> Option<&mut TargetPool> {
+        self.pools.get_mut(self.services.get(&key)?)
+    }
+
+    fn record_mut(&mut self, key: TargetKey) -> Option<&mut TargetRecord> {
+        self.pool_mut(key)?.get_mut(key)
+    }
+}
+
+fn make_pick(key: TargetKey, record: &TargetRecord, now: TimePoint, trial: bool) -> SteerPick {
+    SteerPick {
+        key,
+        id: record.setup.id.clone(),
+        address: record.setup.address.clone(),
+        risk: record.risk(now),
+        busy: record.busy(now),
+        trial,
+    }
+}
+
+/// Draws a key, each with a weight that falls with its score.
+fn sample(scored: &[(TargetKey, f64)], random: &mut SmallRng) -> TargetKey {
+    let least = scored.iter().map(|(_, score)| *score).fold(f64::INFINITY, f64::min);
+    let weight = |score: f64| (-(score - least) / TEMPERATURE).exp();
+    let total: f64 = scored.iter().map(|(_, score)| weight(*score)).sum();
+    let mut drawn = random.random::<f64>() * total;
+    for (key, score) in scored {
+        drawn -= weight(*score);
+        if drawn <= 0.0 {
+            return *key;
+        }
+    }
+    // Rounding may leave a rest after the last one.
+    scored[scored.len() - 1].0
+}
+
+/// What an outcome says about failing, if it says anything.
+pub(crate) fn belief_sample(outcome: SteerOutcome) -> Option<BeliefSample> {
+    match outcome {
+        SteerOutcome::Good(_) => Some(BeliefSample::Good),
+        SteerOutcome::Failed | SteerOutcome::Broken => Some(BeliefSample::Bad),
+        SteerOutcome::Overdue => Some(BeliefSample::Overdue),
+        SteerOutcome::Shed
+        | SteerOutcome::NotConnected
+        | SteerOutcome::WrongTarget
+        | SteerOutcome::Dropped => None,
+    }
+}
+
+/// A fresh belief about a target, for tests of what it learns.
+pub fn fresh_belief(now: TimePoint) -> TargetBelief {
+    TargetBelief::new(now, true)
+}
--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -11,11 +11,11 @@
 use eyre::{WrapErr, eyre};
 use wingbridge_agent::{AgentAddresses, AgentSettings, CutSwitch};
 use wingbridge_http::HttpClient;
-use wingbridge_platform::{BoxRecord, StoreClient};
 use wingbridge_process::stop::stop_pair;
 use wingbridge_process::{Outcome, StopHandle};
 use wingbridge_proxy::{ProxyAddresses, ProxySettings};
 use wingbridge_standin::{StoreHandle, TargetHandle, TargetSettings, serve_store, serve_target};
+use wingbridge_store::{BoxRecord, StoreClient};
 use wingctl::{ChangeReport, Changer, FleetClient};
 
 /// The secret of demonstration fleets.
--- a/crates/demo/tests/failures.rs
+++ b/crates/demo/tests/failures.rs
@@ -8,9 +8,9 @@
 use http_types::Method;
 use wingbridge_demo::caller::CallerRequest;
 use wingbridge_demo::{CallerLedger, LoadCaller};
-use wingbridge_platform::StoredValue;
 use wingbridge_process::Outcome;
 use wingbridge_standin::{StoreFaults, TargetFaults};
+use wingbridge_store::StoredValue;
 use wingctl::hands;
 
 use crate::small::{CALL_TIME, Load, eventually, kept_out_everywhere, small_system};
--- /dev/null
+++ b/crates/gateway/src/answers.rs
@@ -0,0 +1,137 @@
+//! Answers for callers: a target's as it came, or the box's own.
+
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use rand::Rng;
+use wingbridge_http::raw::head::write_field;
+use wingbridge_http::raw::{BodyDecoder, BodyLength, HeaderList, RawReader};
+
+/// A refused caller is told to stay away for this long at least.
+const RETRY_AFTER_LEAST: Duration = Duration::from_millis(300);
+/// Over how much longer the return of refused callers is spread.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(700);
+
+/// What a caller learns from the status, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallerOutcome {
+    /// A target's whole answer.
+    Answered,
+    /// No target ran any of it, and none will.
+    NotRun,
+    /// A target may have run it.
+    Unknown,
+    /// The request itself can't be taken.
+    Rejected,
+}
+
+impl CallerOutcome {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            CallerOutcome::Answered => "answered",
+            CallerOutcome::NotRun => "not-run",
+            CallerOutcome::Unknown => "unknown",
+            CallerOutcome::Rejected => "rejected",
+        }
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// All of it.
+    Held(Vec<u8>),
+    /// Its beginning; the rest waits in the target's connection.
+    Waiting(Box<WaitingBody>),
+    /// None, though headers may announce this length (`HEAD`).
+    Absent(Option<u64>),
+}
+
+/// A body that is too large to hold.
+#[derive(Debug)]
+pub(crate) struct WaitingBody {
+    pub(crate) reader: RawReader<TcpStream>,
+    pub(crate) decoder: BodyDecoder,
+    pub(crate) beginning: Vec<u8>,
+    pub(crate) length: BodyLength,
+}
+
+/// An answer for a caller.
+#[derive(Debug)]
+pub(crate) struct CallerAnswer {
+    pub(crate) status: u16,
+    pub(crate) reason: String,
+    pub(crate) headers: HeaderList,
+    pub(crate) body: AnswerBody,
+    pub(crate) outcome: CallerOutcome,
+    /// What decided it, for the log.
+    pub(crate) why: &'static str,
+}
+
+impl CallerAnswer {
+    /// An answer of the box's own.
+    pub(crate) fn own(status: u16, outcome: CallerOutcome, why: &'static str) -> CallerAnswer {
+        let mut headers = HeaderList::default();
+        headers.push("Content-Type", "text/plain");
+        CallerAnswer {
+            status,
+            reason: reason_phrase(status).to_string(),
+            headers,
+            body: AnswerBody::Held(format!("{why}\n").into_bytes()),
+            outcome,
+            why,
+        }
+    }
+
+    /// A refusal of something that no target ran or will run.
+    pub(crate) fn not_run(retry_after: &str, why: &'static str) -> CallerAnswer {
+        let mut answer = CallerAnswer::own(503, CallerOutcome::NotRun, why);
+        let wait = RETRY_AFTER_LEAST + RETRY_AFTER_SPREAD.mul_f64(rand::rng().random());
+        answer.headers.push(retry_after, format!("{:.2}", wait.as_secs_f64()));
+        answer
+    }
+
+    /// Head and, if it is held, body. `closes` is whether the connection ends with it.
+    pub(crate) fn encode(&self, closes: bool) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
+        bytes.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", self.status, self.reason).as_bytes());
+        self.headers.write(&mut bytes);
+        match &self.body {
+            AnswerBody::Held(body) => write_length(&mut bytes, body.len() as u64),
+            AnswerBody::Absent(Some(length)) => write_length(&mut bytes, *length),
+            AnswerBody::Absent(None) => {}
+            AnswerBody::Waiting(waiting) => match waiting.length {
+                BodyLength::Known(length) => write_length(&mut bytes, length),
+                _ => write_field(&mut bytes, "Transfer-Encoding", b"chunked"),
+            },
+        }
+        if closes {
+            write_field(&mut bytes, "Connection", b"close");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        if let AnswerBody::Held(body) = &self.body {
+            bytes.extend_from_slice(body);
+        }
+        bytes
+    }
+}
+
+fn write_length(bytes: &mut Vec<u8>, length: u64) {
+    write_field(bytes, "Content-Length", length.to_string().as_bytes());
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        414 => "URI Too Long",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Error",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,190 @@
+//! One attempt of a request at one target, over a connection of its own.
+//!
+//! Connections to targets are not kept. Of the requests that a box gets, a given target
+//! sees one in some ten seconds, which is when targets close idle connections: a pool
+//! would save little, and a request on a connection that closes under it is lost for
+//! good where it may not be repeated. So nothing that a target sends too much or too
+//! late can ever be taken for another request's answer.
+
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use futures::future::{Either, select};
+use futures::io::AsyncWriteExt;
+use wingbridge_decide::steer::LoadReport;
+use wingbridge_http::HttpError;
+use wingbridge_http::raw::head::write_field;
+use wingbridge_http::raw::{AnswerStart, BodyDecoder, BodyLength, HeaderList, RawReader};
+
+use crate::answers::{AnswerBody, WaitingBody};
+use crate::ports::HeaderNames;
+
+/// Time to connect. Between data centres a round trip takes some 3 ms; a connection that
+/// takes longer than this meets a cut path or a target that takes no more.
+const CONNECT_TIME: Duration = Duration::from_millis(120);
+/// Longest head of an answer, in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Longest answer that is held whole, in bytes. Held answers can be asked for again
+/// elsewhere if they break off; longer ones are passed on as they come.
+const HELD_BYTES: usize = 1 << 20;
+
+/// A request as it goes to targets. It is sent again as it stands.
+#[derive(Debug)]
+pub(crate) struct OutgoingRequest {
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) headers: HeaderList,
+    pub(crate) body: Vec<u8>,
+    pub(crate) has_body: bool,
+    /// The caller's id of it, which a target's answer must repeat.
+    pub(crate) request_id: Option<String>,
+}
+
+/// A target's whole or waiting answer.
+#[derive(Debug)]
+pub(crate) struct TargetAnswer {
+    pub(crate) start: AnswerStart,
+    pub(crate) body: AnswerBody,
+    pub(crate) bytes: usize,
+}
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub(crate) enum AttemptEnd {
+    /// An answer that can go to the caller.
+    Answered(Box<TargetAnswer>, Option<LoadReport>),
+    /// The target ran nothing of it, and says so.
+    Refused(Option<LoadReport>),
+    /// Another instance listens there, and ran nothing of it.
+    WrongTarget,
+    /// No byte of it was sent.
+    NotConnected(&'static str),
+    /// Bytes were sent and no answer that can be used came back.
+    Broken(String),
+}
+
+/// Where an attempt goes.
+#[derive(Debug)]
+pub(crate) struct AttemptPlan<'a> {
+    pub(crate) address: &'a str,
+    /// The instance that is meant.
+    pub(crate) instance: &'a str,
+    /// When the request must be answered.
+    pub(crate) until: Instant,
+    pub(crate) names: &'a HeaderNames,
+}
+
+/// Makes the attempt. Dropping the future closes the connection, which cancels the work.
+pub(crate) async fn attempt(request: &OutgoingRequest, plan: &AttemptPlan<'_>) -> AttemptEnd {
+    let connecting = TcpStream::connect(plan.address);
+    let mut stream = match async_std::future::timeout(CONNECT_TIME, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return AttemptEnd::NotConnected("the connection was refused"),
+        Err(_) => return AttemptEnd::NotConnected("the connection did not come up"),
+    };
+    if stream.set_nodelay(true).is_err() {
+        return AttemptEnd::NotConnected("the connection was closed");
+    }
+    let left = plan.until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return AttemptEnd::NotConnected("no time was left");
+    }
+    let bytes = encode(request, plan, left);
+    let mut reader = RawReader::new(stream.clone());
+    let answer = {
+        let write = std::pin::pin!(stream.write_all(&bytes));
+        let read = std::pin::pin!(read_answer(&mut reader, request));
+        match select(write, read).await {
+            Either::Left((Ok(()), read)) => read.await,
+            // The target may have answered before it stopped reading.
+            Either::Left((Err(_), read)) => read.await,
+            Either::Right((answer, _)) => answer,
+        }
+    };
+    match answer {
+        Ok((start, held)) => sort_answer(request, plan.names, reader, start, held),
+        Err(error) => AttemptEnd::Broken(error.to_string()),
+    }
+}
+
+/// Body as far as it was read, and the decoder where the rest waits.
+type HeldBody = (Vec<u8>, BodyDecoder);
+
+async fn read_answer(
+    reader: &mut RawReader<TcpStream>,
+    request: &OutgoingRequest,
+) -> Result<(AnswerStart, HeldBody), HttpError> {
+    let start = reader.answer_start(&request.method, HEAD_BYTES).await?;
+    let mut decoder = BodyDecoder::new(start.length);
+    let mut body = Vec::new();
+    let too_long = matches!(start.length, BodyLength::Known(length) if length > HELD_BYTES as u64);
+    while !too_long && !decoder.is_done() && body.len() <= HELD_BYTES {
+        reader.read_body(&mut decoder, &mut body).await?;
+    }
+    Ok((start, (body, decoder)))
+}
+
+fn sort_answer(
+    request: &OutgoingRequest,
+    names: &HeaderNames,
+    reader: RawReader<TcpStream>,
+    start: AnswerStart,
+    held: HeldBody,
+) -> AttemptEnd {
+    let load = start.headers.text(&names.load).and_then(parse_load);
+    if start.headers.has(&names.not_run) {
+        return AttemptEnd::Refused(load);
+    }
+    if start.status == 421 {
+        return AttemptEnd::WrongTarget;
+    }
+    let returned = start.headers.text(&names.request_id);
+    if request.request_id.as_deref() != returned && request.request_id.is_some() {
+        return AttemptEnd::Broken("the answer belongs to another request".into());
+    }
+    let good = (200..300).contains(&start.status);
+    if good && !start.headers.has(&names.proof) {
+        return AttemptEnd::Broken("the answer has no proof of its target".into());
+    }
+    let coding = start.headers.text("content-encoding");
+    if coding.is_some_and(|coding| !coding.eq_ignore_ascii_case("identity")) {
+        return AttemptEnd::Broken("the body is encoded, which nobody asked for".into());
+    }
+    let (body, decoder) = held;
+    let bytes = body.len();
+    let body = if start.length == BodyLength::None {
+        AnswerBody::Absent(start.announced)
+    } else if decoder.is_done() {
+        AnswerBody::Held(body)
+    } else {
+        let length = start.length;
+        AnswerBody::Waiting(Box::new(WaitingBody { reader, decoder, beginning: body, length }))
+    };
+    AttemptEnd::Answered(Box::new(TargetAnswer { start, body, bytes }), load)
+}
+
+fn encode(request: &OutgoingRequest, plan: &AttemptPlan<'_>, left: Duration) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(512 + request.body.len());
+    bytes.extend_from_slice(
+        format!("{} {} HTTP/1.1\r\n", request.method, request.target).as_bytes(),
+    );
+    request.headers.write(&mut bytes);
+    write_field(&mut bytes, &plan.names.time_left, left.as_millis().to_string().as_bytes());
+    write_field(&mut bytes, &plan.names.wanted_target, plan.instance.as_bytes());
+    if request.has_body {
+        write_field(&mut bytes, "Content-Length", request.body.len().to_string().as_bytes());
+    }
+    write_field(&mut bytes, "Connection", b"close");
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// Running, waiting and slots, with commas between.
+fn parse_load(text: &str) -> Option<LoadReport> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
+    let running = numbers.next()??;
+    let waiting = numbers.next()??;
+    let slots = numbers.next()??;
+    Some(LoadReport { held: running.saturating_add(waiting), slots })
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,172 @@
+//! What every task of a box shares.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use wingbridge_decide::TimePoint;
+use wingbridge_decide::steer::pool::SteerTarget;
+use wingbridge_decide::steer::split::WeightedSplit;
+use wingbridge_decide::steer::{SteerCore, SteerSetup};
+
+use crate::peers::PeerTable;
+use crate::ports::{EnvironmentPort, HeaderNames};
+use crate::routes::RouteConfig;
+use crate::settings::GatewaySettings;
+use crate::sightings::SightingBuffer;
+use crate::stopping::StopState;
+use crate::view::{KnownView, StoreView, ViewChange};
+
+/// What callers, targets, peers and the store have in common within a box.
+pub(crate) struct BoxContext {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) port: Arc<dyn EnvironmentPort>,
+    pub(crate) headers: Arc<HeaderNames>,
+    pub(crate) stopping: StopState,
+    pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) sightings: SightingBuffer,
+    pub(crate) view_changed: async_channel::Sender<()>,
+    /// Bytes of request bodies that are held now.
+    pub(crate) held_bodies: AtomicUsize,
+    started: Instant,
+    view: Mutex<KnownView>,
+    core: Mutex<SteerCore>,
+    split: Mutex<WeightedSplit>,
+    known: AtomicBool,
+}
+
+impl BoxContext {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        port: Arc<dyn EnvironmentPort>,
+        stopping: StopState,
+        sightings: SightingBuffer,
+        view_changed: async_channel::Sender<()>,
+        seed: u64,
+    ) -> Arc<BoxContext> {
+        let core = SteerCore::new(SteerSetup {
+            data_centre: settings.data_centre.as_str().into(),
+            cross_cost: settings.cross_cost,
+            retry_share: settings.retry_share,
+            retry_slack: settings.retry_slack,
+            seed,
+        });
+        let peers = PeerTable::new(&settings, seed);
+        Arc::new(BoxContext {
+            headers: port.headers(),
+            settings,
+            port,
+            stopping,
+            peers: Mutex::new(peers),
+            sightings,
+            view_changed,
+            held_bodies: AtomicUsize::new(0),
+            started: Instant::now(),
+            view: Mutex::default(),
+            core: Mutex::new(core),
+            split: Mutex::new(WeightedSplit::new(seed as f64 / u64::MAX as f64)),
+            known: AtomicBool::new(false),
+        })
+    }
+
+    /// Now, on the clock of the decision core.
+    pub(crate) fn now(&self) -> TimePoint {
+        TimePoint::default() + self.started.elapsed()
+    }
+
+    /// The decision core. It is held for single steps and never across a wait: at a box's
+    /// few requests a second a thread of its own would cost more wake-ups than it saves.
+    pub(crate) fn core(&self) -> MutexGuard<'_, SteerCore> {
+        lock(&self.core)
+    }
+
+    /// What is known of the store.
+    pub(crate) fn view(&self) -> MutexGuard<'_, KnownView> {
+        lock(&self.view)
+    }
+
+    /// The peers.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Option<Arc<RouteConfig>> {
+        self.view().config().cloned()
+    }
+
+    /// How old the view of the store is.
+    pub(crate) fn view_age(&self) -> Option<Duration> {
+        self.view().as_of().map(|as_of| as_of.elapsed())
+    }
+
+    /// The next part of a weighted split.
+    pub(crate) fn next_part(&self, weights: &[u32]) -> Option<usize> {
+        lock(&self.split).next(weights)
+    }
+
+    /// Whether the balancer should send callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.known.load(Ordering::Acquire) && !self.stopping.is_stopping()
+    }
+
+    /// Takes a view of the store, wherever it came from, and puts it in force.
+    pub(crate) fn take_view(&self, view: StoreView, as_of: Instant, source: &str) {
+        let revision = view.revision;
+        let change = {
+            let mut known = self.view();
+            let change = known.take(view, as_of, &*self.port);
+            if change.targets {
+                self.publish_targets(&known);
+            }
+            if known.config().is_some() && !self.known.swap(true, Ordering::AcqRel) {
+                log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
+            }
+            change
+        };
+        note_change(&change, revision, as_of, source);
+        // Full: a notice already waits.
+        let _ = self.view_changed.try_send(());
+    }
+
+    /// Hands the targets that take work to the core. The view must be held by the caller,
+    /// so that no older one can overtake it.
+    pub(crate) fn publish_targets(&self, known: &KnownView) {
+        let now = self.now();
+        let targets = known.usable(Instant::now()).into_iter().map(|target| SteerTarget {
+            id: target.id.clone(),
+            address: target.address.clone(),
+            service: target.service.clone(),
+            data_centre: target.data_centre.clone(),
+            slots: target.slots,
+            cold_until: now + target.cold_left,
+        });
+        let targets = targets.collect();
+        self.core().set_targets(now, targets);
+    }
+}
+
+/// Whole milliseconds, for logs and messages.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn note_change(change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
+    let age_ms = millis(as_of.elapsed());
+    if let Some(version) = change.config {
+        log::info!(version, revision, age_ms, source; "configuration-in-force");
+    }
+    if let Some(reason) = &change.refused {
+        log::error!(revision, reason = reason.as_str(), source; "configuration-refused");
+    }
+    for id in &change.left {
+        log::info!(target:% = id, revision, age_ms, source; "target-left");
+    }
+    for id in &change.joined {
+        log::info!(target:% = id, revision, age_ms, source; "target-joined");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,294 @@
+//! Datagrams between boxes: signs of life, the age of views, and what was seen of targets.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::net::UdpSocket;
+use async_std::task;
+use prost::Message;
+use wingbridge_decide::TargetKey;
+use wingbridge_decide::steer::PeerSample;
+use wingbridge_wire::gossip::{Beacon, Datagram, DatagramBody, Sighting, Sightings, ViewMark};
+
+use crate::context::BoxContext;
+use crate::sightings::Urgency;
+use crate::view_exchange::{fetch_view, view_mark};
+
+/// Time between two beacons to the own data centre.
+const NEAR_PERIOD: Duration = Duration::from_secs(1);
+/// Beacons between two that go to another data centre and list peers: bytes across have a price.
+const FAR_EVERY: u32 = 2;
+/// Time between two questions to seeds while no peer is known.
+const SEARCH_PERIOD: Duration = Duration::from_millis(250);
+/// How long successes wait for more before they are told.
+const SOON: Duration = Duration::from_millis(60);
+/// Longest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 4096;
+/// Sightings in one datagram at most: they fit 1,400 bytes.
+const SIGHTINGS: usize = 40;
+/// Wait after a failed read of the socket.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends and takes datagrams.
+pub(crate) struct GossipDuty {
+    context: Arc<BoxContext>,
+    socket: UdpSocket,
+    incarnation: u64,
+    fetching: async_channel::Sender<IpAddr>,
+}
+
+impl GossipDuty {
+    /// A duty over `socket`; peers with a newer view are named to `fetching`.
+    pub(crate) fn new(
+        context: Arc<BoxContext>,
+        socket: UdpSocket,
+        incarnation: u64,
+        fetching: async_channel::Sender<IpAddr>,
+    ) -> Arc<GossipDuty> {
+        Arc::new(GossipDuty { context, socket, incarnation, fetching })
+    }
+
+    /// Takes datagrams, until the task is dropped.
+    pub(crate) async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!(reason:% = error; "datagram-not-read");
+                    task::sleep(READ_PAUSE).await;
+                    continue;
+                }
+            };
+            match Datagram::decode(&buffer[..length]) {
+                Ok(datagram) => self.take(from.ip(), datagram).await,
+                Err(error) => {
+                    log::warn!(peer:% = from.ip(), reason:% = error; "datagram-malformed")
+                }
+            }
+        }
+    }
+
+    /// Sends signs of life, until the task is dropped.
+    pub(crate) async fn beat(self: Arc<Self>) {
+        let mut round: u32 = 0;
+        loop {
+            let lonely = self.context.peers().boxes() == 1;
+            if lonely {
+                self.search().await;
+                task::sleep(SEARCH_PERIOD).await;
+                continue;
+            }
+            round = round.wrapping_add(1);
+            self.beat_once(round).await;
+            task::sleep(NEAR_PERIOD).await;
+        }
+    }
+
+    /// Tells what was seen, until the ring closes.
+    pub(crate) async fn tell(self: Arc<Self>, wishes: Receiver<Urgency>) {
+        while let Ok(mut urgency) = wishes.recv().await {
+            let since = Instant::now();
+            while urgency == Urgency::Soon {
+                let left = SOON.saturating_sub(since.elapsed());
+                match async_std::future::timeout(left, wishes.recv()).await {
+                    Ok(Ok(next)) => urgency = next,
+                    Ok(Err(_)) => return,
+                    Err(_) => break,
+                }
+            }
+            self.tell_once().await;
+        }
+    }
+
+    /// Tells the own data centre how new the view is.
+    pub(crate) async fn tell_mark(&self) {
+        let near = self.context.peers().near();
+        self.send_beacon(&near, Beacon { mark: self.mark(), ..Beacon::default() }).await;
+    }
+
+    /// Tells everybody that this box ends.
+    pub(crate) async fn tell_leaving(&self) {
+        let mut all = self.context.peers().near();
+        all.extend(self.context.peers().far());
+        self.send_beacon(&all, Beacon { leaving: true, ..Beacon::default() }).await;
+    }
+
+    /// Asks the boxes at `hosts` whom they know.
+    pub(crate) async fn ask(&self, hosts: &[IpAddr]) {
+        let beacon = Beacon { asks: true, mark: self.mark(), ..Beacon::default() };
+        self.send_beacon(hosts, beacon).await;
+    }
+
+    /// Asks a box of another data centre how new its view is.
+    pub(crate) async fn ask_far(&self) {
+        let far = self.context.peers().some_far();
+        self.ask(far.as_slice()).await;
+    }
+
+    async fn search(&self) {
+        let own = self.context.settings.host();
+        let seeds = self.context.settings.seeds.iter().copied().filter(|seed| *seed != own);
+        let seeds: Vec<IpAddr> = seeds.collect();
+        self.ask(&seeds).await;
+    }
+
+    async fn beat_once(&self, round: u32) {
+        let now = Instant::now();
+        let (near, far, listed, gone) = {
+            let mut peers = self.context.peers();
+            let gone = peers.drop_silent(now);
+            let far = if round.is_multiple_of(FAR_EVERY) { peers.some_far() } else { None };
+            let listed = if far.is_some() { peers.listed(now) } else { Vec::new() };
+            (peers.near(), far, listed, gone)
+        };
+        for box_id in gone {
+            log::info!(peer = box_id.as_str(); "peer-lost");
+        }
+        self.note_boxes();
+        self.send_beacon(&near, Beacon { mark: self.mark(), ..Beacon::default() }).await;
+        if let Some(far) = far {
+            let beacon =
+                Beacon { asks: true, mark: self.mark(), peers: listed, ..Beacon::default() };
+            self.send_beacon(&[far], beacon).await;
+        }
+    }
+
+    fn note_boxes(&self) {
+        let boxes = self.context.peers().boxes();
+        self.context.core().set_boxes(boxes);
+    }
+
+    async fn tell_once(&self) {
+        let seen = self.context.sightings.take();
+        let (near, far) = {
+            let peers = self.context.peers();
+            (peers.near(), peers.far())
+        };
+        for part in seen.chunks(SIGHTINGS) {
+            self.send_sightings(&near, part.to_vec()).await;
+        }
+        // Only failures are worth their price across.
+        let bad: Vec<Sighting> =
+            seen.into_iter().filter(|seen| seen.bad + seen.overdue > 0).collect();
+        for part in bad.chunks(SIGHTINGS) {
+            self.send_sightings(&far, part.to_vec()).await;
+        }
+    }
+
+    async fn take(&self, from: IpAddr, datagram: Datagram) {
+        let now = Instant::now();
+        let Datagram { box_id, data_centre, incarnation, body } = datagram;
+        let new = self.context.peers().note_alive(from, &box_id, &data_centre, incarnation, now);
+        if new {
+            log::info!(peer = box_id.as_str(), data_centre = data_centre.as_str(); "peer-found");
+            self.note_boxes();
+        }
+        match body {
+            Some(DatagramBody::Beacon(beacon)) => self.take_beacon(from, now, beacon).await,
+            Some(DatagramBody::Sightings(sightings)) => self.take_sightings(&sightings),
+            None => {}
+        }
+    }
+
+    async fn take_beacon(&self, from: IpAddr, now: Instant, beacon: Beacon) {
+        if beacon.leaving {
+            self.context.peers().note_leaving(from);
+            return;
+        }
+        let found: Vec<IpAddr> = {
+            let mut peers = self.context.peers();
+            let near = peers.near();
+            for told in &beacon.peers {
+                peers.note_told(now, told);
+            }
+            peers.near().into_iter().filter(|host| !near.contains(host)).collect()
+        };
+        if !found.is_empty() {
+            // They learn of this box by it.
+            self.send_beacon(&found, Beacon { mark: self.mark(), ..Beacon::default() }).await;
+        }
+        if beacon.asks {
+            let listed = self.context.peers().listed(now);
+            let answer = Beacon { mark: self.mark(), peers: listed, ..Beacon::default() };
+            self.send_beacon(&[from], answer).await;
+        }
+        if let Some(mark) = beacon.mark {
+            self.compare_view(from, now, mark);
+        }
+    }
+
+    /// Takes a peer's word that the view is still right, or has the newer one fetched.
+    fn compare_view(&self, from: IpAddr, now: Instant, mark: ViewMark) {
+        let Some(as_of) = now.checked_sub(Duration::from_millis(mark.age_ms)) else {
+            return;
+        };
+        let mut known = self.context.view();
+        let newer = known.as_of().is_none_or(|held| as_of > held);
+        if mark.revision < known.revision() || !newer {
+            return;
+        }
+        if mark.digest == known.digest() {
+            known.confirm(mark.revision, as_of);
+            // Full: a notice already waits.
+            let _ = self.context.view_changed.try_send(());
+            return;
+        }
+        // Full: one is being fetched, and the next beacon asks again.
+        let _ = self.fetching.try_send(from);
+    }
+
+    fn take_sightings(&self, sightings: &Sightings) {
+        let now = self.context.now();
+        let mut core = self.context.core();
+        for seen in &sightings.targets {
+            let sample = PeerSample {
+                good: seen.good,
+                bad: seen.bad,
+                overdue: seen.overdue,
+                millis: seen.millis,
+                held: seen.held_plus_one.checked_sub(1),
+            };
+            core.take_peer(now, TargetKey(seen.target), &sample);
+        }
+    }
+
+    fn mark(&self) -> Option<ViewMark> {
+        view_mark(&self.context.view())
+    }
+
+    async fn send_beacon(&self, hosts: &[IpAddr], beacon: Beacon) {
+        self.send(hosts, DatagramBody::Beacon(beacon)).await;
+    }
+
+    async fn send_sightings(&self, hosts: &[IpAddr], targets: Vec<Sighting>) {
+        self.send(hosts, DatagramBody::Sightings(Sightings { targets })).await;
+    }
+
+    async fn send(&self, hosts: &[IpAddr], body: DatagramBody) {
+        let settings = &self.context.settings;
+        let datagram = Datagram {
+            box_id: settings.box_id.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            body: Some(body),
+        };
+        let bytes = datagram.encode_to_vec();
+        for host in hosts {
+            let address = SocketAddr::new(*host, settings.gossip_port);
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                // A datagram may be lost anyway; the next one tells the same.
+                log::debug!(peer:% = host, reason:% = error; "datagram-not-sent");
+            }
+        }
+    }
+}
+
+/// Fetches views from the peers that are named, one at a time, until the ring closes.
+pub(crate) async fn fetch_views(context: Arc<BoxContext>, named: Receiver<IpAddr>) {
+    while let Ok(host) = named.recv().await {
+        fetch_view(&context, host).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,299 @@
+//! Connections of callers: requests read, answers written, hang-ups seen.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::future::{Either, select};
+use futures::io::AsyncWriteExt;
+use wingbridge_http::raw::{BodyDecoder, BodyLength, RawReader, RequestStart};
+use wingbridge_http::{ErrorKind, HttpError};
+
+use crate::answers::{AnswerBody, CallerAnswer, CallerOutcome, WaitingBody};
+use crate::context::BoxContext;
+use crate::requests::{CallerRequest, answer_request};
+use crate::routes::CallerLimits;
+
+/// Wait after a failed accept, and while all connections are taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes that a caller may send ahead while its request is answered.
+const AHEAD_BYTES: usize = 64 * 1024;
+/// Time that a caller has to take a piece of its answer before it counts as gone.
+const WRITE_TIME: Duration = Duration::from_secs(10);
+/// Bytes of an answer that are written at once.
+const PIECE_BYTES: usize = 64 * 1024;
+/// Wait for room while too many bodies are held.
+const ROOM_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes callers' connections, until the task is dropped.
+pub(crate) async fn take_callers(listener: TcpListener, context: Arc<BoxContext>) {
+    loop {
+        if context.stopping.open_connections() >= context.settings.connections {
+            // They wait in the listener's queue: an accepted one would count as taken.
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = Arc::clone(&context);
+                let held = context.stopping.hold_connection();
+                task::spawn(async move {
+                    serve_caller(stream, &context).await;
+                    drop(held);
+                });
+            }
+            Err(error) => {
+                log::warn!(reason:% = error; "accept-failed");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(stream: TcpStream, context: &Arc<BoxContext>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(reason:% = error; "caller-gone");
+        return;
+    }
+    let mut connection = CallerConnection { reader: RawReader::new(stream.clone()), stream };
+    while connection.wait_request(context).await {
+        let busy = context.stopping.hold_request();
+        let goes_on = connection.serve_one(context).await;
+        drop(busy);
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+struct CallerConnection {
+    reader: RawReader<TcpStream>,
+    stream: TcpStream,
+}
+
+impl CallerConnection {
+    /// Waits for a request's first byte; false if none comes or none is to be read.
+    async fn wait_request(&mut self, context: &BoxContext) -> bool {
+        if context.stopping.is_closing() {
+            return false;
+        }
+        if self.reader.has_ahead() {
+            return true;
+        }
+        let idle_time = limits(context).idle_time;
+        let first = std::pin::pin!(async_std::future::timeout(idle_time, self.reader.wait_first()));
+        let closing = std::pin::pin!(context.stopping.wait_closing());
+        match select(first, closing).await {
+            Either::Left((first, _)) => matches!(first, Ok(Ok(true))),
+            Either::Right(_) => false,
+        }
+    }
+
+    /// Serves one request; returns whether the connection goes on.
+    async fn serve_one(&mut self, context: &Arc<BoxContext>) -> bool {
+        let since = Instant::now();
+        let (start, body, room) = match self.read_request(context, since).await {
+            Ok(Some(read)) => read,
+            Ok(None) => return false,
+            Err(error) => {
+                self.reject(context, &error).await;
+                return false;
+            }
+        };
+        let closes = start.closes;
+        let request = CallerRequest { start, body, since };
+        let answer = {
+            let work = std::pin::pin!(answer_request(context, request));
+            let closed = std::pin::pin!(self.reader.wait_closed(AHEAD_BYTES));
+            match select(work, closed).await {
+                Either::Left((answer, _)) => answer,
+                Either::Right(_) => {
+                    let taken_ms = crate::context::millis(since.elapsed());
+                    log::info!(taken_ms; "caller-hung-up");
+                    metrics::counter!("wingbridge_hang_ups").increment(1);
+                    return false;
+                }
+            }
+        };
+        drop(room);
+        let closes = closes || context.stopping.is_stopping();
+        self.write_answer(answer, closes).await && !closes
+    }
+
+    async fn read_request<'a>(
+        &mut self,
+        context: &'a BoxContext,
+        since: Instant,
+    ) -> Result<Option<(RequestStart, Vec<u8>, BodyRoom<'a>)>, HttpError> {
+        let limits = limits(context);
+        let read = self.reader.request_start(limits.head_bytes);
+        let Ok(start) = async_std::future::timeout(limits.head_time, read).await else {
+            return Err(HttpError::new(ErrorKind::TimedOut, "the head took too long to arrive"));
+        };
+        let Some(start) = start? else {
+            return Ok(None);
+        };
+        if let BodyLength::Known(length) = start.length
+            && length > limits.body_bytes as u64
+        {
+            return Err(too_long(&limits));
+        }
+        if start.expects_continue {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        let mut room = BodyRoom::new(context);
+        let mut decoder = BodyDecoder::new(start.length);
+        let mut body = Vec::new();
+        while !decoder.is_done() {
+            room.wait_for(body.len(), since + limits.idle_time).await?;
+            let read = self.reader.read_body(&mut decoder, &mut body);
+            let Ok(read) = async_std::future::timeout(limits.idle_time, read).await else {
+                return Err(HttpError::new(
+                    ErrorKind::TimedOut,
+                    "the body took too long to arrive",
+                ));
+            };
+            read?;
+            if body.len() > limits.body_bytes {
+                return Err(too_long(&limits));
+            }
+        }
+        room.take(body.len());
+        Ok(Some((start, body, room)))
+    }
+
+    async fn reject(&mut self, context: &BoxContext, error: &HttpError) {
+        let gone = matches!(error.kind(), ErrorKind::Io | ErrorKind::CutShort);
+        log::info!(reason:% = error, gone; "request-rejected");
+        if gone {
+            return;
+        }
+        let answer = if error.kind() == ErrorKind::TimedOut {
+            let mut answer = CallerAnswer::not_run(
+                &context.headers.retry_after,
+                "the request took too long to arrive",
+            );
+            answer.status = 408;
+            answer
+        } else {
+            CallerAnswer::own(error.status(), CallerOutcome::Rejected, "the request can't be taken")
+        };
+        self.write_answer(answer, true).await;
+    }
+
+    /// Writes an answer; returns whether all of it went out.
+    async fn write_answer(&mut self, answer: CallerAnswer, closes: bool) -> bool {
+        let head = answer.encode(closes);
+        if !self.write(&head).await {
+            return false;
+        }
+        match answer.body {
+            AnswerBody::Waiting(waiting) => self.pass_on(*waiting).await,
+            AnswerBody::Held(_) | AnswerBody::Absent(_) => true,
+        }
+    }
+
+    /// Passes a long body on. Where it breaks off, the caller's connection is closed short
+    /// of the announced end, which no client can take for the whole.
+    async fn pass_on(&mut self, mut waiting: WaitingBody) -> bool {
+        let chunked = !matches!(waiting.length, BodyLength::Known(_));
+        let mut piece = std::mem::take(&mut waiting.beginning);
+        loop {
+            let bytes = if chunked { as_chunk(&piece) } else { std::mem::take(&mut piece) };
+            if !self.write(&bytes).await {
+                return false;
+            }
+            piece.clear();
+            if waiting.decoder.is_done() {
+                return !chunked || self.write(b"0\r\n\r\n").await;
+            }
+            let read = waiting.reader.read_body(&mut waiting.decoder, &mut piece);
+            match async_std::future::timeout(WRITE_TIME, read).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => {
+                    log::warn!(reason:% = error; "answer-broke-off");
+                    return false;
+                }
+                Err(_) => {
+                    log::warn!(reason = "it stood still"; "answer-broke-off");
+                    return false;
+                }
+            }
+        }
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> bool {
+        for piece in bytes.chunks(PIECE_BYTES) {
+            let written =
+                async_std::future::timeout(WRITE_TIME, self.stream.write_all(piece)).await;
+            if !matches!(written, Ok(Ok(()))) {
+                log::info!(reason = "its connection failed or stood still"; "caller-gone");
+                return false;
+            }
+        }
+        true
+    }
+}
+
+fn as_chunk(piece: &[u8]) -> Vec<u8> {
+    if piece.is_empty() {
+        // An empty chunk would end the body.
+        return Vec::new();
+    }
+    let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
+    bytes.extend_from_slice(piece);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+fn limits(context: &BoxContext) -> CallerLimits {
+    context.config().map(|config| config.limits.clone()).unwrap_or_default()
+}
+
+fn too_long(limits: &CallerLimits) -> HttpError {
+    let reason = format!("the body is longer than {} bytes", limits.body_bytes);
+    HttpError::new(ErrorKind::BodyTooLarge, reason)
+}
+
+/// The part of the room for request bodies that one request holds.
+struct BodyRoom<'a> {
+    context: &'a BoxContext,
+    held: usize,
+}
+
+impl<'a> BodyRoom<'a> {
+    fn new(context: &'a BoxContext) -> BodyRoom<'a> {
+        BodyRoom { context, held: 0 }
+    }
+
+    fn take(&mut self, bytes: usize) {
+        let more = bytes.saturating_sub(self.held);
+        self.context.held_bodies.fetch_add(more, Ordering::AcqRel);
+        self.held += more;
+    }
+
+    /// Takes `bytes` and waits while all requests together hold too much. One alone may
+    /// always go on, so that a body at the limit is read however small the room is.
+    async fn wait_for(&mut self, bytes: usize, until: Instant) -> Result<(), HttpError> {
+        self.take(bytes);
+        let most = self.context.settings.held_body_bytes;
+        loop {
+            let all = self.context.held_bodies.load(Ordering::Acquire);
+            if all <= most || all == self.held {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                return Err(HttpError::new(ErrorKind::TimedOut, "there was no room for the body"));
+            }
+            task::sleep(ROOM_PAUSE).await;
+        }
+    }
+}
+
+impl Drop for BodyRoom<'_> {
+    fn drop(&mut self) {
+        self.context.held_bodies.fetch_sub(self.held, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,179 @@
+//! The boxes that this one knows, and who of a data centre reads the store.
+//!
+//! There is no list of boxes to be had. A box asks its seeds, whoever answers names
+//! those that it knows, and signs of life keep the table. Nobody has to agree on it:
+//! a box that is missing here costs a call to the store or an item of news, no more.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use wingbridge_decide::names::rendezvous_weight;
+use wingbridge_wire::gossip::PeerRecord;
+
+use crate::context::millis;
+use crate::settings::GatewaySettings;
+
+/// A box of the own data centre that was silent this long is taken as gone: three beacons.
+const NEAR_SILENCE: Duration = Duration::from_millis(3500);
+/// A box elsewhere, of which only third boxes tell, is taken as gone after this long.
+const FAR_SILENCE: Duration = Duration::from_secs(12);
+/// Peers in one message at most: they fit one datagram of 1,400 bytes.
+const LISTED: usize = 24;
+
+/// A known box.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerEntry {
+    pub(crate) host: IpAddr,
+    pub(crate) data_centre: String,
+    pub(crate) box_id: String,
+    pub(crate) incarnation: u64,
+    heard: Instant,
+}
+
+/// The table of known boxes, this one left out.
+#[derive(Debug)]
+pub(crate) struct PeerTable {
+    own_host: IpAddr,
+    own_id: String,
+    own_centre: String,
+    peers: HashMap<IpAddr, PeerEntry>,
+    random: SmallRng,
+}
+
+impl PeerTable {
+    pub(crate) fn new(settings: &GatewaySettings, seed: u64) -> PeerTable {
+        PeerTable {
+            own_host: settings.host(),
+            own_id: settings.box_id.clone(),
+            own_centre: settings.data_centre.clone(),
+            peers: HashMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Notes a sign of life; returns whether the box was unknown.
+    pub(crate) fn note_alive(
+        &mut self,
+        host: IpAddr,
+        box_id: &str,
+        data_centre: &str,
+        incarnation: u64,
+        heard: Instant,
+    ) -> bool {
+        if host == self.own_host {
+            return false;
+        }
+        let known = self.peers.get_mut(&host);
+        if let Some(peer) = known
+            && peer.incarnation == incarnation
+        {
+            peer.heard = peer.heard.max(heard);
+            return false;
+        }
+        let entry = PeerEntry {
+            host,
+            data_centre: data_centre.to_string(),
+            box_id: box_id.to_string(),
+            incarnation,
+            heard,
+        };
+        let known = self.peers.get(&host);
+        if known.is_some_and(|peer| peer.heard > heard) {
+            return false;
+        }
+        self.peers.insert(host, entry).is_none()
+    }
+
+    /// Takes what a peer told of another box; returns whether it was unknown.
+    pub(crate) fn note_told(&mut self, now: Instant, told: &PeerRecord) -> bool {
+        let Ok(host) = told.host.parse::<IpAddr>() else {
+            return false;
+        };
+        let age = Duration::from_millis(u64::from(told.age_ms));
+        let silence = self.silence(&told.data_centre);
+        if age >= silence {
+            return false;
+        }
+        let Some(heard) = now.checked_sub(age) else {
+            return false;
+        };
+        self.note_alive(host, &told.box_id, &told.data_centre, told.incarnation, heard)
+    }
+
+    /// A box said that it ends.
+    pub(crate) fn note_leaving(&mut self, host: IpAddr) {
+        self.peers.remove(&host);
+    }
+
+    /// Forgets boxes that were silent for too long; returns their names.
+    pub(crate) fn drop_silent(&mut self, now: Instant) -> Vec<String> {
+        let own = self.own_centre.clone();
+        let silent = |peer: &PeerEntry| {
+            let limit = if peer.data_centre == own { NEAR_SILENCE } else { FAR_SILENCE };
+            now.saturating_duration_since(peer.heard) >= limit
+        };
+        let gone: Vec<String> = self
+            .peers
+            .values()
+            .filter(|peer| silent(peer))
+            .map(|peer| peer.box_id.clone())
+            .collect();
+        self.peers.retain(|_, peer| !silent(peer));
+        gone
+    }
+
+    /// Boxes of the own data centre.
+    pub(crate) fn near(&self) -> Vec<IpAddr> {
+        let near = self.peers.values().filter(|peer| peer.data_centre == self.own_centre);
+        near.map(|peer| peer.host).collect()
+    }
+
+    /// Boxes of other data centres.
+    pub(crate) fn far(&self) -> Vec<IpAddr> {
+        let far = self.peers.values().filter(|peer| peer.data_centre != self.own_centre);
+        far.map(|peer| peer.host).collect()
+    }
+
+    /// A box of another data centre, by chance.
+    pub(crate) fn some_far(&mut self) -> Option<IpAddr> {
+        let own = &self.own_centre;
+        let far = self.peers.values().filter(|peer| peer.data_centre != *own);
+        far.map(|peer| peer.host).choose(&mut self.random)
+    }
+
+    /// How many boxes are known, this one counted.
+    pub(crate) fn boxes(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// This box's place among those of its data centre that read the store: 0 reads
+    /// for the others, the next one steps in when it hears nothing, and so on.
+    pub(crate) fn reading_rank(&self) -> usize {
+        let weight = |box_id: &str| rendezvous_weight(&self.own_centre, box_id);
+        let own = weight(&self.own_id);
+        let near = self.peers.values().filter(|peer| peer.data_centre == self.own_centre);
+        near.filter(|peer| weight(&peer.box_id) > own).count()
+    }
+
+    /// Known boxes for a message; those of the receiver's choice first are not needed.
+    pub(crate) fn listed(&mut self, now: Instant) -> Vec<PeerRecord> {
+        let record = |peer: &PeerEntry| PeerRecord {
+            host: peer.host.to_string(),
+            data_centre: peer.data_centre.clone(),
+            box_id: peer.box_id.clone(),
+            incarnation: peer.incarnation,
+            age_ms: u32::try_from(millis(now.saturating_duration_since(peer.heard)))
+                .unwrap_or(u32::MAX),
+        };
+        let chosen = self.peers.values().choose_multiple(&mut self.random, LISTED);
+        chosen.into_iter().map(record).collect()
+    }
+
+    fn silence(&self, data_centre: &str) -> Duration {
+        if data_centre == self.own_centre { NEAR_SILENCE } else { FAR_SILENCE }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports.rs
@@ -0,0 +1,92 @@
+//! What a box needs of its environment, in the product's own terms.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+
+use crate::routes::RouteConfig;
+use crate::view::StoreView;
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// The store did not answer in time, or the connection failed.
+    Unreachable,
+    /// The store turned the call away.
+    Refused,
+    /// The answer can't be used.
+    Malformed,
+}
+
+/// A failed call to the store.
+#[derive(Debug, Clone)]
+pub struct StoreError {
+    fault: StoreFault,
+    reason: String,
+}
+
+impl StoreError {
+    /// An error with one line that says why.
+    pub fn new(fault: StoreFault, reason: impl Into<String>) -> StoreError {
+        StoreError { fault, reason: reason.into() }
+    }
+
+    /// What kind of failure it is.
+    pub fn fault(&self) -> StoreFault {
+        self.fault
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// The store, and the formats of the environment.
+pub trait EnvironmentPort: Send + Sync + 'static {
+    /// Reads the configuration and all targets.
+    fn read_store(&self) -> BoxFuture<'_, Result<StoreView, StoreError>>;
+
+    /// The addresses of boxes that others have left in the store.
+    fn read_contacts(&self) -> BoxFuture<'_, Result<Vec<IpAddr>, StoreError>>;
+
+    /// Leaves the addresses of some boxes of a data centre in the store.
+    fn write_contacts<'a>(
+        &'a self,
+        data_centre: &'a str,
+        hosts: &'a [IpAddr],
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Decodes a configuration as the store holds it.
+    ///
+    /// # Errors
+    /// One line on what can't be used.
+    fn decode_config(&self, text: &[u8]) -> Result<RouteConfig, String>;
+
+    /// The names of the headers that carry what requests and answers tell.
+    fn headers(&self) -> Arc<HeaderNames>;
+}
+
+/// Names of headers, by what they carry.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// The caller's id of the request, returned by targets.
+    pub request_id: String,
+    /// Milliseconds that are left, from the caller and towards the target.
+    pub time_left: String,
+    /// Which instance is meant, towards the target.
+    pub wanted_target: String,
+    /// The target's proof that it made the answer.
+    pub proof: String,
+    /// The target's word that it ran nothing.
+    pub not_run: String,
+    /// The target's load: running, waiting, slots.
+    pub load: String,
+    /// Seconds after which a refused caller may come back.
+    pub retry_after: String,
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,141 @@
+//! Starts a box's duties, and ends them without cutting a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::net::{TcpListener, UdpSocket};
+use async_std::task;
+use wingbridge_http::server::{ServerSettings, serve, text_response};
+use wingbridge_process::metrics::render_metrics;
+use wingbridge_process::{Outcome, StopSignal};
+
+use crate::context::{BoxContext, millis};
+use crate::gossip::{GossipDuty, fetch_views};
+use crate::intake::take_callers;
+use crate::ports::EnvironmentPort;
+use crate::settings::GatewaySettings;
+use crate::sightings::SightingBuffer;
+use crate::stopping::StopState;
+use crate::store_duty::StoreDuty;
+use crate::view_exchange::serve_views;
+
+/// The balancer needs this long after "not ready" to send no more callers: two questions,
+/// a second apart, and some.
+const BALANCER_TIME: Duration = Duration::from_millis(3000);
+/// Connections that rest are closed this long before the end of a planned stop.
+const IDLE_CLOSE_BEFORE: Duration = Duration::from_millis(900);
+/// The process ends this long before the environment would kill it.
+const END_BEFORE: Duration = Duration::from_millis(150);
+/// Time between two looks at what is still open during a planned stop.
+const STOP_STEP: Duration = Duration::from_millis(50);
+const METRICS_PATH: &str = "/metrics";
+
+/// Runs a box until `stop`, then until what is in flight has ended or the time is over.
+///
+/// # Errors
+/// An address can't be listened on.
+pub fn run(
+    settings: GatewaySettings,
+    port: Arc<dyn EnvironmentPort>,
+    stop: &StopSignal,
+    reloads: Receiver<()>,
+) -> eyre::Result<Outcome> {
+    task::block_on(run_duties(settings, port, stop, reloads))
+}
+
+async fn run_duties(
+    settings: GatewaySettings,
+    port: Arc<dyn EnvironmentPort>,
+    stop: &StopSignal,
+    reloads: Receiver<()>,
+) -> eyre::Result<Outcome> {
+    let seed: u64 = rand::random();
+    let callers = TcpListener::bind(settings.callers).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    let exchange = TcpListener::bind(settings.exchange).await?;
+    let socket = UdpSocket::bind(SocketAddr::new(settings.host(), settings.gossip_port)).await?;
+    let (sightings, wishes) = SightingBuffer::new();
+    let (view_changed, notices) = async_channel::bounded(1);
+    let (fetching, named) = async_channel::bounded(1);
+    let stopping = StopState::new();
+    log::info!(
+        box_id = settings.box_id.as_str(), data_centre = settings.data_centre.as_str(),
+        callers:% = settings.callers, seed, version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
+    let context = BoxContext::new(settings, port, stopping, sightings, view_changed, seed);
+    let gossip = GossipDuty::new(Arc::clone(&context), socket, seed, fetching);
+    let store = StoreDuty::new(Arc::clone(&context), Arc::clone(&gossip), seed);
+    let duties = [
+        task::spawn(serve_readiness(readiness, Arc::clone(&context))),
+        task::spawn(serve_views(exchange, Arc::clone(&context))),
+        task::spawn(Arc::clone(&gossip).receive()),
+        task::spawn(Arc::clone(&gossip).beat()),
+        task::spawn(Arc::clone(&gossip).tell(wishes)),
+        task::spawn(fetch_views(Arc::clone(&context), named)),
+        task::spawn(store.run(notices)),
+        task::spawn(note_reloads(reloads)),
+        task::spawn(take_callers(callers, Arc::clone(&context))),
+    ];
+    stop.wait().await;
+    let whole = wind_down(&context).await;
+    gossip.tell_leaving().await;
+    log::info!(whole, open = context.stopping.open_connections(); "stopped");
+    for duty in duties {
+        duty.cancel().await;
+    }
+    Ok(if whole { Outcome::Done } else { Outcome::CheckFailed })
+}
+
+/// Serves what is open and what still comes, and returns when nothing is left or the
+/// time is over; true if nothing is cut.
+async fn wind_down(context: &BoxContext) -> bool {
+    let began = Instant::now();
+    let stopping = &context.stopping;
+    stopping.begin();
+    log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
+    let stop_time = context.settings.stop_time;
+    let idle_close = stop_time.saturating_sub(IDLE_CLOSE_BEFORE);
+    let end = stop_time.saturating_sub(END_BEFORE);
+    while began.elapsed() < end {
+        if began.elapsed() >= BALANCER_TIME && stopping.open_connections() == 0 {
+            break;
+        }
+        if began.elapsed() >= idle_close && !stopping.is_closing() {
+            log::info!(open = stopping.open_connections(), after_ms = millis(began.elapsed()); "closing-idle");
+            stopping.close_idle();
+        }
+        task::sleep(STOP_STEP).await;
+    }
+    stopping.busy_requests() == 0
+}
+
+async fn serve_readiness(listener: TcpListener, context: Arc<BoxContext>) {
+    serve(listener, ServerSettings::default(), move |request| {
+        let context = Arc::clone(&context);
+        async move {
+            let path = request.incoming.request.url().path().to_string();
+            if path == METRICS_PATH {
+                return text_response(200, &render_metrics());
+            }
+            if path != context.settings.readiness_path {
+                return text_response(404, "no such end point");
+            }
+            if context.is_ready() {
+                text_response(200, "ready")
+            } else {
+                text_response(503, "not ready")
+            }
+        }
+    })
+    .await;
+}
+
+/// Settings are read at the start alone; a reload is noted and changes nothing.
+async fn note_reloads(reloads: Receiver<()>) {
+    while reloads.recv().await.is_ok() {
+        log::info!(outcome = "settings are read at the start; nothing changes"; "reload");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of a box, already checked.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// This box.
+    pub box_id: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness, and metrics are.
+    pub readiness: SocketAddr,
+    /// The path that the balancer asks for.
+    pub readiness_path: String,
+    /// Where peers fetch the view of the store.
+    pub exchange: SocketAddr,
+    /// The port on which all boxes take datagrams.
+    pub gossip_port: u16,
+    /// Addresses of some boxes; any of them may be stale.
+    pub seeds: Vec<IpAddr>,
+    /// Time between SIGTERM and the end, at most.
+    pub stop_time: Duration,
+    /// Time after which a change that the store took must be in force.
+    pub change_time: Duration,
+    /// Retries that a request earns, 0 to 1.
+    pub retry_share: f64,
+    /// Retries ahead of what was earned, of all boxes together.
+    pub retry_slack: f64,
+    /// What a kilobyte to another data centre costs, in worth of requests.
+    pub cross_cost: f64,
+    /// Connections of callers at once.
+    pub connections: usize,
+    /// Bytes of request bodies that are held at once, in all requests together.
+    pub held_body_bytes: usize,
+    /// How much is logged.
+    pub log_level: String,
+}
+
+impl GatewaySettings {
+    /// This box's IP number among its peers.
+    pub fn host(&self) -> IpAddr {
+        self.exchange.ip()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stopping.rs
@@ -0,0 +1,95 @@
+//! The steps of a planned stop, as all tasks see them.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use async_channel::{Receiver, Sender};
+
+/// How far a planned stop is.
+#[derive(Debug, Clone)]
+pub(crate) struct StopState {
+    stopping: Arc<AtomicBool>,
+    /// Connections of callers that are open.
+    open: Arc<AtomicUsize>,
+    /// Requests that are read and not yet answered.
+    busy: Arc<AtomicUsize>,
+    close: Sender<Infallible>,
+    closed: Receiver<Infallible>,
+}
+
+impl StopState {
+    pub(crate) fn new() -> StopState {
+        let (close, closed) = async_channel::bounded(1);
+        StopState {
+            stopping: Arc::default(),
+            open: Arc::default(),
+            busy: Arc::default(),
+            close,
+            closed,
+        }
+    }
+
+    /// The stop begins: callers are told to go elsewhere, and all are still served.
+    pub(crate) fn begin(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether a stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Connections that rest are closed from now on, and no further request is read.
+    pub(crate) fn close_idle(&self) {
+        self.close.close();
+    }
+
+    /// Whether no further request is to be read.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closed.is_closed()
+    }
+
+    /// Waits until [`StopState::close_idle`].
+    pub(crate) async fn wait_closing(&self) {
+        // Nothing is ever sent: the only end is that the channel closes.
+        let _ = self.closed.recv().await;
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn hold_connection(&self) -> CountGuard {
+        CountGuard::new(&self.open)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn hold_request(&self) -> CountGuard {
+        CountGuard::new(&self.busy)
+    }
+
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn busy_requests(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+}
+
+/// Counts something while it lives.
+#[derive(Debug)]
+pub(crate) struct CountGuard {
+    count: Arc<AtomicUsize>,
+}
+
+impl CountGuard {
+    fn new(count: &Arc<AtomicUsize>) -> CountGuard {
+        count.fetch_add(1, Ordering::AcqRel);
+        CountGuard { count: Arc::clone(count) }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,241 @@
+//! What a box knows of the store: configuration and targets, and how old that is.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wingbridge_decide::Name;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::ports::EnvironmentPort;
+use crate::routes::RouteConfig;
+
+/// A gap between two readings from which on the store counts as away: twice the time
+/// by which any box in doubt reads for itself (see `store_duty`).
+const AWAY_AFTER: Duration = Duration::from_millis(2500);
+/// Targets that are missing after an outage have this long to come back. Source: the
+/// users' letter, "about two seconds".
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// A target as the store lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// The instance's name, new at each of its starts.
+    pub id: Name,
+    /// Where it listens.
+    pub address: Name,
+    /// Its service.
+    pub service: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// For how long it was still slow from its start, when it was read.
+    pub cold_left: Duration,
+}
+
+/// What the store held at one revision.
+#[derive(Debug, Clone, Default)]
+pub struct StoreView {
+    /// All changes up to here are in it.
+    pub revision: u64,
+    /// The configuration as the store holds it, if there is one.
+    pub config: Option<ConfigText>,
+    /// All targets, in the order of their names.
+    pub targets: Vec<TargetEntry>,
+}
+
+/// A configuration as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigText {
+    /// The store's revision of it.
+    pub revision: u64,
+    /// Its bytes.
+    pub text: Arc<[u8]>,
+}
+
+impl StoreView {
+    /// A hash over all that matters to requests, to see whether two views differ.
+    pub fn digest(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(&self.config.as_ref().map_or(0, |config| config.revision).to_le_bytes());
+        for target in &self.targets {
+            for text in [&target.id, &target.address, &target.service, &target.data_centre] {
+                hash.update(text.as_bytes());
+                hash.update(&[0]);
+            }
+            hash.update(&[u8::from(target.draining)]);
+        }
+        hash.digest()
+    }
+}
+
+/// What changed when a view was taken.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ViewChange {
+    /// The version of a configuration that came into force.
+    pub config: Option<u64>,
+    /// Why a configuration could not be taken; the one before stays in force.
+    pub refused: Option<String>,
+    /// Whether the targets that take work are others now.
+    pub targets: bool,
+    /// Instances that left or are leaving since the view before.
+    pub left: Vec<Name>,
+    /// Instances that came.
+    pub joined: Vec<Name>,
+}
+
+/// The newest view, and what follows from the views before it.
+#[derive(Debug, Default)]
+pub struct KnownView {
+    view: StoreView,
+    digest: u64,
+    as_of: Option<Instant>,
+    config: Option<Arc<RouteConfig>>,
+    config_revision: u64,
+    /// Instances that were seen leaving: they never come back under their names. One that
+    /// is merely gone may, since its entry lapses while it is cut from the store.
+    left: HashSet<Name>,
+    /// Instances that an outage of the store took from the list, until when they are used.
+    lapsed: HashMap<Name, (TargetEntry, Instant)>,
+    return_until: Option<Instant>,
+}
+
+impl KnownView {
+    /// The store's revision that this view is of.
+    pub fn revision(&self) -> u64 {
+        self.view.revision
+    }
+
+    /// The hash over the view.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// When the read that this view is of began; `None` before the first.
+    pub fn as_of(&self) -> Option<Instant> {
+        self.as_of
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<RouteConfig>> {
+        self.config.as_ref()
+    }
+
+    /// What the store held.
+    pub fn view(&self) -> &StoreView {
+        &self.view
+    }
+
+    /// Notes that the view was still right at `as_of`, by a peer that holds the same.
+    pub fn confirm(&mut self, revision: u64, as_of: Instant) {
+        if revision >= self.view.revision {
+            self.view.revision = revision;
+            self.note_time(as_of);
+        }
+    }
+
+    /// Takes a view, unless a newer one is known.
+    pub fn take(
+        &mut self,
+        view: StoreView,
+        as_of: Instant,
+        port: &dyn EnvironmentPort,
+    ) -> ViewChange {
+        let mut change = ViewChange::default();
+        if view.revision < self.view.revision {
+            return change;
+        }
+        self.note_time(as_of);
+        self.take_config(&view, port, &mut change);
+        self.take_targets(view, as_of, &mut change);
+        change
+    }
+
+    /// Targets that take work now.
+    pub fn usable(&self, now: Instant) -> Vec<&TargetEntry> {
+        let listed = self.view.targets.iter();
+        let listed = listed.filter(|target| !target.draining && !self.left.contains(&target.id));
+        let lapsed = self.lapsed.values().filter(|(_, until)| now < *until);
+        listed.chain(lapsed.map(|(target, _)| target)).collect()
+    }
+
+    /// Drops lapsed targets whose time is over; returns whether there were some.
+    pub fn drop_lapsed(&mut self, now: Instant) -> bool {
+        let before = self.lapsed.len();
+        self.lapsed.retain(|_, (_, until)| now < *until);
+        before != self.lapsed.len()
+    }
+
+    fn note_time(&mut self, as_of: Instant) {
+        match self.as_of {
+            Some(before) if as_of <= before => {}
+            Some(before) => {
+                if as_of - before > AWAY_AFTER {
+                    self.return_until = Some(as_of + RETURN_TIME);
+                }
+                self.as_of = Some(as_of);
+            }
+            None => self.as_of = Some(as_of),
+        }
+    }
+
+    fn take_config(
+        &mut self,
+        view: &StoreView,
+        port: &dyn EnvironmentPort,
+        change: &mut ViewChange,
+    ) {
+        let Some(text) = &view.config else {
+            return;
+        };
+        if text.revision <= self.config_revision {
+            return;
+        }
+        match port.decode_config(&text.text) {
+            Ok(config)
+                if self.config.as_ref().is_some_and(|held| held.version > config.version) =>
+            {
+                change.refused = Some(format!("its version {} is older", config.version));
+            }
+            Ok(config) => {
+                change.config = Some(config.version);
+                self.config = Some(Arc::new(config));
+            }
+            Err(reason) => change.refused = Some(reason),
+        }
+        self.config_revision = text.revision;
+    }
+
+    fn take_targets(&mut self, view: StoreView, as_of: Instant, change: &mut ViewChange) {
+        let listed: HashSet<&Name> = view.targets.iter().map(|target| &target.id).collect();
+        let returning = self.return_until.filter(|until| as_of < *until);
+        for target in &self.view.targets {
+            if listed.contains(&target.id) || self.left.contains(&target.id) {
+                continue;
+            }
+            match returning {
+                Some(until) if !target.draining => {
+                    self.lapsed.insert(target.id.clone(), (target.clone(), until));
+                }
+                _ => change.left.push(target.id.clone()),
+            }
+        }
+        let known: HashSet<&Name> = self.view.targets.iter().map(|target| &target.id).collect();
+        for target in &view.targets {
+            self.lapsed.remove(&target.id);
+            if target.draining && self.left.insert(target.id.clone()) {
+                change.left.push(target.id.clone());
+            }
+            if !target.draining && !known.contains(&target.id) {
+                change.joined.push(target.id.clone());
+            }
+        }
+        let digest = view.digest();
+        change.targets = digest != self.digest;
+        self.digest = digest;
+        self.view = view;
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod error;
 pub mod head;
 mod memory;
+pub mod raw;
 pub mod reader;
 pub mod server;
 
 pub use client::{HttpClient, HttpReply};
 pub use error::{ErrorKind, HttpError};
 pub use head::{BodyFraming, MessageLimits};
+pub use http_types::Method;
 pub use reader::{AnswerBody, IncomingAnswer, IncomingRequest, MessageReader};
--- a/crates/process/src/stop.rs
+++ b/crates/process/src/stop.rs
@@ -4,7 +4,7 @@
 use std::thread;
 
 use async_channel::{Receiver, Sender};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// Stops what holds the matching [`StopSignal`], when asked to or when dropped.
@@ -58,3 +58,33 @@
     })?;
     Ok(signal)
 }
+
+/// Signals that a process acts on.
+#[derive(Debug)]
+pub struct ProcessSignals {
+    /// Given by SIGTERM and SIGINT.
+    pub stop: StopSignal,
+    /// One message for each SIGHUP; several that come at once may be one.
+    pub reloads: Receiver<()>,
+}
+
+/// Takes SIGTERM, SIGINT and SIGHUP.
+///
+/// # Errors
+/// The operating system refused the handlers.
+pub fn watch_signals() -> std::io::Result<ProcessSignals> {
+    let (handle, stop) = stop_pair();
+    let (reload, reloads) = async_channel::bounded(1);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    thread::Builder::new().name("signals".into()).spawn(move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                // Full: a reload already waits.
+                let _ = reload.try_send(());
+            } else {
+                handle.stop();
+            }
+        }
+    })?;
+    Ok(ProcessSignals { stop, reloads })
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use wingbridge_http::server::{ServerSettings, json_response, serve, text_response};
 use wingbridge_http::{IncomingRequest, MessageLimits};
-use wingbridge_platform::BoxRecord;
+use wingbridge_store::BoxRecord;
 
 use crate::store_state::{CallGate, StoreFaults, StoreHandle};
 
--- a/crates/standin/src/store_state.rs
+++ b/crates/standin/src/store_state.rs
@@ -7,7 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use serde::{Deserialize, Serialize};
-use wingbridge_platform::{BoxListing, BoxRecord, CallBudget, KeyListing, KeyRecord, WriteReply};
+use wingbridge_store::{BoxListing, BoxRecord, CallBudget, KeyListing, KeyRecord, WriteReply};
 
 /// Faults of the store.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -4,8 +4,8 @@
 
 use async_std::net::TcpListener;
 use async_std::task;
-use wingbridge_platform::{StoreClient, StoreError};
 use wingbridge_standin::{StoreFaults, StoreHandle, serve_store};
+use wingbridge_store::{StoreClient, StoreError};
 
 const NO_WAIT: Duration = Duration::ZERO;
 /// Nothing here waits this long: a change ends the wait.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -60,6 +60,29 @@
     (reader, writer)
 }
 
+/// Writes one message of any type to `stream`, framed as [`FrameWriter`] frames its own.
+///
+/// # Errors
+/// The connection failed, or the message is over [`MAX_FRAME`].
+pub async fn send_message(stream: &TcpStream, message: &impl Message) -> Result<(), WireError> {
+    let mut frames = FramedWrite::new(stream.compat_write(), codec());
+    frames.send(Bytes::from(message.encode_to_vec())).await?;
+    Ok(())
+}
+
+/// Reads one message from `stream`, on which nothing else follows.
+///
+/// # Errors
+/// The connection failed or closed before, or the message is malformed or too long.
+pub async fn receive_message<M: Message + Default>(stream: &TcpStream) -> Result<M, WireError> {
+    let mut frames = FramedRead::new(stream.compat(), codec());
+    let Some(bytes) = frames.next().await else {
+        return Err(WireError::new(ErrorKind::Malformed, "closed before a message"));
+    };
+    let message = M::decode(bytes?);
+    message.map_err(|error| WireError::new(ErrorKind::Malformed, error.to_string()))
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
 }
--- /dev/null
+++ b/crates/wire/src/gossip.rs
@@ -0,0 +1,167 @@
+//! What boxes tell each other by datagrams, and the state that one fetches from another.
+//!
+//! A datagram may be lost, repeated or late, so each stands for itself: whatever is
+//! missed is told again by a later one or fetched over a connection.
+
+use prost::{Message, Oneof};
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// The sender's box.
+    #[prost(string, tag = "1")]
+    pub box_id: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Another number after each start of the sender.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// What is told.
+    #[prost(oneof = "DatagramBody", tags = "4, 5")]
+    pub body: Option<DatagramBody>,
+}
+
+/// What a datagram tells.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum DatagramBody {
+    /// The sender is alive, and how new its view of the store is.
+    #[prost(message, tag = "4")]
+    Beacon(Beacon),
+    /// What the sender saw of targets.
+    #[prost(message, tag = "5")]
+    Sightings(Sightings),
+}
+
+/// A sign of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct Beacon {
+    /// Whether the receiver should answer with a beacon that lists peers.
+    #[prost(bool, tag = "1")]
+    pub asks: bool,
+    /// Whether the sender is about to end.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// The sender's view of the store; absent while it has none.
+    #[prost(message, optional, tag = "3")]
+    pub mark: Option<ViewMark>,
+    /// Boxes that the sender knows. Left out where the receiver needs none.
+    #[prost(message, repeated, tag = "4")]
+    pub peers: Vec<PeerRecord>,
+}
+
+/// How new a view of the store is.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ViewMark {
+    /// The store's revision up to which all changes are in the view.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Milliseconds since the read that gave it began.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// A hash over the view, to see whether another one differs.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+}
+
+/// A box that another one knows.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerRecord {
+    /// Its IP number, as a text.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Its name.
+    #[prost(string, tag = "3")]
+    pub box_id: String,
+    /// Its incarnation.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
+    /// Milliseconds since it was last heard of.
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+}
+
+/// What a box saw of targets since it last told.
+#[derive(Clone, PartialEq, Message)]
+pub struct Sightings {
+    /// One for each target.
+    #[prost(message, repeated, tag = "1")]
+    pub targets: Vec<Sighting>,
+}
+
+/// What a box saw of one target.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Sighting {
+    /// The target's key.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Attempts that went well.
+    #[prost(uint32, tag = "2")]
+    pub good: u32,
+    /// Attempts that failed.
+    #[prost(uint32, tag = "3")]
+    pub bad: u32,
+    /// Attempts that are open for too long.
+    #[prost(uint32, tag = "4")]
+    pub overdue: u32,
+    /// Mean time of the good ones, in milliseconds; 0 if unknown.
+    #[prost(uint32, tag = "5")]
+    pub millis: u32,
+    /// One more than the requests that the target last said it holds; 0 if it said nothing.
+    #[prost(uint32, tag = "6")]
+    pub held_plus_one: u32,
+}
+
+/// Asks a peer for its whole view of the store.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ViewRequest {
+    /// The digest that the asker holds.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+}
+
+/// A whole view of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct ViewReply {
+    /// How new it is; absent if the peer has none.
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<ViewMark>,
+    /// The configuration as the store holds it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub config: Vec<u8>,
+    /// The store's revision of the configuration; 0 if there is none.
+    #[prost(uint64, tag = "3")]
+    pub config_revision: u64,
+    /// All targets.
+    #[prost(message, repeated, tag = "4")]
+    pub targets: Vec<TargetRecord>,
+}
+
+/// A target as the store lists it.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TargetRecord {
+    /// The instance's name.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Where it listens.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Its service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Its data centre.
+    #[prost(string, tag = "4")]
+    pub data_centre: String,
+    /// Requests that it works on at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Whether it leaves.
+    #[prost(bool, tag = "6")]
+    pub draining: bool,
+    /// For how long it is still slow from its start, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub cold_ms: u64,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,10 +8,11 @@
 pub mod convert;
 pub mod error;
 pub mod frame;
+pub mod gossip;
 pub mod handshake;
 pub mod messages;
 
 pub use error::{ErrorKind, WireError};
-pub use frame::{FrameReader, FrameWriter, MAX_FRAME, split_stream};
+pub use frame::{FrameReader, FrameWriter, MAX_FRAME, receive_message, send_message, split_stream};
 pub use handshake::{FleetKey, HandshakeSide};
 pub use messages::*;
