--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -9,6 +9,7 @@
 //! floor can be broken by a wrong suspicion: a target is only less likely to be picked.
 
 pub mod belief;
+pub mod ledger;
 pub mod pool;
 pub mod split;
 
@@ -18,23 +19,26 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::budget::RetryBudget;
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, TargetBelief};
+use crate::steer::ledger::{RetryBounds, RetryLedger, RetryTally};
 use crate::steer::pool::{SteerTarget, TargetPool, TargetRecord};
 use crate::time::TimePoint;
 
-/// Score differences of this size (in worth of requests) change how often a target is
-/// picked by a factor of e. Smaller herds all boxes onto one target; larger sends work
-/// to suspects. Source: `docs/MEASURED.md`, steering.
-const TEMPERATURE: f64 = 0.04;
-/// What a failed attempt costs where the request can be sent again, as a share of its
-/// worth: the time of the second attempt, a retry of the budget, and that it fails too.
-const REPEAT_COST: f64 = 0.3;
-/// What waiting as long as the goal costs, as a share of the worth.
-const WAIT_COST: f64 = 0.5;
+/// Score differences of this size change how often a target is picked by a factor of e.
+/// Smaller herds all boxes onto one target; larger sends work to suspects.
+/// Source: `docs/MEASURED.md`, steering.
+const TEMPERATURE: f64 = 0.1;
+/// What a request that is not served costs, in the worth of an ordinary one: the users
+/// count the served share in nines, so a lost request weighs more than its own worth.
+const LOST_COST: f64 = 3.0;
+/// What a failed attempt costs where the request can be sent again, as a share of that:
+/// a retry of the budget, the time, and that the second one may fail too.
+const REPEAT_SHARE: f64 = 0.35;
+/// What waiting as long as the goal costs: half of an ordinary request's worth and more.
+const WAIT_COST: f64 = 1.0;
 /// What each busy slot costs, so that equal targets share the work.
-const BUSY_COST: f64 = 0.03;
+const BUSY_COST: f64 = 0.08;
 /// Service time that is assumed while none was seen. Source: the users' work times, 190 to 420 ms.
 const ASSUMED_TIME: Duration = Duration::from_millis(300);
 /// A suspect that nobody has tried for this long is tried again. Source: in the users'
@@ -44,8 +48,12 @@
 const TRIALS_PER_S: f64 = 1.0;
 /// A target is a suspect from this probability of failure on.
 const SUSPECT_FROM: f64 = 0.2;
-/// Weight of the newest request in a service's rate, time and size of answers.
-const AVERAGE_WEIGHT: f64 = 0.1;
+/// The same, while a service fails more than [`FAILING_FROM`]: then too few of its
+/// targets are in use, and sound ones may be among those that are left alone.
+const FAILING_TRIAL_AFTER: Duration = Duration::from_millis(1000);
+const FAILING_TRIALS_PER_S: f64 = 2.5;
+/// Failed share of a service's attempts. Source: the users' floor holds from a tenth on.
+const FAILING_FROM: f64 = 0.07;
 
 /// How the core is set.
 #[derive(Debug, Clone)]
@@ -54,10 +62,8 @@
     pub data_centre: Name,
     /// What a kilobyte to or from another data centre costs, in worth of requests.
     pub cross_cost: f64,
-    /// Retries that a request earns, 0 to 1. All boxes earn alike.
-    pub retry_share: f64,
-    /// Retries ahead of what was earned, of all boxes together.
-    pub retry_slack: f64,
+    /// Bounds on the retries of all boxes together.
+    pub retries: RetryBounds,
     /// Seeds the random choices.
     pub seed: u64,
 }
@@ -69,8 +75,8 @@
     pub service: &'a str,
     /// Whether it may run more than once, and another attempt is left.
     pub repeatable: bool,
-    /// What it is worth to be answered; 1 for an ordinary request.
-    pub worth: f64,
+    /// Whether its answer is large.
+    pub large: bool,
     /// The time within which its answer is worth most.
     pub goal: Duration,
     /// The time that is left for it.
@@ -156,7 +162,8 @@
     setup: SteerSetup,
     pools: HashMap<Name, TargetPool>,
     services: HashMap<TargetKey, Name>,
-    budgets: HashMap<Name, RetryBudget>,
+    ledgers: HashMap<Name, RetryLedger>,
+    near_boxes: usize,
     boxes: usize,
     random: SmallRng,
 }
@@ -173,7 +180,8 @@
             setup,
             pools: HashMap::new(),
             services: HashMap::new(),
-            budgets: HashMap::new(),
+            ledgers: HashMap::new(),
+            near_boxes: 1,
             boxes: 1,
             random,
         }
@@ -200,9 +208,11 @@
         self.pools.retain(|_, pool| !pool.is_empty());
     }
 
-    /// How many boxes share the budgets.
-    pub fn set_boxes(&mut self, boxes: usize) {
-        self.boxes = boxes.max(1);
+    /// How many boxes share the budgets: those of the own data centre, which tell each
+    /// other what they did, and all. This box is counted.
+    pub fn set_boxes(&mut self, near: usize, all: usize) {
+        self.near_boxes = near.max(1);
+        self.boxes = all.max(near).max(1);
     }
 
     /// Whether a target is known as one that takes work.
@@ -215,12 +225,31 @@
         if let Some(pool) = self.pools.get_mut(service) {
             pool.note_request(now);
         }
-        self.budget(service).earn();
+        self.ledger(service).note_own(now, RetryTally { requests: 1, retries: 0 });
     }
 
-    /// Takes a retry from the service's budget, if one is there.
-    pub fn spend_retry(&mut self, service: &str) -> bool {
-        self.budget(service).spend()
+    /// Takes a retry from the budget that all boxes share, if one is there.
+    pub fn spend_retry(&mut self, now: TimePoint, service: &str) -> bool {
+        let (bounds, near) = (self.setup.retries, self.near_boxes);
+        let all = self.boxes.max(LEAST_BOXES);
+        let ledger = self.ledger(service);
+        let allowed = ledger.allows(now, &bounds, near, all);
+        if allowed {
+            ledger.note_own(now, RetryTally { requests: 0, retries: 1 });
+        }
+        allowed
+    }
+
+    /// Takes what a peer of the own data centre did of a service.
+    pub fn take_tally(&mut self, now: TimePoint, service: &str, tally: RetryTally) {
+        self.ledger(service).note_told(now, tally);
+    }
+
+    /// What this box did and has not told yet.
+    pub fn untold_tallies(&mut self) -> Vec<(Name, RetryTally)> {
+        let untold = self.ledgers.iter_mut();
+        let untold = untold.map(|(service, ledger)| (service.clone(), ledger.take_untold()));
+        untold.filter(|(_, tally)| !tally.is_empty()).collect()
     }
 
     /// Chooses a target.
@@ -271,7 +300,12 @@
         if let SteerOutcome::Good(time) = outcome
             && let Some(pool) = self.pool_mut(key)
         {
-            pool.note_answer(time, bytes, AVERAGE_WEIGHT);
+            pool.note_answer(time, bytes);
+        }
+        if let Some(good) = speaks_well(outcome)
+            && let Some(pool) = self.pool_mut(key)
+        {
+            pool.note_outcomes(now, u32::from(good), u32::from(!good));
         }
         let Some(record) = self.record_mut(key) else {
             return;
@@ -291,7 +325,11 @@
 
     /// Takes what a peer saw.
     pub fn take_peer(&mut self, now: TimePoint, key: TargetKey, sample: &PeerSample) {
-        let Some(record) = self.record_mut(key) else {
+        let Some(pool) = self.pool_mut(key) else {
+            return;
+        };
+        pool.note_outcomes(now, sample.good, sample.bad);
+        let Some(record) = pool.get_mut(key) else {
             return;
         };
         if let Some(held) = sample.held {
@@ -325,13 +363,14 @@
         wait: Duration,
         request: &SteerRequest<'_>,
     ) -> f64 {
-        let loss = if request.repeatable { request.worth * REPEAT_COST } else { request.worth };
+        let loss = if request.repeatable { LOST_COST * REPEAT_SHARE } else { LOST_COST };
         let late = wait.as_secs_f64() / request.goal.as_secs_f64().max(0.001);
         let cold = record.cold_left(now).as_secs_f64().min(1.0);
         let away = record.setup.data_centre != self.setup.data_centre;
-        let crossing = if away { pool.answer_kb() * self.setup.cross_cost } else { 0.0 };
+        let crossing =
+            if away { pool.crossing_kb(request.large) * self.setup.cross_cost } else { 0.0 };
         record.risk(now) * loss
-            + late * WAIT_COST * request.worth
+            + late * WAIT_COST
             + record.busy(now) / f64::from(record.setup.slots.max(1)) * BUSY_COST
             + cold * BUSY_COST
             + crossing
@@ -346,11 +385,17 @@
         request: &SteerRequest<'_>,
         drawn: f64,
     ) -> Option<SteerPick> {
+        let failing = pool.failing_share(now) >= FAILING_FROM;
+        let (after, per_s) = if failing {
+            (FAILING_TRIAL_AFTER, FAILING_TRIALS_PER_S)
+        } else {
+            (TRIAL_AFTER, TRIALS_PER_S)
+        };
         let rate = pool.request_rate(now).max(0.1) * self.boxes as f64;
-        let chance = (TRIALS_PER_S / rate).min(0.5);
+        let chance = (per_s / rate).min(0.5);
         let due = pool.records().find(|(key, record)| {
             record.risk(now) >= SUSPECT_FROM
-                && record.untried(now) >= TRIAL_AFTER
+                && record.untried(now) >= after
                 && record.path_clear(now)
                 && !request.tried.contains(key)
         });
@@ -358,10 +403,11 @@
         (drawn < chance).then(|| make_pick(key, record, now, true))
     }
 
-    fn budget(&mut self, service: &str) -> &mut RetryBudget {
-        let burst = (self.setup.retry_slack / self.boxes.max(LEAST_BOXES) as f64).max(1.0);
-        let share = self.setup.retry_share;
-        self.budgets.entry(service.into()).or_insert_with(|| RetryBudget::new(share, burst))
+    fn ledger(&mut self, service: &str) -> &mut RetryLedger {
+        if !self.ledgers.contains_key(service) {
+            self.ledgers.insert(service.into(), RetryLedger::default());
+        }
+        self.ledgers.get_mut(service).expect("it was just put there")
     }
 
     fn pool_mut(&mut self, key: TargetKey) -> Option<&mut TargetPool> {
@@ -413,6 +459,15 @@
     }
 }
 
+/// Whether an outcome counts as good or bad for its service, if it counts.
+fn speaks_well(outcome: SteerOutcome) -> Option<bool> {
+    match outcome {
+        SteerOutcome::Good(_) => Some(true),
+        SteerOutcome::Failed | SteerOutcome::Broken => Some(false),
+        _ => None,
+    }
+}
+
 /// A fresh belief about a target, for tests of what it learns.
 pub fn fresh_belief(now: TimePoint) -> TargetBelief {
     TargetBelief::new(now, true)
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -180,14 +180,43 @@
     }
 }
 
+/// Size of large answers while few were seen, in kilobytes. Source: the users' map packs
+/// and mosaics, 90 KB on average.
+const LARGE_KB: f64 = 90.0;
+/// Answers after which an average moves by a tenth with each further one.
+const SETTLED: f64 = 10.0;
+/// Outcomes of a service are averaged over about this time.
+const OUTCOME_TIME: Duration = Duration::from_secs(2);
+
+/// A running average: of all values at first, of the last ones later.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunningAverage {
+    value: f64,
+    count: f64,
+}
+
+impl RunningAverage {
+    fn add(&mut self, value: f64) {
+        self.count = (self.count + 1.0).min(SETTLED);
+        self.value += (value - self.value) / self.count;
+    }
+
+    fn get(&self) -> Option<f64> {
+        (self.count > 0.0).then_some(self.value)
+    }
+}
+
 /// The targets of one service.
 #[derive(Debug, Default)]
 pub struct TargetPool {
     records: BTreeMap<TargetKey, TargetRecord>,
-    usual: Option<f64>,
-    answer_bytes: f64,
+    usual: RunningAverage,
+    small_bytes: RunningAverage,
     rate: f64,
     rate_at: TimePoint,
+    good: f64,
+    bad: f64,
+    outcomes_at: TimePoint,
 }
 
 impl TargetPool {
@@ -213,14 +242,34 @@
 
     /// The usual time of a request.
     pub(crate) fn usual_time(&self, assumed: Duration) -> Duration {
-        self.usual.map_or(assumed, Duration::from_secs_f64)
+        self.usual.get().map_or(assumed, Duration::from_secs_f64)
     }
 
-    /// The usual size of an answer with its headers, in kilobytes.
-    pub(crate) fn answer_kb(&self) -> f64 {
-        /// Headers, and the request itself.
+    /// Kilobytes that an attempt moves: the answer, the request, and their headers.
+    pub(crate) fn crossing_kb(&self, large: bool) -> f64 {
+        /// The request and all headers.
         const OVERHEAD_KB: f64 = 1.0;
-        self.answer_bytes / 1000.0 + OVERHEAD_KB
+        if large { LARGE_KB } else { self.small_bytes.value / 1000.0 + OVERHEAD_KB }
+    }
+
+    /// The share of the service's last attempts that failed, by all boxes that tell.
+    pub(crate) fn failing_share(&self, now: TimePoint) -> f64 {
+        /// Outcomes below which the share says nothing.
+        const ENOUGH: f64 = 4.0;
+        let kept = self.kept_outcomes(now);
+        let all = (self.good + self.bad) * kept;
+        if all < ENOUGH { 0.0 } else { self.bad * kept / all }
+    }
+
+    pub(crate) fn note_outcomes(&mut self, now: TimePoint, good: u32, bad: u32) {
+        let kept = self.kept_outcomes(now);
+        self.good = self.good * kept + f64::from(good);
+        self.bad = self.bad * kept + f64::from(bad);
+        self.outcomes_at = now;
+    }
+
+    fn kept_outcomes(&self, now: TimePoint) -> f64 {
+        (-(now.since(self.outcomes_at).as_secs_f64()) / OUTCOME_TIME.as_secs_f64()).exp()
     }
 
     /// Requests a second that this box gets for the service.
@@ -234,11 +283,13 @@
         self.rate_at = now;
     }
 
-    pub(crate) fn note_answer(&mut self, time: Duration, bytes: usize, weight: f64) {
-        let time = time.as_secs_f64();
-        let before = self.usual.unwrap_or(time);
-        self.usual = Some(before + (time - before) * weight);
-        self.answer_bytes += (bytes as f64 - self.answer_bytes) * weight;
+    pub(crate) fn note_answer(&mut self, time: Duration, bytes: usize) {
+        /// Answers up to here count as small.
+        const SMALL_BYTES: usize = 16 * 1024;
+        self.usual.add(time.as_secs_f64());
+        if bytes <= SMALL_BYTES {
+            self.small_bytes.add(bytes as f64);
+        }
     }
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use wingbridge_decide::TimePoint;
+use wingbridge_decide::steer::ledger::RetryBounds;
 use wingbridge_decide::steer::pool::SteerTarget;
 use wingbridge_decide::steer::split::WeightedSplit;
 use wingbridge_decide::steer::{SteerCore, SteerSetup};
@@ -47,8 +48,11 @@
         let core = SteerCore::new(SteerSetup {
             data_centre: settings.data_centre.as_str().into(),
             cross_cost: settings.cross_cost,
-            retry_share: settings.retry_share,
-            retry_slack: settings.retry_slack,
+            retries: RetryBounds {
+                share: settings.retry_share,
+                slack: settings.retry_slack,
+                window: settings.retry_window,
+            },
             seed,
         });
         let peers = PeerTable::new(&settings, seed);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,10 @@
 use prost::Message;
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::steer::PeerSample;
-use wingbridge_wire::gossip::{Beacon, Datagram, DatagramBody, Sighting, Sightings, ViewMark};
+use wingbridge_decide::steer::ledger::RetryTally;
+use wingbridge_wire::gossip::{
+    Beacon, Datagram, DatagramBody, Sighting, Sightings, Tally, ViewMark,
+};
 
 use crate::context::BoxContext;
 use crate::sightings::Urgency;
@@ -157,8 +160,11 @@
     }
 
     fn note_boxes(&self) {
-        let boxes = self.context.peers().boxes();
-        self.context.core().set_boxes(boxes);
+        let (near, all) = {
+            let peers = self.context.peers();
+            (peers.near().len() + 1, peers.boxes())
+        };
+        self.context.core().set_boxes(near, all);
     }
 
     async fn tell_once(&self) {
@@ -167,17 +173,33 @@
             let peers = self.context.peers();
             (peers.near(), peers.far())
         };
+        let mut tallies = self.untold_tallies();
         for part in seen.chunks(SIGHTINGS) {
-            self.send_sightings(&near, part.to_vec()).await;
+            let tallies = std::mem::take(&mut tallies);
+            self.send_sightings(&near, Sightings { targets: part.to_vec(), tallies }).await;
+        }
+        if !tallies.is_empty() {
+            self.send_sightings(&near, Sightings { targets: Vec::new(), tallies }).await;
         }
         // Only failures are worth their price across.
         let bad: Vec<Sighting> =
             seen.into_iter().filter(|seen| seen.bad + seen.overdue > 0).collect();
         for part in bad.chunks(SIGHTINGS) {
-            self.send_sightings(&far, part.to_vec()).await;
+            let sightings = Sightings { targets: part.to_vec(), tallies: Vec::new() };
+            self.send_sightings(&far, sightings).await;
         }
     }
 
+    fn untold_tallies(&self) -> Vec<Tally> {
+        let untold = self.context.core().untold_tallies().into_iter();
+        let tally = |(service, tally): (wingbridge_decide::Name, RetryTally)| Tally {
+            service: service.to_string(),
+            requests: tally.requests,
+            retries: tally.retries,
+        };
+        untold.map(tally).collect()
+    }
+
     async fn take(&self, from: IpAddr, datagram: Datagram) {
         let now = Instant::now();
         let Datagram { box_id, data_centre, incarnation, body } = datagram;
@@ -253,6 +275,10 @@
             };
             core.take_peer(now, TargetKey(seen.target), &sample);
         }
+        for told in &sightings.tallies {
+            let tally = RetryTally { requests: told.requests, retries: told.retries };
+            core.take_tally(now, &told.service, tally);
+        }
     }
 
     fn mark(&self) -> Option<ViewMark> {
@@ -263,8 +289,8 @@
         self.send(hosts, DatagramBody::Beacon(beacon)).await;
     }
 
-    async fn send_sightings(&self, hosts: &[IpAddr], targets: Vec<Sighting>) {
-        self.send(hosts, DatagramBody::Sightings(Sightings { targets })).await;
+    async fn send_sightings(&self, hosts: &[IpAddr], sightings: Sightings) {
+        self.send(hosts, DatagramBody::Sightings(sightings)).await;
     }
 
     async fn send(&self, hosts: &[IpAddr], body: DatagramBody) {
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -11,16 +11,12 @@
 use crate::answers::{CallerAnswer, CallerOutcome};
 use crate::attempt::{AttemptEnd, AttemptPlan, OutgoingRequest, TargetAnswer, attempt};
 use crate::context::{BoxContext, millis};
-use crate::routes::Route;
+use crate::routes::{Route, RouteKind};
 
 /// Time kept back from the caller's deadline for the answer's way to it.
 const WAY_BACK: Duration = Duration::from_millis(40);
 /// Targets that can be asked for one request, those that ran nothing counted.
 const SENDS_MOST: u32 = 4;
-/// A request whose priority is 0 is worth this much; each further rank half as much,
-/// but never less than 1.
-const TOP_WORTH: f64 = 2.0;
-
 /// A caller's request, whole.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -96,8 +92,12 @@
         return (answer, RunTrace { route: route.name.to_string(), ..RunTrace::default() });
     };
     let service = route.services[part].clone();
-    context.core().note_request(context.now(), &service);
     let until = answer_until(context, &request, &route);
+    if context.stopping.ends_before(until) {
+        let answer = CallerAnswer::not_run(&retry_after, "this box ends before it could answer");
+        return (answer, RunTrace { route: route.name.to_string(), ..RunTrace::default() });
+    }
+    context.core().note_request(context.now(), &service);
     let trace = RunTrace {
         route: route.name.to_string(),
         service: service.to_string(),
@@ -224,7 +224,7 @@
         let request = SteerRequest {
             service: &self.service,
             repeatable,
-            worth: (TOP_WORTH / f64::from(self.route.priority.min(8) + 1)).max(1.0),
+            large: self.route.kind == RouteKind::Download,
             goal: self.route.goal,
             left,
             tried: &self.tried,
@@ -241,7 +241,8 @@
         let Some(end) = self.await_end(pick).await else {
             // Time is over and the target still works: whether it will run to its end is unknown.
             self.note_sent();
-            open.end(SteerOutcome::Broken, None, 0);
+            // A route with little time says nothing of the target; a stall was noted as overdue.
+            open.end(SteerOutcome::Dropped, None, 0);
             return NextStep::Answer(
                 self.give_up("the time is over and a target was still at work"),
             );
@@ -338,7 +339,7 @@
         kind_allows
             && self.runs < self.route.attempts
             && Instant::now() < self.until
-            && self.context.core().spend_retry(&self.service)
+            && self.context.core().spend_retry(self.context.now(), &self.service)
     }
 
     fn note_pick(&mut self, pick: &SteerPick) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -94,11 +94,11 @@
 async fn wind_down(context: &BoxContext) -> bool {
     let began = Instant::now();
     let stopping = &context.stopping;
-    stopping.begin();
-    log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
     let stop_time = context.settings.stop_time;
     let idle_close = stop_time.saturating_sub(IDLE_CLOSE_BEFORE);
     let end = stop_time.saturating_sub(END_BEFORE);
+    stopping.begin(began + stop_time / 2, began + end);
+    log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
     while began.elapsed() < end {
         if began.elapsed() >= BALANCER_TIME && stopping.open_connections() == 0 {
             break;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub retry_share: f64,
     /// Retries ahead of what was earned, of all boxes together.
     pub retry_slack: f64,
+    /// The window in which retries and requests are counted.
+    pub retry_window: Duration,
     /// What a kilobyte to another data centre costs, in worth of requests.
     pub cross_cost: f64,
     /// Connections of callers at once.
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -1,15 +1,25 @@
 //! The steps of a planned stop, as all tasks see them.
 
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
+
 use async_channel::{Receiver, Sender};
 
+#[derive(Debug, Clone, Copy)]
+struct StopTimes {
+    careful: Instant,
+    end: Instant,
+}
+
 /// How far a planned stop is.
 #[derive(Debug, Clone)]
 pub(crate) struct StopState {
     stopping: Arc<AtomicBool>,
+    /// When the process ends, and from when on no request is taken that could outlast it.
+    end: Arc<OnceLock<StopTimes>>,
     /// Connections of callers that are open.
     open: Arc<AtomicUsize>,
     /// Requests that are read and not yet answered.
@@ -23,6 +33,7 @@
         let (close, closed) = async_channel::bounded(1);
         StopState {
             stopping: Arc::default(),
+            end: Arc::default(),
             open: Arc::default(),
             busy: Arc::default(),
             close,
@@ -30,11 +41,18 @@
         }
     }
 
-    /// The stop begins: callers are told to go elsewhere, and all are still served.
-    pub(crate) fn begin(&self) {
+    /// The stop begins: callers are told to go elsewhere, and are still served. At `end`
+    /// the process is gone, so from `careful` on nothing is taken that could outlast it.
+    pub(crate) fn begin(&self, careful: Instant, end: Instant) {
+        self.end.get_or_init(|| StopTimes { careful, end });
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Whether a request that may take until `until` could be cut by a planned stop.
+    pub(crate) fn ends_before(&self, until: Instant) -> bool {
+        self.end.get().is_some_and(|times| Instant::now() >= times.careful && until > times.end)
+    }
+
     /// Whether a stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -90,6 +90,23 @@
     /// One for each target.
     #[prost(message, repeated, tag = "1")]
     pub targets: Vec<Sighting>,
+    /// What the sender got and sent again, for each service.
+    #[prost(message, repeated, tag = "2")]
+    pub tallies: Vec<Tally>,
+}
+
+/// What a box got and sent again of one service since it last told.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Tally {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Sends beyond the first of a request.
+    #[prost(uint32, tag = "3")]
+    pub retries: u32,
 }
 
 /// What a box saw of one target.
