--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -35,8 +35,11 @@
 /// What a failed attempt costs where the request can be sent again, as a share of that:
 /// a retry of the budget, the time, and that the second one may fail too.
 const REPEAT_SHARE: f64 = 0.35;
-/// What waiting as long as the goal costs: half of an ordinary request's worth and more.
-const WAIT_COST: f64 = 1.0;
+/// What an answer after the goal costs: half of an order's worth and more. A wait costs
+/// its share of it.
+const WAIT_COST: f64 = 1.2;
+/// What a target costs that has just refused for want of room: likely a retry.
+const FULL_COST: f64 = 0.5;
 /// What each busy slot costs, so that equal targets share the work.
 const BUSY_COST: f64 = 0.08;
 /// Service time that is assumed while none was seen. Source: the users' work times, 190 to 420 ms.
@@ -44,16 +47,19 @@
 /// A suspect that nobody has tried for this long is tried again. Source: in the users'
 /// trial 3 s lost least, 5 s left too few targets in use.
 const TRIAL_AFTER: Duration = Duration::from_secs(3);
+/// A request becomes a trial at most this often: a service with few requests keeps most
+/// of them safe.
+const TRIAL_CHANCE_MOST: f64 = 0.3;
 /// How many trials of one suspect a second all boxes together make, on average.
 const TRIALS_PER_S: f64 = 1.0;
 /// A target is a suspect from this probability of failure on.
-const SUSPECT_FROM: f64 = 0.2;
+pub const SUSPECT_FROM: f64 = 0.2;
 /// The same, while a service fails more than [`FAILING_FROM`]: then too few of its
 /// targets are in use, and sound ones may be among those that are left alone.
 const FAILING_TRIAL_AFTER: Duration = Duration::from_millis(1000);
 const FAILING_TRIALS_PER_S: f64 = 2.5;
-/// Failed share of a service's attempts. Source: the users' floor holds from a tenth on.
-const FAILING_FROM: f64 = 0.07;
+/// Share of a service's requests that are not served. Source: the users' floor holds from a tenth on.
+const FAILING_FROM: f64 = 0.08;
 
 /// How the core is set.
 #[derive(Debug, Clone)]
@@ -154,9 +160,12 @@
     pub millis: u32,
     /// What the target last said it holds.
     pub held: Option<u32>,
+    /// Attempts that the peer has open there now, if it told.
+    pub open: Option<u32>,
 }
 
-/// Targets, beliefs about them, and the choice among them.
+/// Targets, beliefs about them, and the choice among them. Times count from the start of
+/// the process.
 #[derive(Debug)]
 pub struct SteerCore {
     setup: SteerSetup,
@@ -225,23 +234,41 @@
         if let Some(pool) = self.pools.get_mut(service) {
             pool.note_request(now);
         }
-        self.ledger(service).note_own(now, RetryTally { requests: 1, retries: 0 });
+        self.ledger(service).note_own(now, RetryTally { requests: 1, ..RetryTally::default() });
     }
 
     /// Takes a retry from the budget that all boxes share, if one is there.
     pub fn spend_retry(&mut self, now: TimePoint, service: &str) -> bool {
         let (bounds, near) = (self.setup.retries, self.near_boxes);
         let all = self.boxes.max(LEAST_BOXES);
+        // What this box and its peers did before it started is not known: in a whole fleet
+        // that was restarted the slack may have been used up just before.
+        let settled = now.since(TimePoint::default()) >= bounds.window;
+        let slack = if settled { bounds.slack } else { 0.0 };
+        let bounds = RetryBounds { slack, ..bounds };
         let ledger = self.ledger(service);
         let allowed = ledger.allows(now, &bounds, near, all);
         if allowed {
-            ledger.note_own(now, RetryTally { requests: 0, retries: 1 });
+            ledger.note_own(now, RetryTally { retries: 1, ..RetryTally::default() });
         }
         allowed
     }
 
+    /// A request for `service` ended, served or not.
+    pub fn note_end(&mut self, now: TimePoint, service: &str, served: bool) {
+        let (served, unserved) = (u32::from(served), u32::from(!served));
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.note_ends(now, served, unserved);
+        }
+        let tally = RetryTally { served, unserved, ..RetryTally::default() };
+        self.ledger(service).note_own(now, tally);
+    }
+
     /// Takes what a peer of the own data centre did of a service.
     pub fn take_tally(&mut self, now: TimePoint, service: &str, tally: RetryTally) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.note_ends(now, tally.served, tally.unserved);
+        }
         self.ledger(service).note_told(now, tally);
     }
 
@@ -264,9 +291,8 @@
         let Some(pool) = self.pools.get(request.service) else {
             return Err(NoPick::NoTarget);
         };
-        let drawn = self.random.random::<f64>();
-        if let Some(pick) = self.trial(now, pool, request, drawn) {
-            return Ok(pick);
+        if let Some(key) = draw_trial(now, pool, request, self.boxes, &mut self.random) {
+            return Ok(make_pick(key, &pool[key], now, true));
         }
         let mut scored: Vec<(TargetKey, f64)> = Vec::new();
         let mut in_time = false;
@@ -302,11 +328,6 @@
         {
             pool.note_answer(time, bytes);
         }
-        if let Some(good) = speaks_well(outcome)
-            && let Some(pool) = self.pool_mut(key)
-        {
-            pool.note_outcomes(now, u32::from(good), u32::from(!good));
-        }
         let Some(record) = self.record_mut(key) else {
             return;
         };
@@ -324,11 +345,10 @@
     }
 
     /// Takes what a peer saw.
-    pub fn take_peer(&mut self, now: TimePoint, key: TargetKey, sample: &PeerSample) {
+    pub fn take_peer(&mut self, now: TimePoint, peer: u64, key: TargetKey, sample: &PeerSample) {
         let Some(pool) = self.pool_mut(key) else {
             return;
         };
-        pool.note_outcomes(now, sample.good, sample.bad);
         let Some(record) = pool.get_mut(key) else {
             return;
         };
@@ -338,9 +358,19 @@
         if sample.millis > 0 {
             record.note_time(Duration::from_millis(u64::from(sample.millis)));
         }
+        if let Some(open) = sample.open {
+            record.note_peer_open(now, peer, open);
+        }
         record.note_peer(now, sample);
     }
 
+    /// Attempts of this box that are open at a target.
+    pub fn open_at(&self, key: TargetKey) -> u32 {
+        let service = self.services.get(&key);
+        let pool = service.and_then(|service| self.pools.get(service));
+        pool.map_or(0, |pool| pool[key].open())
+    }
+
     /// The time after which an attempt for `service` is longer open than nearly all.
     pub fn overdue_after(&self, service: &str) -> Duration {
         /// Times the usual time. Source: 1 in 100 sound answers takes over 3 times as long.
@@ -364,45 +394,20 @@
         request: &SteerRequest<'_>,
     ) -> f64 {
         let loss = if request.repeatable { LOST_COST * REPEAT_SHARE } else { LOST_COST };
-        let late = wait.as_secs_f64() / request.goal.as_secs_f64().max(0.001);
+        let late = (wait.as_secs_f64() / request.goal.as_secs_f64().max(0.001)).min(1.0);
+        let full = if record.is_full(now) { FULL_COST } else { 0.0 };
         let cold = record.cold_left(now).as_secs_f64().min(1.0);
         let away = record.setup.data_centre != self.setup.data_centre;
         let crossing =
             if away { pool.crossing_kb(request.large) * self.setup.cross_cost } else { 0.0 };
         record.risk(now) * loss
             + late * WAIT_COST
+            + full
             + record.busy(now) / f64::from(record.setup.slots.max(1)) * BUSY_COST
             + cold * BUSY_COST
             + crossing
     }
 
-    /// A suspect that nobody has tried for long, if it is this request's turn to try it.
-    /// Each box draws for itself, so that all together make about [`TRIALS_PER_S`].
-    fn trial(
-        &self,
-        now: TimePoint,
-        pool: &TargetPool,
-        request: &SteerRequest<'_>,
-        drawn: f64,
-    ) -> Option<SteerPick> {
-        let failing = pool.failing_share(now) >= FAILING_FROM;
-        let (after, per_s) = if failing {
-            (FAILING_TRIAL_AFTER, FAILING_TRIALS_PER_S)
-        } else {
-            (TRIAL_AFTER, TRIALS_PER_S)
-        };
-        let rate = pool.request_rate(now).max(0.1) * self.boxes as f64;
-        let chance = (per_s / rate).min(0.5);
-        let due = pool.records().find(|(key, record)| {
-            record.risk(now) >= SUSPECT_FROM
-                && record.untried(now) >= after
-                && record.path_clear(now)
-                && !request.tried.contains(key)
-        });
-        let (key, record) = due?;
-        (drawn < chance).then(|| make_pick(key, record, now, true))
-    }
-
     fn ledger(&mut self, service: &str) -> &mut RetryLedger {
         if !self.ledgers.contains_key(service) {
             self.ledgers.insert(service.into(), RetryLedger::default());
@@ -419,6 +424,34 @@
     }
 }
 
+/// A suspect that nobody has tried for long, if it is this request's turn to try it. Each
+/// box draws for itself, so that all together make about [`TRIALS_PER_S`] of each suspect.
+fn draw_trial(
+    now: TimePoint,
+    pool: &TargetPool,
+    request: &SteerRequest<'_>,
+    boxes: usize,
+    random: &mut SmallRng,
+) -> Option<TargetKey> {
+    let failing = pool.failing_share(now) >= FAILING_FROM;
+    let (after, per_s) = if failing {
+        (FAILING_TRIAL_AFTER, FAILING_TRIALS_PER_S)
+    } else {
+        (TRIAL_AFTER, TRIALS_PER_S)
+    };
+    let rate = pool.request_rate(now).max(0.1) * boxes as f64;
+    let chance = (per_s / rate).min(TRIAL_CHANCE_MOST);
+    let due = |record: &TargetRecord| {
+        record.risk(now) >= SUSPECT_FROM
+            && record.untried(now) >= after
+            && record.path_clear(now)
+            && (failing || !record.is_in_known_spell(now))
+    };
+    let mut suspects =
+        pool.records().filter(|(key, record)| due(record) && !request.tried.contains(key));
+    suspects.find(|_| random.random::<f64>() < chance).map(|(key, _)| key)
+}
+
 fn make_pick(key: TargetKey, record: &TargetRecord, now: TimePoint, trial: bool) -> SteerPick {
     SteerPick {
         key,
@@ -459,15 +492,6 @@
     }
 }
 
-/// Whether an outcome counts as good or bad for its service, if it counts.
-fn speaks_well(outcome: SteerOutcome) -> Option<bool> {
-    match outcome {
-        SteerOutcome::Good(_) => Some(true),
-        SteerOutcome::Failed | SteerOutcome::Broken => Some(false),
-        _ => None,
-    }
-}
-
 /// A fresh belief about a target, for tests of what it learns.
 pub fn fresh_belief(now: TimePoint) -> TargetBelief {
     TargetBelief::new(now, true)
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -1,6 +1,6 @@
 //! The targets of one service, with what is known of each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Index;
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
 const FULL_FOR: Duration = Duration::from_millis(200);
 /// Requests that a target which shed is taken to hold, in multiples of its slots.
 const FULL_HELD: f64 = 5.0;
+/// What a peer has open counts for this long after it told: most requests are over by then.
+const PEER_OPEN_FOR: Duration = Duration::from_millis(1500);
 /// A path that failed is avoided for this long, if there is another one.
 const PATH_AVOIDED: Duration = Duration::from_secs(2);
 /// Risk of a path that has just failed.
@@ -59,6 +61,8 @@
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     open: u32,
+    /// What peers of the own data centre have open here, by peer.
+    peers_open: HashMap<u64, (u32, TimePoint)>,
     begun_since_report: u32,
     held: u32,
     held_at: TimePoint,
@@ -74,6 +78,7 @@
             path_failed_at: None,
             full_at: None,
             open: 0,
+            peers_open: HashMap::new(),
             begun_since_report: 0,
             held: 0,
             held_at: now,
@@ -100,18 +105,42 @@
         now.since(self.tried_at)
     }
 
+    pub(crate) fn is_in_known_spell(&self, now: TimePoint) -> bool {
+        self.belief.is_in_known_spell(now)
+    }
+
     pub(crate) fn cold_left(&self, now: TimePoint) -> Duration {
         self.setup.cold_until.since(now)
     }
 
+    /// Whether it has just refused for want of room.
+    pub(crate) fn is_full(&self, now: TimePoint) -> bool {
+        self.full_at.is_some_and(|full| now.since(full) < FULL_FOR)
+    }
+
     /// Requests that it is taken to hold: what it last said, aged, and what was sent since.
     pub(crate) fn busy(&self, now: TimePoint) -> f64 {
-        if self.full_at.is_some_and(|full| now.since(full) < FULL_FOR) {
+        if self.is_full(now) {
             return f64::from(self.setup.slots) * FULL_HELD;
         }
         let age = now.since(self.held_at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
         let reported = f64::from(self.held) * (-age).exp2() + f64::from(self.begun_since_report);
-        reported.max(f64::from(self.open))
+        let fresh = |told: TimePoint| now.since(told) < PEER_OPEN_FOR;
+        let peers = self.peers_open.values().filter(|(_, told)| fresh(*told));
+        let peers: u32 = peers.map(|(open, _)| *open).sum();
+        reported.max(f64::from(self.open + peers))
+    }
+
+    pub(crate) fn open(&self) -> u32 {
+        self.open
+    }
+
+    pub(crate) fn note_peer_open(&mut self, now: TimePoint, peer: u64, open: u32) {
+        if open == 0 {
+            self.peers_open.remove(&peer);
+        } else {
+            self.peers_open.insert(peer, (open, now));
+        }
     }
 
     /// How long a request would wait there for a slot, and longer than elsewhere.
@@ -214,8 +243,8 @@
     small_bytes: RunningAverage,
     rate: f64,
     rate_at: TimePoint,
-    good: f64,
-    bad: f64,
+    served: f64,
+    unserved: f64,
     outcomes_at: TimePoint,
 }
 
@@ -252,19 +281,19 @@
         if large { LARGE_KB } else { self.small_bytes.value / 1000.0 + OVERHEAD_KB }
     }
 
-    /// The share of the service's last attempts that failed, by all boxes that tell.
+    /// The share of the service's last requests that were not served, by all boxes that tell.
     pub(crate) fn failing_share(&self, now: TimePoint) -> f64 {
-        /// Outcomes below which the share says nothing.
-        const ENOUGH: f64 = 4.0;
+        /// Unserved requests below which the share says nothing: fewer come by chance.
+        const ENOUGH: f64 = 3.5;
         let kept = self.kept_outcomes(now);
-        let all = (self.good + self.bad) * kept;
-        if all < ENOUGH { 0.0 } else { self.bad * kept / all }
+        let all = (self.served + self.unserved) * kept;
+        if self.unserved * kept < ENOUGH { 0.0 } else { self.unserved * kept / all }
     }
 
-    pub(crate) fn note_outcomes(&mut self, now: TimePoint, good: u32, bad: u32) {
+    pub(crate) fn note_ends(&mut self, now: TimePoint, served: u32, unserved: u32) {
         let kept = self.kept_outcomes(now);
-        self.good = self.good * kept + f64::from(good);
-        self.bad = self.bad * kept + f64::from(bad);
+        self.served = self.served * kept + f64::from(served);
+        self.unserved = self.unserved * kept + f64::from(unserved);
         self.outcomes_at = now;
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -26,7 +26,7 @@
 /// Time between two questions to seeds while no peer is known.
 const SEARCH_PERIOD: Duration = Duration::from_millis(250);
 /// How long successes wait for more before they are told.
-const SOON: Duration = Duration::from_millis(60);
+const SOON: Duration = Duration::from_millis(25);
 /// Longest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 4096;
 /// Sightings in one datagram at most: they fit 1,400 bytes.
@@ -168,7 +168,15 @@
     }
 
     async fn tell_once(&self) {
-        let seen = self.context.sightings.take();
+        let pending = self.context.sightings.take();
+        let seen: Vec<Sighting> = {
+            let core = self.context.core();
+            let with_open = |sighting: Sighting| Sighting {
+                open_plus_one: core.open_at(TargetKey(sighting.target)) + 1,
+                ..sighting
+            };
+            pending.iter().map(|seen| with_open(seen.sighting)).collect()
+        };
         let (near, far) = {
             let peers = self.context.peers();
             (peers.near(), peers.far())
@@ -181,10 +189,9 @@
         if !tallies.is_empty() {
             self.send_sightings(&near, Sightings { targets: Vec::new(), tallies }).await;
         }
-        // Only failures are worth their price across.
-        let bad: Vec<Sighting> =
-            seen.into_iter().filter(|seen| seen.bad + seen.overdue > 0).collect();
-        for part in bad.chunks(SIGHTINGS) {
+        let news = pending.iter().filter(|seen| seen.is_news).map(|seen| seen.sighting);
+        let news: Vec<Sighting> = news.collect();
+        for part in news.chunks(SIGHTINGS) {
             let sightings = Sightings { targets: part.to_vec(), tallies: Vec::new() };
             self.send_sightings(&far, sightings).await;
         }
@@ -196,6 +203,8 @@
             service: service.to_string(),
             requests: tally.requests,
             retries: tally.retries,
+            served: tally.served,
+            unserved: tally.unserved,
         };
         untold.map(tally).collect()
     }
@@ -210,7 +219,9 @@
         }
         match body {
             Some(DatagramBody::Beacon(beacon)) => self.take_beacon(from, now, beacon).await,
-            Some(DatagramBody::Sightings(sightings)) => self.take_sightings(&sightings),
+            Some(DatagramBody::Sightings(sightings)) => {
+                self.take_sightings(incarnation, &sightings)
+            }
             None => {}
         }
     }
@@ -262,7 +273,7 @@
         let _ = self.fetching.try_send(from);
     }
 
-    fn take_sightings(&self, sightings: &Sightings) {
+    fn take_sightings(&self, peer: u64, sightings: &Sightings) {
         let now = self.context.now();
         let mut core = self.context.core();
         for seen in &sightings.targets {
@@ -272,11 +283,17 @@
                 overdue: seen.overdue,
                 millis: seen.millis,
                 held: seen.held_plus_one.checked_sub(1),
+                open: seen.open_plus_one.checked_sub(1),
             };
-            core.take_peer(now, TargetKey(seen.target), &sample);
+            core.take_peer(now, peer, TargetKey(seen.target), &sample);
         }
         for told in &sightings.tallies {
-            let tally = RetryTally { requests: told.requests, retries: told.retries };
+            let tally = RetryTally {
+                requests: told.requests,
+                retries: told.retries,
+                served: told.served,
+                unserved: told.unserved,
+            };
             core.take_tally(now, &told.service, tally);
         }
     }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -5,7 +5,9 @@
 
 use futures::future::{Either, select};
 use wingbridge_decide::TargetKey;
-use wingbridge_decide::steer::{LoadReport, NoPick, SteerOutcome, SteerPick, SteerRequest};
+use wingbridge_decide::steer::{
+    LoadReport, NoPick, SUSPECT_FROM, SteerOutcome, SteerPick, SteerRequest,
+};
 use wingbridge_http::raw::RequestStart;
 
 use crate::answers::{CallerAnswer, CallerOutcome};
@@ -117,6 +119,8 @@
         trace,
     };
     let answer = run.follow().await;
+    let served = (200..300).contains(&answer.status);
+    context.core().note_end(context.now(), &run.service, served);
     (answer, run.trace)
 }
 
@@ -169,6 +173,7 @@
     context: &'a BoxContext,
     key: TargetKey,
     started: Instant,
+    suspect: bool,
     ended: bool,
 }
 
@@ -182,7 +187,7 @@
             core.note_load(now, self.key, load);
         }
         drop(core);
-        self.context.sightings.note(self.key, outcome, load);
+        self.context.sightings.note(self.key, outcome, load, self.suspect);
     }
 }
 
@@ -236,8 +241,14 @@
         self.note_pick(pick);
         let context = self.context;
         context.core().begin(context.now(), pick.key);
-        let mut open =
-            OpenAttempt { context, key: pick.key, started: Instant::now(), ended: false };
+        context.sightings.note_open(pick.key);
+        let mut open = OpenAttempt {
+            context,
+            key: pick.key,
+            started: Instant::now(),
+            suspect: pick.risk >= SUSPECT_FROM,
+            ended: false,
+        };
         let Some(end) = self.await_end(pick).await else {
             // Time is over and the target still works: whether it will run to its end is unknown.
             self.note_sent();
@@ -296,7 +307,7 @@
     fn note_overdue(&self, pick: &SteerPick) {
         let context = self.context;
         context.core().end(context.now(), pick.key, SteerOutcome::Overdue, 0);
-        context.sightings.note(pick.key, SteerOutcome::Overdue, None);
+        context.sightings.note(pick.key, SteerOutcome::Overdue, None, false);
     }
 
     fn take_answer(
@@ -335,11 +346,26 @@
     /// Whether the request may go to another target, after it has reached one. Takes a
     /// retry from the budget.
     fn may_repeat(&mut self) -> bool {
-        let kind_allows = !self.may_have_run || self.route.kind.is_repeatable();
-        kind_allows
-            && self.runs < self.route.attempts
-            && Instant::now() < self.until
-            && self.context.core().spend_retry(self.context.now(), &self.service)
+        let refusal = self.repeat_refusal();
+        if let Some(reason) = refusal {
+            self.trace.tried.push_str(reason);
+        }
+        refusal.is_none()
+    }
+
+    fn repeat_refusal(&self) -> Option<&'static str> {
+        if self.may_have_run && !self.route.kind.is_repeatable() {
+            return Some("it may run once only");
+        }
+        if self.runs >= self.route.attempts {
+            return Some("its attempts are used up");
+        }
+        if Instant::now() >= self.until {
+            return Some("its time is over");
+        }
+        let context = self.context;
+        let spent = context.core().spend_retry(context.now(), &self.service);
+        (!spent).then_some("the retry budget is used up")
     }
 
     fn note_pick(&mut self, pick: &SteerPick) {
--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use wingbridge_decide::TargetKey;
@@ -20,10 +19,18 @@
     Soon,
 }
 
+/// What was seen of a target, and whether other data centres need to know.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingSighting {
+    pub(crate) sighting: Sighting,
+    /// It failed, or it was a suspect and did not: the rest is not worth its price across.
+    pub(crate) is_news: bool,
+}
+
 /// Collects what was seen and wakes the task that tells it.
 #[derive(Debug)]
 pub(crate) struct SightingBuffer {
-    pending: Mutex<HashMap<TargetKey, Sighting>>,
+    pending: Mutex<HashMap<TargetKey, PendingSighting>>,
     wake: Sender<Urgency>,
 }
 
@@ -36,49 +43,65 @@
         (SightingBuffer { pending: Mutex::default(), wake }, wishes)
     }
 
-    /// Notes how an attempt ended, with what the target told of its load.
-    pub(crate) fn note(&self, key: TargetKey, outcome: SteerOutcome, load: Option<LoadReport>) {
-        let mut urgency = Urgency::Soon;
-        {
-            let mut pending = lock(&self.pending);
-            let seen = pending
-                .entry(key)
-                .or_insert_with(|| Sighting { target: key.0, ..Sighting::default() });
-            if let Some(load) = load {
-                seen.held_plus_one = load.held + 1;
-            }
-            match outcome {
-                SteerOutcome::Good(time) => note_good(seen, time),
-                SteerOutcome::Failed | SteerOutcome::Broken => {
-                    seen.bad += 1;
-                    urgency = Urgency::Now;
-                }
-                SteerOutcome::Overdue => {
-                    seen.overdue += 1;
-                    urgency = Urgency::Now;
-                }
-                _ if load.is_none() => {
-                    pending.retain(|_, seen| {
-                        seen.good + seen.bad + seen.overdue + seen.held_plus_one > 0
-                    });
-                    return;
-                }
-                _ => {}
+    /// Notes how an attempt ended, with what the target told of its load. `suspect` is
+    /// whether the target was one before.
+    pub(crate) fn note(
+        &self,
+        key: TargetKey,
+        outcome: SteerOutcome,
+        load: Option<LoadReport>,
+        suspect: bool,
+    ) {
+        let mut seen = Sighting { target: key.0, ..Sighting::default() };
+        seen.held_plus_one = load.map_or(0, |load| load.held + 1);
+        match outcome {
+            SteerOutcome::Good(time) => {
+                seen.good = 1;
+                seen.millis = u32::try_from(millis(time)).unwrap_or(u32::MAX).max(1);
             }
+            SteerOutcome::Failed | SteerOutcome::Broken => seen.bad = 1,
+            SteerOutcome::Overdue => seen.overdue = 1,
+            _ => {}
         }
+        self.add(key, &seen, suspect);
+    }
+
+    /// Notes that the number of open attempts changed.
+    pub(crate) fn note_open(&self, key: TargetKey) {
+        self.add(key, &Sighting::default(), false);
+    }
+
+    fn add(&self, key: TargetKey, seen: &Sighting, suspect: bool) {
+        let failed = seen.bad + seen.overdue > 0;
+        let is_news = failed || (suspect && seen.good > 0);
+        let mut pending = lock(&self.pending);
+        let known = pending.entry(key);
+        let known = known.or_insert_with(|| PendingSighting {
+            sighting: Sighting { target: key.0, ..Sighting::default() },
+            is_news: false,
+        });
+        known.is_news |= is_news;
+        add(&mut known.sighting, seen);
+        drop(pending);
         // Full: the task is about to look anyway.
-        let _ = self.wake.try_send(urgency);
+        let _ = self.wake.try_send(if is_news { Urgency::Now } else { Urgency::Soon });
     }
 
     /// Takes all that was noted.
-    pub(crate) fn take(&self) -> Vec<Sighting> {
+    pub(crate) fn take(&self) -> Vec<PendingSighting> {
         lock(&self.pending).drain().map(|(_, seen)| seen).collect()
     }
 }
 
-fn note_good(seen: &mut Sighting, time: Duration) {
-    let taken = u32::try_from(millis(time)).unwrap_or(u32::MAX).max(1);
-    let sum = u64::from(seen.millis) * u64::from(seen.good) + u64::from(taken);
-    seen.good += 1;
-    seen.millis = u32::try_from(sum / u64::from(seen.good)).unwrap_or(u32::MAX);
+fn add(sum: &mut Sighting, seen: &Sighting) {
+    let good = sum.good + seen.good;
+    if good > 0 {
+        sum.millis = (sum.millis * sum.good + seen.millis * seen.good) / good;
+    }
+    sum.good = good;
+    sum.bad += seen.bad;
+    sum.overdue += seen.overdue;
+    if seen.held_plus_one > 0 {
+        sum.held_plus_one = seen.held_plus_one;
+    }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -107,6 +107,12 @@
     /// Sends beyond the first of a request.
     #[prost(uint32, tag = "3")]
     pub retries: u32,
+    /// Requests that ended served.
+    #[prost(uint32, tag = "4")]
+    pub served: u32,
+    /// Requests that ended otherwise.
+    #[prost(uint32, tag = "5")]
+    pub unserved: u32,
 }
 
 /// What a box saw of one target.
@@ -130,6 +136,9 @@
     /// One more than the requests that the target last said it holds; 0 if it said nothing.
     #[prost(uint32, tag = "6")]
     pub held_plus_one: u32,
+    /// One more than the attempts that the sender has open there; 0 if it tells none.
+    #[prost(uint32, tag = "7")]
+    pub open_plus_one: u32,
 }
 
 /// Asks a peer for its whole view of the store.
