--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -28,20 +28,20 @@
 /// Score differences of this size change how often a target is picked by a factor of e.
 /// Smaller herds all boxes onto one target; larger sends work to suspects.
 /// Source: `docs/MEASURED.md`, steering.
-const TEMPERATURE: f64 = 0.1;
+const TEMPERATURE: f64 = 0.06;
 /// What a request that is not served costs, in the worth of an ordinary one: the users
 /// count the served share in nines, so a lost request weighs more than its own worth.
 const LOST_COST: f64 = 3.0;
 /// What a failed attempt costs where the request can be sent again, as a share of that:
 /// a retry of the budget, the time, and that the second one may fail too.
-const REPEAT_SHARE: f64 = 0.35;
+const REPEAT_SHARE: f64 = 0.8;
 /// What an answer after the goal costs: half of an order's worth and more. A wait costs
 /// its share of it.
 const WAIT_COST: f64 = 1.2;
 /// What a target costs that has just refused for want of room: likely a retry.
 const FULL_COST: f64 = 0.5;
 /// What each busy slot costs, so that equal targets share the work.
-const BUSY_COST: f64 = 0.08;
+const BUSY_COST: f64 = 0.06;
 /// Service time that is assumed while none was seen. Source: the users' work times, 190 to 420 ms.
 const ASSUMED_TIME: Duration = Duration::from_millis(300);
 /// A suspect that nobody has tried for this long is tried again. Source: in the users'
@@ -52,6 +52,10 @@
 const TRIAL_CHANCE_MOST: f64 = 0.3;
 /// How many trials of one suspect a second all boxes together make, on average.
 const TRIALS_PER_S: f64 = 1.0;
+/// A target that has joined and was not tried yet is tried after this long.
+const NEW_TRIAL_AFTER: Duration = Duration::from_millis(200);
+/// Boxes of other data centres wait this many times as long before they try.
+const AWAY_TRIAL_FACTOR: u32 = 2;
 /// A target is a suspect from this probability of failure on.
 pub const SUSPECT_FROM: f64 = 0.2;
 /// The same, while a service fails more than [`FAILING_FROM`]: then too few of its
@@ -100,6 +104,8 @@
     pub id: Name,
     /// Its address.
     pub address: Name,
+    /// Its data centre.
+    pub data_centre: Name,
     /// How likely the attempt was taken to fail, 0 to 1.
     pub risk: f64,
     /// Requests that it was taken to hold.
@@ -291,7 +297,8 @@
         let Some(pool) = self.pools.get(request.service) else {
             return Err(NoPick::NoTarget);
         };
-        if let Some(key) = draw_trial(now, pool, request, self.boxes, &mut self.random) {
+        let drawn: f64 = self.random.random();
+        if let Some(key) = self.draw_trial(now, pool, request, drawn) {
             return Ok(make_pick(key, &pool[key], now, true));
         }
         let mut scored: Vec<(TargetKey, f64)> = Vec::new();
@@ -408,6 +415,46 @@
             + crossing
     }
 
+    /// A target that nobody has tried for long, if it is this request's turn to try it:
+    /// `drawn` is a number drawn for it, 0 to 1. Each box draws for itself, so that those
+    /// of the target's data centre together make about [`TRIALS_PER_S`]. Boxes elsewhere
+    /// step in later, where the target's own do not, and never with a large answer.
+    fn draw_trial(
+        &self,
+        now: TimePoint,
+        pool: &TargetPool,
+        request: &SteerRequest<'_>,
+        drawn: f64,
+    ) -> Option<TargetKey> {
+        let failing = pool.failing_share(now) >= FAILING_FROM;
+        let (after, per_s) = if failing {
+            (FAILING_TRIAL_AFTER, FAILING_TRIALS_PER_S)
+        } else {
+            (TRIAL_AFTER, TRIALS_PER_S)
+        };
+        let mut passed = 0.0;
+        for (key, record) in pool.records() {
+            let away = record.setup.data_centre != self.setup.data_centre;
+            if request.tried.contains(&key) || (away && request.large) {
+                continue;
+            }
+            let after = if record.is_new() { NEW_TRIAL_AFTER } else { after };
+            let after = if away { after * AWAY_TRIAL_FACTOR } else { after };
+            let suspect = record.risk(now) >= SUSPECT_FROM || record.is_new();
+            let spared = record.is_in_known_spell(now) && !failing;
+            if !suspect || spared || record.untried(now) < after || !record.path_clear(now) {
+                continue;
+            }
+            let boxes = if away { self.boxes } else { self.near_boxes };
+            let rate = pool.request_rate(now).max(0.1) * boxes as f64;
+            passed += (per_s / rate).min(TRIAL_CHANCE_MOST);
+            if drawn < passed {
+                return Some(key);
+            }
+        }
+        None
+    }
+
     fn ledger(&mut self, service: &str) -> &mut RetryLedger {
         if !self.ledgers.contains_key(service) {
             self.ledgers.insert(service.into(), RetryLedger::default());
@@ -424,39 +471,12 @@
     }
 }
 
-/// A suspect that nobody has tried for long, if it is this request's turn to try it. Each
-/// box draws for itself, so that all together make about [`TRIALS_PER_S`] of each suspect.
-fn draw_trial(
-    now: TimePoint,
-    pool: &TargetPool,
-    request: &SteerRequest<'_>,
-    boxes: usize,
-    random: &mut SmallRng,
-) -> Option<TargetKey> {
-    let failing = pool.failing_share(now) >= FAILING_FROM;
-    let (after, per_s) = if failing {
-        (FAILING_TRIAL_AFTER, FAILING_TRIALS_PER_S)
-    } else {
-        (TRIAL_AFTER, TRIALS_PER_S)
-    };
-    let rate = pool.request_rate(now).max(0.1) * boxes as f64;
-    let chance = (per_s / rate).min(TRIAL_CHANCE_MOST);
-    let due = |record: &TargetRecord| {
-        record.risk(now) >= SUSPECT_FROM
-            && record.untried(now) >= after
-            && record.path_clear(now)
-            && (failing || !record.is_in_known_spell(now))
-    };
-    let mut suspects =
-        pool.records().filter(|(key, record)| due(record) && !request.tried.contains(key));
-    suspects.find(|_| random.random::<f64>() < chance).map(|(key, _)| key)
-}
-
 fn make_pick(key: TargetKey, record: &TargetRecord, now: TimePoint, trial: bool) -> SteerPick {
     SteerPick {
         key,
         id: record.setup.id.clone(),
         address: record.setup.address.clone(),
+        data_centre: record.setup.data_centre.clone(),
         risk: record.risk(now),
         busy: record.busy(now),
         trial,
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -58,6 +58,8 @@
     pub(crate) setup: SteerTarget,
     belief: TargetBelief,
     tried_at: TimePoint,
+    /// Whether an attempt at it has ended, here or at a peer.
+    seen: bool,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     open: u32,
@@ -75,6 +77,7 @@
             setup,
             belief: TargetBelief::new(now, at_start),
             tried_at: now,
+            seen: false,
             path_failed_at: None,
             full_at: None,
             open: 0,
@@ -101,6 +104,11 @@
         self.path_failed_at.is_none_or(|failed| now.since(failed) >= PATH_AVOIDED)
     }
 
+    /// Whether no attempt at it has ended yet.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.seen
+    }
+
     pub(crate) fn untried(&self, now: TimePoint) -> Duration {
         now.since(self.tried_at)
     }
@@ -190,6 +198,7 @@
         if let Some(sample) = belief_sample(outcome) {
             self.belief.note(now, sample);
             self.tried_at = now;
+            self.seen = true;
         }
     }
 
@@ -204,6 +213,7 @@
             for _ in 0..count.min(3) {
                 self.belief.note(now, kind);
                 self.tried_at = now;
+                self.seen = true;
             }
         }
     }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -44,7 +44,7 @@
     let taken_ms = millis(since.elapsed());
     log::info!(
         request = id.as_str(), path = path.as_str(), route:% = trace.route, service:% = trace.service,
-        attempts = trace.attempts, target:% = trace.target, risk:% = trace.risk, busy:% = trace.busy,
+        attempts = trace.attempts, target:% = trace.target, target_centre:% = trace.data_centre, risk:% = trace.risk, busy:% = trace.busy,
         tried:% = trace.tried, status = answer.status, outcome = answer.outcome.as_str(),
         why = answer.why, view_age_ms, taken_ms;
         "request"
@@ -62,6 +62,7 @@
     service: String,
     attempts: u32,
     target: String,
+    data_centre: String,
     risk: String,
     busy: String,
     /// Each attempt that did not answer: target and why.
@@ -372,6 +373,7 @@
         self.tried.push(pick.key);
         self.trace.attempts += 1;
         self.trace.target = pick.id.to_string();
+        self.trace.data_centre = pick.data_centre.to_string();
         self.trace.risk = format!("{:.3}{}", pick.risk, if pick.trial { " trial" } else { "" });
         self.trace.busy = format!("{:.1}", pick.busy);
     }
