Let the tests of a planned stop wait on events in place of times

Cause: a target that answered after 0.4 s and a sleep of 4.2 s gave another verdict on a machine that stands still as long. Change: a target that the test lets go on; requests until one is refused.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -7,7 +7,7 @@
 
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -252,8 +252,8 @@
     Early,
     /// Works until its connection is closed.
     Hangs,
-    /// Answers well after a while.
-    Slow,
+    /// Answers well once the test lets it.
+    Gated,
     /// Answers with two megabytes and breaks off within them.
     LongCutShort,
     /// Answers with two megabytes.
@@ -269,6 +269,7 @@
     script: Arc<Mutex<Script>>,
     seen: Arc<Mutex<Vec<String>>>,
     hang_ups: Arc<Mutex<usize>>,
+    gate: Arc<AtomicBool>,
 }
 
 impl TargetStandin {
@@ -278,16 +279,19 @@
         let address = listener.local_addr().expect("bound").to_string();
         let script = Arc::new(Mutex::new(script));
         let (seen, hang_ups) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(0)));
+        let gate = Arc::new(AtomicBool::new(false));
+        let opened = Arc::clone(&gate);
         let (followed, noted, counted) =
             (Arc::clone(&script), Arc::clone(&seen), Arc::clone(&hang_ups));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let script = *lock(&followed);
                 let (noted, counted) = (Arc::clone(&noted), Arc::clone(&counted));
-                thread::spawn(move || serve(stream, script, &noted, &counted));
+                let opened = Arc::clone(&opened);
+                thread::spawn(move || serve(stream, script, &noted, &counted, &opened));
             }
         });
-        TargetStandin { entry: entry(id, service, &address), script, seen, hang_ups }
+        TargetStandin { entry: entry(id, service, &address), script, seen, hang_ups, gate }
     }
 
     /// The requests that came, head and body.
@@ -300,6 +304,11 @@
         *lock(&self.hang_ups)
     }
 
+    /// Lets what waits under [`Script::Gated`] go on.
+    pub fn open_gate(&self) {
+        self.gate.store(true, Ordering::Release);
+    }
+
     /// Follows another script from the next request on.
     pub fn follow(&self, script: Script) {
         *lock(&self.script) = script;
@@ -324,6 +333,7 @@
     script: Script,
     seen: &Mutex<Vec<String>>,
     hang_ups: &Mutex<usize>,
+    gate: &AtomicBool,
 ) {
     let Some((head, body)) = read_message(&mut stream, script != Script::Early) else {
         return;
@@ -359,8 +369,10 @@
             *lock(hang_ups) += 1;
             return;
         }
-        Script::Slow => {
-            thread::sleep(Duration::from_millis(400));
+        Script::Gated => {
+            while !gate.load(Ordering::Acquire) {
+                thread::sleep(LOOK_PAUSE);
+            }
             format!("{ok}Content-Length: 5\r\n\r\nhello")
         }
         Script::Long | Script::LongCutShort => {
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -32,17 +32,19 @@
 
 #[test]
 fn a_planned_stop_cuts_nothing() {
-    let target = TargetStandin::start("t", "service", Script::Slow);
+    let target = TargetStandin::start("t", "service", Script::Good);
     let store = store_with(&[&target]);
     let gateway = BoxUnderTest::start(store.port(true), &[]);
     gateway.wait_ready();
     let mut busy = gateway.connect();
     let mut resting = gateway.connect();
     assert_eq!(resting.ask("GET", "/r/x", "").status, 200);
+    target.follow(Script::Gated);
     busy.send("GET", "/r/x", "", "");
     eventually("the target works", || target.seen().len() == 2);
     gateway.begin_stop();
     eventually("it is not ready", || !gateway.is_ready());
+    target.open_gate();
     let reply = busy.read().expect("the request in flight is finished");
     assert_eq!((reply.status, reply.body.as_str()), (200, "hello"));
     assert_eq!(header(&reply.head, "connection"), Some("close"));
@@ -57,18 +59,22 @@
     let target = TargetStandin::start("t", "service", Script::Good);
     let store = store_with(&[&target]);
     let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
-        settings.stop_time = Duration::from_secs(8);
+        settings.stop_time = Duration::from_secs(12);
     });
     gateway.wait_ready();
     let mut kept = gateway.connect();
     assert_eq!(kept.ask("GET", "/r/x", "").status, 200);
     gateway.begin_stop();
-    // The route's time is longer than what is left from half of the stop on.
-    thread::sleep(Duration::from_millis(4200));
-    let reply = kept.ask("GET", "/r/x", "");
-    assert_eq!(reply.status, 503, "{reply:?}");
-    assert!(header(&reply.head, "retry-after").is_some());
-    assert_eq!(target.seen().len(), 1, "it went nowhere");
+    // The route's time is longer than what is left from half of the stop on. Until then
+    // each answer ends its connection, so each further request needs a new one.
+    let mut served = 1;
+    eventually("a request is refused", || {
+        let reply = kept.ask("GET", "/r/x", "");
+        kept = gateway.connect();
+        served += usize::from(reply.status == 200);
+        reply.status == 503 && header(&reply.head, "retry-after").is_some()
+    });
+    assert_eq!(target.seen().len(), served, "what was refused went nowhere");
 }
 
 #[test]
