--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -125,11 +125,6 @@
         self.boxes = all.max(near).max(1);
     }
 
-    /// Whether a target is known as one that takes work.
-    pub fn knows(&self, key: TargetKey) -> bool {
-        self.services.contains_key(&key)
-    }
-
     /// A request for `service` came.
     pub fn note_request(&mut self, now: TimePoint, service: &str) {
         if let Some(pool) = self.pools.get_mut(service) {
@@ -295,7 +290,7 @@
         let loss = if request.repeatable { LOST_COST * REPEAT_SHARE } else { LOST_COST };
         let late = (wait.as_secs_f64() / request.goal.as_secs_f64().max(0.001)).min(1.0);
         let full = if record.is_full(now) { FULL_COST } else { 0.0 };
-        let cold = record.cold_left(now).as_secs_f64().min(1.0);
+        let cold = record.cold_time(now).as_secs_f64().min(1.0);
         let away = record.setup.data_centre != self.setup.data_centre;
         let crossing =
             if away { pool.crossing_kb(request.large) * self.setup.cross_cost } else { 0.0 };
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -129,7 +129,7 @@
         now.since(self.tried_at)
     }
 
-    pub(crate) fn cold_left(&self, now: TimePoint) -> Duration {
+    pub(crate) fn cold_time(&self, now: TimePoint) -> Duration {
         self.setup.cold_until.since(now)
     }
 
@@ -167,7 +167,7 @@
     pub(crate) fn wait(&self, now: TimePoint, usual: Duration) -> Duration {
         let slots = f64::from(self.setup.slots.max(1));
         let ahead = (self.busy(now) + 1.0 - slots).max(0.0) / slots;
-        let cold = if self.cold_left(now).is_zero() { 1.0 } else { COLD_FACTOR };
+        let cold = if self.cold_time(now).is_zero() { 1.0 } else { COLD_FACTOR };
         let own = self.usual.map_or(usual, Duration::from_secs_f64).mul_f64(cold);
         own.mul_f64(ahead) + own.saturating_sub(usual)
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -160,7 +160,7 @@
             service: target.service.clone(),
             data_centre: target.data_centre.clone(),
             slots: target.slots,
-            cold_until: now + target.cold_left,
+            cold_until: now + target.cold_time,
         });
         let targets = targets.collect();
         self.core().set_targets(now, targets);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -33,7 +33,7 @@
     /// Whether it takes no new work.
     pub draining: bool,
     /// For how long it was still slow from its start, when it was read.
-    pub cold_left: Duration,
+    pub cold_time: Duration,
 }
 
 /// What the store held at one revision.
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -134,7 +134,7 @@
         data_centre: target.data_centre.to_string(),
         slots: target.slots,
         draining: target.draining,
-        cold_ms: millis(target.cold_left.saturating_sub(age)),
+        cold_ms: millis(target.cold_time.saturating_sub(age)),
     };
     ViewReply {
         mark: view_mark(known),
@@ -152,7 +152,7 @@
         data_centre: target.data_centre.into(),
         slots: target.slots,
         draining: target.draining,
-        cold_left: Duration::from_millis(target.cold_ms),
+        cold_time: Duration::from_millis(target.cold_ms),
     };
     let config_revision = reply.config_revision;
     let config = (!reply.config.is_empty())
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -324,7 +324,7 @@
         data_centre: "centre".into(),
         slots: 3,
         draining: false,
-        cold_left: Duration::ZERO,
+        cold_time: Duration::ZERO,
     }
 }
 
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -163,15 +163,7 @@
     }
 
     fn take_length(&mut self, value: &str) -> Result<(), HttpError> {
-        // `u64::from_str` takes a leading '+', which HTTP does not.
-        let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
-        let Some(length) = digits.then(|| value.parse::<u64>().ok()).flatten() else {
-            return Err(malformed("Content-Length is not a number"));
-        };
-        if self.length.is_some_and(|earlier| earlier != length) {
-            return Err(malformed("two Content-Length headers disagree"));
-        }
-        self.length = Some(length);
+        self.length = Some(agreed_length(self.length, value.as_bytes())?);
         Ok(())
     }
 
@@ -187,6 +179,20 @@
     }
 }
 
+/// The length that a `Content-Length` header says, which must be the one `known` before.
+pub(crate) fn agreed_length(known: Option<u64>, value: &[u8]) -> Result<u64, HttpError> {
+    // `u64::from_str` takes a leading '+', which HTTP does not.
+    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(value).ok().filter(|_| digits);
+    let Some(length) = text.and_then(|text| text.parse::<u64>().ok()) else {
+        return Err(malformed("Content-Length is not a number"));
+    };
+    if known.is_some_and(|earlier| earlier != length) {
+        return Err(malformed("two Content-Length headers disagree"));
+    }
+    Ok(length)
+}
+
 fn parsed(result: httparse::Result<usize>) -> Result<(), HttpError> {
     match result {
         Ok(httparse::Status::Complete(_)) => Ok(()),
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -1,13 +1,14 @@
 //! Heads of requests and answers, with their headers as they were written.
 
 use crate::error::{ErrorKind, HttpError};
+use crate::head::agreed_length;
 use crate::raw::body::BodyLength;
 
 /// Header lines that a message may have.
 const MAX_HEADERS: usize = 256;
 
 /// Headers that concern one connection and are not passed on (RFC 9110, 7.6.1).
-const HOP_BY_HOP: [&str; 10] = [
+pub const HOP_BY_HOP: [&str; 10] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -124,16 +125,7 @@
             if !field.name.eq_ignore_ascii_case("content-length") {
                 continue;
             }
-            // `u64::from_str` takes a leading '+', which HTTP does not.
-            let digits = !field.value.is_empty() && field.value.iter().all(u8::is_ascii_digit);
-            let text = std::str::from_utf8(&field.value).ok().filter(|_| digits);
-            let Some(length) = text.and_then(|text| text.parse::<u64>().ok()) else {
-                return Err(malformed("Content-Length is not a number"));
-            };
-            if known.is_some_and(|earlier| earlier != length) {
-                return Err(malformed("two Content-Length headers disagree"));
-            }
-            known = Some(length);
+            known = Some(agreed_length(known, &field.value)?);
         }
         Ok(known)
     }
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -5,6 +5,7 @@
 use http_types::headers::{HeaderName, HeaderValues};
 use http_types::{Request, Response};
 use wingbridge_decide::{ReportedState, TargetReport};
+use wingbridge_http::raw::head::HOP_BY_HOP;
 
 /// Header with the outcome towards the caller.
 pub(crate) const OUTCOME: &str = "x-wingbridge-outcome";
@@ -19,18 +20,6 @@
 const STATE: &str = "x-target-state";
 const INCARNATION: &str = "x-target-incarnation";
 
-const HOP_BY_HOP: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-];
 /// Headers that only wingbridge sets.
 const OWN: [&str; 6] = [OUTCOME, REQUEST, BOX, LOAD, STATE, INCARNATION];
 
