--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -431,7 +431,8 @@
         services: vec![service.into()],
         weights: vec![1],
         attempts: 2,
-        timeout: Duration::from_secs(10),
+        // Longer than any test looks for something to happen: no time-out helps it along.
+        timeout: Duration::from_secs(60),
         goal: Duration::from_secs(1),
         priority: 1,
     }
