Hold no request back in a box that stops

Change: where a stop has begun, what would be held is refused as not run, with when to come back. Figures: the test failed before (200 after a hold) and passes.

--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -110,6 +110,10 @@
             let pick = match self.pick(left) {
                 Ok(pick) => pick,
                 Err(NoPick::NoTarget) => return self.give_up("no target takes it"),
+                Err(NoPick::Crowded) if self.context.stopping.is_stopping() => {
+                    // Held on, it could be cut by the end of the process.
+                    return self.give_up("this box ends and every target has a queue");
+                }
                 Err(NoPick::Crowded) => {
                     let spread = 0.5 + rand::random::<f64>();
                     async_std::task::sleep(HOLD_STEP.mul_f64(spread)).await;
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -77,6 +77,31 @@
     assert_eq!(target.seen().len(), served, "what was refused went nowhere");
 }
 
+/// A request that was held for a crowded service was cut by the end of the process (grown
+/// Dakar, scale-2, seed 301437178563).
+#[test]
+fn a_box_that_stops_holds_no_request_back() {
+    let mut target = TargetStandin::start("t", "service", Script::Gated);
+    // Slow from its start, so that each request is taken to wait there for long.
+    target.entry.cold_time = Duration::from_secs(1000);
+    let store = store_with(&[&target]);
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    gateway.wait_ready();
+    let mut kept = gateway.connect();
+    kept.send("GET", "/r/x", "", "");
+    eventually("the target works", || target.seen().len() == 1);
+    // Its usual time is what this answer takes.
+    thread::sleep(Duration::from_millis(700));
+    target.open_gate();
+    assert_eq!(kept.read().expect("an answer").status, 200);
+    gateway.begin_stop();
+    eventually("it is not ready", || !gateway.is_ready());
+    let reply = kept.ask("GET", "/r/x", "");
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert!(header(&reply.head, "retry-after").is_some());
+    assert_eq!(target.seen().len(), 1, "it went nowhere");
+}
+
 #[test]
 fn a_box_cut_off_from_the_store_learns_from_its_peers() {
     let (old, new) = (
