Drop lapsed targets in boxes that live by their peers, and keep a configuration read apart

Cause: both were found by reading. Lapsed targets were dropped only after a reading of the store of the box's own, and not during the sleep after a failed one, so a box that lives by its peers used them beyond their 2 s. A configuration read apart was put into a copy of the view and lost if a newer view was taken in between. Ruled out: that confirmations by peers drop them (they touch no targets). Change: the duty wakes when a lapsed target is due, a failed reading sets a time before which none is made in place of a sleep, and a configuration is taken into the view under one lock.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -127,27 +127,29 @@
             if change.targets {
                 self.publish_targets(&known);
             }
-            if known.config().is_some() && !self.known.swap(true, Ordering::AcqRel) {
-                log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
-            }
             change
         };
-        note_change(&change, revision, as_of, source);
-        // Full: a notice already waits.
-        let _ = self.view_changed.try_send(());
+        self.note_taken(&change, revision, as_of, source);
     }
 
     /// Takes a configuration that was read apart from the rest of the view.
     pub(crate) fn take_config(&self, config: ConfigText, source: &str) {
-        let (mut view, as_of) = {
-            let known = self.view();
-            (known.view().clone(), known.as_of())
+        let revision = config.revision;
+        let (change, as_of) = {
+            let mut known = self.view();
+            let change = known.take_config_alone(config, &*self.port);
+            (change, known.as_of().unwrap_or_else(Instant::now))
         };
-        view.config_revision = config.revision;
-        view.config = Some(config);
-        if let Some(as_of) = as_of {
-            self.take_view(view, as_of, source);
+        self.note_taken(&change, revision, as_of, source);
+    }
+
+    fn note_taken(&self, change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
+        if self.config().is_some() && !self.known.swap(true, Ordering::AcqRel) {
+            log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
         }
+        note_change(change, revision, as_of, source);
+        // Full: a notice already waits.
+        let _ = self.view_changed.try_send(());
     }
 
     /// Hands the targets that take work to the core. The view must be held by the caller,
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -12,7 +12,6 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use async_std::task;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -74,6 +73,8 @@
     gossip: Arc<GossipDuty>,
     random: SmallRng,
     failures: u32,
+    /// No reading is made before: the last one failed.
+    not_before: Instant,
     revisions: RevisionTrail,
     started: Instant,
     contacts_read: Option<Instant>,
@@ -87,6 +88,7 @@
             gossip,
             random: SmallRng::seed_from_u64(seed),
             failures: 0,
+            not_before: Instant::now(),
             revisions: RevisionTrail::default(),
             started: Instant::now(),
             contacts_read: None,
@@ -97,11 +99,14 @@
     /// Works until the ring of notices closes.
     pub(crate) async fn run(mut self, notices: Receiver<()>) {
         loop {
+            self.drop_lapsed();
             let due = self.reading_age();
             let age = self.context.view_age();
             let wait = age.map_or(Duration::ZERO, |age| due.saturating_sub(age));
+            let wait = wait.max(self.not_before.saturating_duration_since(Instant::now()));
             if !wait.is_zero() {
                 // A notice means that a peer's view was taken, so the age is another one.
+                let wait = self.until_lapse().map_or(wait, |lapse| lapse.min(wait));
                 match async_std::future::timeout(wait, notices.recv()).await {
                     Ok(Err(_)) => return,
                     Ok(Ok(())) | Err(_) => continue,
@@ -109,7 +114,6 @@
             }
             self.read().await;
             self.mind_contacts().await;
-            self.drop_lapsed();
         }
     }
 
@@ -141,7 +145,7 @@
                 metrics::counter!("wingbridge_store_reads", "outcome" => "failed").increment(1);
                 self.failures = self.failures.saturating_add(1);
                 self.gossip.ask_far().await;
-                task::sleep(self.retry_wait()).await;
+                self.not_before = Instant::now() + self.retry_wait();
             }
         }
     }
@@ -229,6 +233,13 @@
         }
     }
 
+    /// Time until the next lapsed target is to be dropped. Boxes that live by their peers
+    /// make no reading that would do it.
+    fn until_lapse(&self) -> Option<Duration> {
+        let lapse = self.context.view().next_lapse()?;
+        Some(lapse.saturating_duration_since(Instant::now()))
+    }
+
     fn drop_lapsed(&self) {
         let mut known = self.context.view();
         if known.drop_lapsed(Instant::now()) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -172,6 +172,24 @@
         change
     }
 
+    /// Takes a configuration that was read apart from the rest of the view, which may be
+    /// newer by now.
+    pub fn take_config_alone(
+        &mut self,
+        text: ConfigText,
+        port: &dyn EnvironmentPort,
+    ) -> ViewChange {
+        let mut change = ViewChange::default();
+        self.take_config(text, port, &mut change);
+        self.digest = self.view.digest();
+        change
+    }
+
+    /// When the next lapsed target is to be dropped, if there is one.
+    pub fn next_lapse(&self) -> Option<Instant> {
+        self.lapsed.values().map(|(_, until)| *until).min()
+    }
+
     /// Targets that take work now.
     pub fn usable(&self, now: Instant) -> Vec<&TargetEntry> {
         let listed = self.view.targets.iter();
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -3,12 +3,13 @@
 mod harness;
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::{
     BoxUnderTest, Script, StoreStandin, TargetStandin, config, eventually, header, route,
 };
 use wingbridge_gateway::routes::RouteKind;
+use wingbridge_gateway::view::{ConfigText, KnownView, StoreView};
 use wingbridge_process::Outcome;
 
 fn store_with(targets: &[&TargetStandin]) -> StoreStandin {
@@ -128,6 +129,58 @@
     assert_eq!(old.seen().len(), before, "a target that leaves gets no new work");
 }
 
+/// Lapsed targets were dropped only after a reading of the box's own: one that lives by
+/// its peers kept them until the next view in which a target differed.
+#[test]
+fn a_box_that_lives_by_its_peers_drops_lapsed_targets_in_time() {
+    let [stays, lapses, joins] =
+        ["stays", "lapses", "joins"].map(|id| TargetStandin::start(id, "service", Script::Good));
+    let store = store_with(&[&stays, &lapses]);
+    let reader = BoxUnderTest::start(store.port(true), &[]);
+    reader.wait_ready();
+    let cut_off = BoxUnderTest::start(store.port(false), &[reader.host()]);
+    cut_off.wait_ready();
+    store.set_away(true);
+    // Longer than a gap between two readings must be to count as an outage.
+    thread::sleep(Duration::from_millis(4000));
+    store.put_targets(vec![stays.entry.clone(), joins.entry.clone()]);
+    store.set_away(false);
+    eventually("the box that is cut off has heard of the return", || {
+        cut_off.ask("GET", "/r/x");
+        !joins.seen().is_empty()
+    });
+    let before = lapses.seen().len();
+    eventually("what lapsed is used, since it has time to come back", || {
+        cut_off.ask("GET", "/r/x");
+        lapses.seen().len() > before
+    });
+    thread::sleep(Duration::from_millis(2200));
+    let before = lapses.seen().len();
+    for _ in 0..40 {
+        assert_eq!(cut_off.ask("GET", "/r/x").status, 200);
+    }
+    assert_eq!(lapses.seen().len(), before, "a target that did not come back gets no new work");
+}
+
+/// A configuration that was read apart was put into a copy of the view, and lost if a
+/// newer view came in between.
+#[test]
+fn a_configuration_read_apart_is_not_lost_to_a_newer_view() {
+    let port = StoreStandin::default();
+    port.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
+    let port = port.port(true);
+    let mut known = KnownView::default();
+    let start = Instant::now();
+    let newer = StoreView { revision: 9, ..StoreView::default() };
+    known.take(newer, start, &*port);
+    let text = ConfigText { revision: 5, text: b"1".as_slice().into() };
+    let change = known.take_config_alone(text, &*port);
+    assert_eq!((change.config, known.config_revision(), known.revision()), (Some(1), 5, 9));
+    let view = StoreView { revision: 10, ..StoreView::default() };
+    known.take(view, start, &*port);
+    assert!(known.config().is_some(), "a view without it leaves it in force");
+}
+
 #[test]
 fn a_box_whose_reader_ends_reads_for_itself() {
     let target = TargetStandin::start("t", "service", Script::Good);
