Let requests wait for the first configuration of a box that has just started

Callers here do not come back after a refusal. Ruled out: that the store or the peers were slow (the configuration came within 40 ms of the start in all those boxes). Change: such a request waits up to 1 s, and up to a quarter of the time that its caller tells; then it is refused as before. The gate that wakes them is the one that a planned stop used already, in a file of its own. The test failed before (503).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! What every task of a box shares.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,7 @@
 use wingbridge_decide::steer::split::WeightedSplit;
 use wingbridge_decide::steer::{SteerCore, SteerSetup, SuspicionChange};
 
+use crate::gate::OpenGate;
 use crate::peers::PeerTable;
 use crate::policies::PolicySet;
 use crate::ports::{EnvironmentPort, HeaderNames};
@@ -35,7 +36,8 @@
     view: Mutex<KnownView>,
     core: Mutex<SteerCore>,
     split: Mutex<WeightedSplit>,
-    known: AtomicBool,
+    /// Opens with the first configuration.
+    pub(crate) first_config: OpenGate,
 }
 
 impl BoxContext {
@@ -73,7 +75,7 @@
             view: Mutex::default(),
             core: Mutex::new(core),
             split: Mutex::new(WeightedSplit::new(seed as f64 / u64::MAX as f64)),
-            known: AtomicBool::new(false),
+            first_config: OpenGate::default(),
         })
     }
 
@@ -115,7 +117,7 @@
 
     /// Whether the balancer should send callers.
     pub(crate) fn is_ready(&self) -> bool {
-        self.known.load(Ordering::Acquire) && !self.stopping.is_stopping()
+        self.first_config.is_open() && !self.stopping.is_stopping()
     }
 
     /// Takes a view of the store, wherever it came from, and puts it in force.
@@ -144,7 +146,7 @@
     }
 
     fn note_taken(&self, change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
-        if self.config().is_some() && !self.known.swap(true, Ordering::AcqRel) {
+        if self.config().is_some() && self.first_config.open() {
             log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
         }
         note_change(change, revision, as_of, source);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod answers;
 mod attempt;
 mod context;
+mod gate;
 mod gossip;
 mod intake;
 mod peers;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -18,6 +18,12 @@
 /// Time kept back from the caller's deadline for the answer's way to it.
 const WAY_BACK: Duration = Duration::from_millis(40);
 
+/// A request waits at most this long for a box's first configuration.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
+/// The same as a share of the time that its caller has: what is left must be enough for
+/// the request itself.
+const CONFIG_SHARE: f64 = 0.25;
+
 /// A caller's request, whole.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -48,6 +54,7 @@
     let since = request.since;
     let id = request_id(context, &request).unwrap_or_else(|| "-".to_string());
     let path = request.start.path().to_string();
+    await_config(context, &request).await;
     let (answer, trace) = match plan_request(context, &request) {
         Err(refusal) => (refusal.answer, refusal.trace),
         Ok(plan) => carry_out(context, request, plan).await,
@@ -56,6 +63,19 @@
     answer
 }
 
+/// Waits for the first configuration, as long as a caller had better wait for it: a box
+/// that has just started knows one some 50 ms later.
+async fn await_config(context: &BoxContext, request: &CallerRequest) {
+    if context.config().is_some() {
+        return;
+    }
+    let told = told_time(context, request).map_or(CONFIG_WAIT, |time| time.mul_f64(CONFIG_SHARE));
+    let known = context.first_config.wait_open();
+    if async_std::future::timeout(CONFIG_WAIT.min(told), known).await.is_err() {
+        log::debug!("configuration-awaited-in-vain");
+    }
+}
+
 /// A request that goes nowhere, with what is known for its log line.
 struct Refusal {
     answer: CallerAnswer,
@@ -128,12 +148,16 @@
 
 /// When the caller must have its answer: by its own deadline, or by the route's time.
 fn answer_until(context: &BoxContext, request: &CallerRequest, most: Duration) -> Instant {
-    let told = request.start.headers.text(&context.headers.time_left);
-    let told = told.and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
-    let told = told.map(|time| time.saturating_sub(WAY_BACK));
+    let told = told_time(context, request).map(|time| time.saturating_sub(WAY_BACK));
     request.since + told.map_or(most, |time| time.min(most))
 }
 
+/// How long the caller waits for its answer, if it tells.
+fn told_time(context: &BoxContext, request: &CallerRequest) -> Option<Duration> {
+    let told = request.start.headers.text(&context.headers.time_left)?;
+    told.parse::<u64>().ok().map(Duration::from_millis)
+}
+
 fn request_id(context: &BoxContext, request: &CallerRequest) -> Option<String> {
     request.start.headers.text(&context.headers.request_id).map(str::to_string)
 }
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -1,12 +1,10 @@
 //! The steps of a planned stop, as all tasks see them.
 
-use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 
-use async_channel::{Receiver, Sender};
+use crate::gate::OpenGate;
 
 #[derive(Debug, Clone, Copy)]
 struct StopTimes {
@@ -24,20 +22,18 @@
     open: Arc<AtomicUsize>,
     /// Requests that are read and not yet answered.
     busy: Arc<AtomicUsize>,
-    close: Sender<Infallible>,
-    closed: Receiver<Infallible>,
+    /// Opens when connections that rest are to be closed.
+    closing: OpenGate,
 }
 
 impl StopState {
     pub(crate) fn new() -> StopState {
-        let (close, closed) = async_channel::bounded(1);
         StopState {
             stopping: Arc::default(),
             end: Arc::default(),
             open: Arc::default(),
             busy: Arc::default(),
-            close,
-            closed,
+            closing: OpenGate::default(),
         }
     }
 
@@ -60,18 +56,17 @@
 
     /// Connections that rest are closed from now on, and no further request is read.
     pub(crate) fn close_idle(&self) {
-        self.close.close();
+        self.closing.open();
     }
 
     /// Whether no further request is to be read.
     pub(crate) fn is_closing(&self) -> bool {
-        self.closed.is_closed()
+        self.closing.is_open()
     }
 
     /// Waits until [`StopState::close_idle`].
     pub(crate) async fn wait_closing(&self) {
-        // Nothing is ever sent: the only end is that the channel closes.
-        let _ = self.closed.recv().await;
+        self.closing.wait_open().await;
     }
 
     /// Counts a connection until the guard is dropped.
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -31,6 +31,22 @@
     assert!(header(&reply.head, "retry-after").is_some());
 }
 
+/// Requests that came in the first moments of a box were refused, though its first reading
+/// of the store was on its way (every day that ends with all boxes off).
+#[test]
+fn a_request_waits_for_the_first_configuration() {
+    let target = TargetStandin::start("t", "service", Script::Good);
+    let store = store_with(&[&target]);
+    store.set_away(true);
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    eventually("it misses the store", || store.reads() > 0);
+    let mut early = gateway.connect();
+    early.send("GET", "/r/x", "", "");
+    store.set_away(false);
+    assert_eq!(early.read().expect("an answer").status, 200);
+    assert_eq!(target.seen().len(), 1);
+}
+
 #[test]
 fn a_planned_stop_cuts_nothing() {
     let target = TargetStandin::start("t", "service", Script::Good);
