Add a randomized soak of real boxes, with stand-ins of the platform

Ruled out: the stand-ins of crates/standin for it (they speak the product's own store and targets), and clock steps (no part of a box uses the time of day but for its logs, and the machine's clock is not ours to set). Change: platform/standins has a store and targets that speak the platform's protocol; crates/soak runs wingbridge-box as processes under faults that a seed plans (signals in overlapping series, relays that delay, silence, cut one way or close, stand-ins that misbehave, addresses used again), with callers that keep connections until the process is gone, and checks 13 promises by what callers and targets saw. Bounds on times are stretched by how late the soak itself was woken.

--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,169 @@
+//! Each check finds what it is there for, and nothing in a run without fault.
+
+use std::time::{Duration, Instant};
+
+use wingbridge_platform_standins::{AnswerCheck, Arrival};
+use wingbridge_soak::callers::{CallerEnd, CallerRecord};
+use wingbridge_soak::checks::{ProbeRecord, SoakEvidence, check_all};
+use wingbridge_soak::spans::{SpanLog, SpanScope};
+use wingbridge_soak::world::ConfigBoard;
+
+const SERVED: CallerEnd = CallerEnd::Answered(200, AnswerCheck::Whole);
+
+/// A run of one order and one repeatable request, both served.
+fn quiet(start: Instant) -> SoakEvidence {
+    SoakEvidence {
+        records: vec![
+            record("0-1", "/order/1", start, 100, SERVED),
+            record("0-2", "/read/2", start, 100, SERVED),
+        ],
+        arrivals: vec![
+            arrival("0-1", "/order/1", "orders", start, 10),
+            arrival("0-2", "/read/2", "reads", start, 10),
+        ],
+        probes: Vec::new(),
+        departures: Vec::new(),
+        board: ConfigBoard::default(),
+        spans: SpanLog::default(),
+        margin: Duration::from_millis(500),
+        strays: Vec::new(),
+        recovered: true,
+    }
+}
+
+fn record(id: &str, path: &str, start: Instant, millis: u64, end: CallerEnd) -> CallerRecord {
+    CallerRecord {
+        id: id.into(),
+        index: 0,
+        path: path.into(),
+        sent: start,
+        ended: start + Duration::from_millis(millis),
+        end,
+    }
+}
+
+fn arrival(id: &str, path: &str, service: &str, start: Instant, millis: u64) -> Arrival {
+    Arrival {
+        request: id.into(),
+        service: service.into(),
+        target: "t-1".into(),
+        line: format!("GET {path}"),
+        at: start + Duration::from_millis(millis),
+        ran: true,
+    }
+}
+
+fn probe(start: Instant, millis: u64, version: u32, status: u16) -> ProbeRecord {
+    let asked = start + Duration::from_millis(millis);
+    ProbeRecord {
+        id: format!("p0-{millis}"),
+        index: 0,
+        life: 1,
+        version,
+        asked,
+        ended: asked,
+        status,
+    }
+}
+
+struct CheckCase {
+    promise: &'static str,
+    spoil: fn(&mut SoakEvidence, Instant),
+}
+
+const CASES: &[CheckCase] = &[
+    CheckCase {
+        promise: "an order runs once at most",
+        spoil: |run, start| run.arrivals.push(arrival("0-1", "/order/1", "orders", start, 50)),
+    },
+    CheckCase {
+        promise: "what is refused has not run",
+        spoil: |run, _| run.records[0].end = CallerEnd::Answered(503, AnswerCheck::Whole),
+    },
+    CheckCase {
+        promise: "a success is the target's whole answer",
+        spoil: |run, _| run.records[1].end = CallerEnd::Answered(200, AnswerCheck::Wrong),
+    },
+    CheckCase {
+        promise: "targets get what callers sent, at the right service",
+        spoil: |run, start| run.arrivals.push(arrival("0-9", "/read/9", "reads", start, 50)),
+    },
+    CheckCase {
+        promise: "targets get what callers sent, at the right service",
+        spoil: |run, _| run.arrivals[0].service = "reads".into(),
+    },
+    CheckCase {
+        promise: "a planned stop cuts nothing",
+        spoil: |run, _| {
+            run.spans.begin(SpanScope::PlannedStop(0));
+            run.records[0].end = CallerEnd::Closed;
+        },
+    },
+    CheckCase {
+        promise: "a request is answered in its time",
+        spoil: |run, start| run.records[1].ended = start + Duration::from_millis(4200),
+    },
+    CheckCase {
+        promise: "a leaving target gets no new work",
+        spoil: |run, start| {
+            run.departures.push(("t-1".into(), start));
+            run.records.push(record("0-3", "/read/3", start, 2700, SERVED));
+            run.arrivals.push(arrival("0-3", "/read/3", "reads", start, 2600));
+        },
+    },
+    CheckCase {
+        promise: "a configuration never reverts",
+        spoil: |run, start| run.probes = vec![probe(start, 0, 2, 200), probe(start, 900, 2, 404)],
+    },
+    CheckCase {
+        promise: "a hang-up cancels",
+        spoil: |run, start| {
+            for number in 10..14 {
+                let (id, path) = (format!("0-{number}"), format!("/read/{number}"));
+                run.records.push(record(&id, &path, start, 20, CallerEnd::GivenUp));
+                run.arrivals.push(arrival(&id, &path, "reads", start, 1100));
+            }
+        },
+    },
+    CheckCase {
+        promise: "retries stay within the budget",
+        spoil: |run, start| {
+            for millis in 20..60 {
+                run.arrivals.push(arrival("0-2", "/read/2", "reads", start, millis));
+            }
+        },
+    },
+    CheckCase {
+        promise: "processes run until they are stopped",
+        spoil: |run, _| run.strays.push("box 0 ended by itself".into()),
+    },
+    CheckCase { promise: "service returns after faults", spoil: |run, _| run.recovered = false },
+];
+
+#[test]
+fn each_check_finds_what_it_is_there_for() {
+    let start = Instant::now();
+    assert_eq!(check_all(&quiet(start)), []);
+    for case in CASES {
+        let mut run = quiet(start);
+        (case.spoil)(&mut run, start);
+        let found = check_all(&run);
+        let promises: Vec<&str> = found.iter().map(|violation| violation.promise).collect();
+        assert_eq!(promises, [case.promise]);
+    }
+}
+
+#[test]
+fn what_a_disturbed_box_does_is_excused() {
+    let start = Instant::now();
+    let mut run = quiet(start);
+    run.spans.begin(SpanScope::Box(0));
+    run.records[0].end = CallerEnd::Closed;
+    run.records[1].ended = start + Duration::from_millis(4200);
+    run.departures.push(("t-1".into(), start));
+    run.arrivals.push(arrival("0-1", "/order/1", "orders", start, 10));
+    let found = check_all(&run);
+    // What must hold at any time is not excused.
+    let promises: Vec<&str> = found.iter().map(|violation| violation.promise).collect();
+    assert_eq!(promises, ["an order runs once at most"]);
+}
