Take a target out of use whose address another instance has

Six instances had ended without a word while the store turned boxes away, and another service had their addresses. The 421 of those says 'not run' too and was taken for a full queue, so every request tried up to four of them again, orders were refused, and the tries counted as retries at the other service. Change: 421 is looked at first; the instance gets nothing more unless its entry names another address, and peers everywhere are told. One log line when that is learned.

--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -245,6 +245,13 @@
         record.note_suspicion(now)
     }
 
+    /// Another instance answered at a target's address, here or to a peer. The target has
+    /// ended, and gets nothing more unless its entry names another address. Returns whether
+    /// that is new.
+    pub fn note_replaced(&mut self, key: TargetKey) -> bool {
+        self.record_mut(key).is_some_and(TargetRecord::note_replaced)
+    }
+
     /// A target told its load.
     pub fn note_load(&mut self, now: TimePoint, key: TargetKey, load: LoadReport) {
         if let Some(record) = self.record_mut(key) {
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -61,8 +61,10 @@
         self.records.is_empty()
     }
 
+    /// All targets that can be reached under their addresses.
     pub(crate) fn records(&self) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
-        self.records.iter().map(|(key, record)| (*key, record))
+        let records = self.records.iter().filter(|(_, record)| !record.is_replaced());
+        records.map(|(key, record)| (*key, record))
     }
 
     /// The usual time of a request.
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -62,6 +62,8 @@
     /// Whether the last attempt at it failed, here or at a peer.
     last_failed: bool,
     suspect: bool,
+    /// Another instance answers at its address: it has ended, whatever the store says.
+    replaced: bool,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     open: u32,
@@ -81,6 +83,7 @@
             tried_at: now,
             last_failed: false,
             suspect: false,
+            replaced: false,
             path_failed_at: None,
             full_at: None,
             open: 0,
@@ -93,6 +96,7 @@
     }
 
     pub(crate) fn with_setup(mut self, setup: SteerTarget) -> TargetRecord {
+        self.replaced &= setup.address == self.setup.address;
         self.setup = setup;
         self
     }
@@ -107,6 +111,16 @@
         self.path_failed_at.is_none_or(|failed| now.since(failed) >= PATH_AVOIDED)
     }
 
+    /// Whether another instance has its address.
+    pub(crate) fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// Another instance has its address; returns whether that is new.
+    pub(crate) fn note_replaced(&mut self) -> bool {
+        !std::mem::replace(&mut self.replaced, true)
+    }
+
     /// Whether the last attempt at it failed.
     pub(crate) fn last_failed(&self) -> bool {
         self.last_failed
--- a/crates/decide/tests/steer.rs
+++ b/crates/decide/tests/steer.rs
@@ -191,6 +191,24 @@
     assert!(near(&mut core) < PICKS / 4);
 }
 
+#[test]
+fn an_instance_whose_address_another_has_returns_only_under_another_address() {
+    let now = at(20_000);
+    let mut core = settled(&[("a", "near"), ("b", "near")], now);
+    assert!(core.note_replaced(TargetKey::of("a")));
+    assert!(!core.note_replaced(TargetKey::of("a")), "it is no news");
+    let picked = |core: &mut SteerCore| {
+        let picks = (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target"));
+        picks.filter(|pick| *pick.id == *"a").count()
+    };
+    assert_eq!(picked(&mut core), 0);
+    core.set_targets(now, vec![target("a", "near"), target("b", "near")]);
+    assert_eq!(picked(&mut core), 0, "its entry is the same");
+    let moved = SteerTarget { address: "10.0.0.9:1".into(), ..target("a", "near") };
+    core.set_targets(now, vec![moved, target("b", "near")]);
+    assert!(picked(&mut core) > 0);
+}
+
 #[test]
 fn successes_acquit() {
     let now = at(20_000);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -132,12 +132,13 @@
     held: HeldBody,
 ) -> AttemptEnd {
     let load = start.headers.text(&names.load).and_then(parse_load);
-    if start.headers.has(&names.not_run) {
-        return AttemptEnd::Refused(load);
-    }
+    // Such an answer says "not run" too, but the target that was meant is gone for good.
     if start.status == 421 {
         return AttemptEnd::WrongTarget;
     }
+    if start.headers.has(&names.not_run) {
+        return AttemptEnd::Refused(load);
+    }
     let returned = start.headers.text(&names.request_id);
     if request.request_id.as_deref() != returned && request.request_id.is_some() {
         return AttemptEnd::Broken("the answer belongs to another request".into());
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -186,6 +186,12 @@
     metrics::counter!("wingbridge_suspicions", "event" => event).increment(1);
 }
 
+/// Logs that another instance answers at a target's address, and who saw it.
+pub(crate) fn log_replaced(target: &str, by: &str) {
+    log::info!(target, by; "target-replaced");
+    metrics::counter!("wingbridge_targets_replaced").increment(1);
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,7 @@
     Beacon, Datagram, DatagramBody, Sighting, Sightings, Tally, ViewMark,
 };
 
-use crate::context::{BoxContext, note_suspicion};
+use crate::context::{BoxContext, log_replaced, note_suspicion};
 use crate::sightings::Urgency;
 use crate::view_exchange::{fetch_view, view_mark};
 
@@ -293,6 +293,9 @@
         let now = self.context.now();
         let mut core = self.context.core();
         for seen in &sightings.targets {
+            if seen.replaced && core.note_replaced(TargetKey(seen.target)) {
+                log_replaced(&format!("{:016x}", seen.target), box_id);
+            }
             let sample = PeerSample {
                 good: seen.good,
                 bad: seen.bad,
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -11,7 +11,7 @@
 
 use crate::answers::{CallerAnswer, CallerOutcome};
 use crate::attempt::{AttemptEnd, AttemptPlan, OutgoingRequest, TargetAnswer, attempt};
-use crate::context::{BoxContext, note_suspicion};
+use crate::context::{BoxContext, log_replaced, note_suspicion};
 use crate::request_log::RequestTrace;
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
@@ -177,6 +177,9 @@
             AttemptEnd::WrongTarget => {
                 self.arrivals += 1;
                 open.end(SteerOutcome::WrongTarget, None, 0);
+                if self.context.core().note_replaced(pick.key) {
+                    log_replaced(&pick.id, "own");
+                }
                 self.go_on("another instance has the address")
             }
             AttemptEnd::NotConnected(why) => {
--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -61,6 +61,7 @@
             }
             SteerOutcome::Failed | SteerOutcome::Broken => seen.bad = 1,
             SteerOutcome::Overdue => seen.overdue = 1,
+            SteerOutcome::WrongTarget => seen.replaced = true,
             _ => {}
         }
         self.add(key, &seen, suspect);
@@ -72,7 +73,7 @@
     }
 
     fn add(&self, key: TargetKey, seen: &Sighting, suspect: bool) {
-        let failed = seen.bad + seen.overdue > 0;
+        let failed = seen.bad + seen.overdue > 0 || seen.replaced;
         let is_news = failed || (suspect && seen.good > 0);
         let mut pending = lock(&self.pending);
         let known = pending.entry(key);
@@ -100,6 +101,7 @@
     sum.good = good;
     sum.bad += seen.bad;
     sum.overdue += seen.overdue;
+    sum.replaced |= seen.replaced;
     if seen.held_plus_one > 0 {
         sum.held_plus_one = seen.held_plus_one;
     }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -351,7 +351,10 @@
         Script::Sheds => {
             format!("HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
         }
-        Script::Other => format!("HTTP/1.1 421 Other\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n"),
+        // It ran nothing, and says that as well.
+        Script::Other => {
+            format!("HTTP/1.1 421 Other\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        }
         Script::CutShort => format!("{ok}Content-Length: 50\r\n\r\nhello"),
         Script::Silent => String::new(),
         Script::NoProof => {
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -245,6 +245,36 @@
     near.wait_ready();
 }
 
+/// An instance that had ended while the store was disturbed stayed in the list, another one
+/// had its address, and each request tried it again: orders were refused after four such
+/// tries, and BUDGET broke at the other service (Dakar trouble-1, seed 513248552195).
+#[test]
+fn a_target_whose_address_another_has_gets_one_request_from_all_boxes() {
+    let ended = TargetStandin::start("ended", "service", Script::Other);
+    let good = TargetStandin::start("good", "service", Script::Good);
+    let store = store_with(&[&ended, &good]);
+    let first = BoxUnderTest::start(store.port(true), &[]);
+    first.wait_ready();
+    let second = BoxUnderTest::start(store.port(true), &[first.host()]);
+    second.wait_ready();
+    eventually("the address is tried", || {
+        assert_eq!(first.ask("GET", "/r/x").status, 200);
+        ended.seen().len() == 1
+    });
+    // Long enough for the news to reach the other box.
+    thread::sleep(Duration::from_millis(500));
+    for _ in 0..60 {
+        assert_eq!(first.ask("GET", "/r/x").status, 200);
+        assert_eq!(second.ask("GET", "/r/x").status, 200);
+    }
+    thread::sleep(Duration::from_millis(1200));
+    for _ in 0..60 {
+        assert_eq!(first.ask("GET", "/r/x").status, 200);
+        assert_eq!(second.ask("GET", "/r/x").status, 200);
+    }
+    assert_eq!(ended.seen().len(), 1);
+}
+
 /// A configuration of 400 KB sent by one box to all of its data centre took longer than a
 /// change may: found on a grown site, where links carry 10 Mbit/s.
 #[test]
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -136,6 +136,9 @@
     /// One more than the attempts that the sender has open there; 0 if it tells none.
     #[prost(uint32, tag = "7")]
     pub open_plus_one: u32,
+    /// Whether another instance answers at its address.
+    #[prost(bool, tag = "8")]
+    pub replaced: bool,
 }
 
 /// Asks a peer for its whole view of the store.
