--- a/crates/agent/src/admin.rs
+++ b/crates/agent/src/admin.rs
@@ -6,25 +6,7 @@
 use wingbridge_http::server::{ServerSettings, json_response, serve, text_response};
 use wingbridge_process::metrics::render_metrics;
 
-use crate::exchange::AgentEvent;
-
-/// What can be asked of the exchange.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum AdminQuestion {
-    /// How the box is.
-    Status,
-    /// Targets that are not simply healthy.
-    Targets,
-    /// The boxes that are known.
-    Boxes,
-    /// Keys, their versions, and what is in force.
-    Keys {
-        /// What their names start with.
-        prefix: String,
-    },
-    /// The time line.
-    TimeLine,
-}
+use crate::events::{AdminQuestion, AgentEvent};
 
 /// Answers operators until the task is dropped.
 pub(crate) async fn serve_admin(listener: TcpListener, events: Sender<AgentEvent>) {
--- /dev/null
+++ b/crates/agent/src/exchange/evidence.rs
@@ -0,0 +1,123 @@
+//! Evidence to the judges, and what they found round the boxes.
+
+use std::sync::Arc;
+
+use wingbridge_decide::TimePoint;
+use wingbridge_spread::BoxIdentity;
+use wingbridge_spread::members::SMALL_FLEET;
+use wingbridge_wire::convert::{batches_of, service_evidence};
+use wingbridge_wire::{Evidence, FrameBody, Leaving, VerdictMessage, Verdicts};
+
+use super::{Exchange, NewsKey};
+
+impl Exchange {
+    /// Hands this box's evidence to the judges of each service.
+    pub(super) fn route_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
+        let (_, batches) = batches_of(evidence);
+        let identity = self.parts.identity.clone();
+        for batch in batches {
+            for judge in self.judges_up(&batch.service) {
+                if judge == identity.box_id {
+                    self.judge.take(now, &source_of(&identity), &batch);
+                } else {
+                    self.outgoing.add(now, judge, &batch);
+                }
+            }
+        }
+    }
+
+    /// The judges to tell. A small fleet tells all of them; in a large one the first that
+    /// is up is enough, and a second would cost as many bytes again. A box that knows no
+    /// other judges for itself.
+    pub(super) fn judges_up(&self, service: &str) -> Vec<Arc<str>> {
+        let identity = &self.parts.identity;
+        let members = self.parts.core.members();
+        let mut judges = members.judges(service, &identity.data_centre);
+        judges.retain(|judge| !self.parts.links.is_down(judge));
+        if members.len() > SMALL_FLEET {
+            judges.truncate(1);
+        }
+        if judges.is_empty() {
+            judges.push(identity.box_id.clone());
+        }
+        judges
+    }
+
+    pub(super) fn send_evidence(&mut self, now: TimePoint) {
+        let identity = self.parts.identity.clone();
+        let boxes = self.parts.core.members().len();
+        for (judge, batches) in self.outgoing.take_due(now, boxes) {
+            let evidence = Evidence {
+                box_id: identity.box_id.to_string(),
+                data_centre: identity.data_centre.to_string(),
+                services: batches.iter().map(service_evidence).collect(),
+            };
+            self.send(&judge, FrameBody::Evidence(evidence));
+        }
+    }
+
+    pub(super) fn take_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
+        let (source, batches) = batches_of(evidence);
+        for batch in batches {
+            self.judge.take(now, &source, &batch);
+        }
+    }
+
+    /// Verdicts go round in the data centre that they were found for.
+    pub(super) fn pass_on_verdict(
+        &mut self,
+        now: TimePoint,
+        from: Option<&Arc<str>>,
+        verdict: VerdictMessage,
+    ) {
+        let news = NewsKey::Verdict {
+            service: verdict.service.clone(),
+            target: verdict.target,
+            stamp: verdict.stamp,
+            convicted: verdict.convicted,
+        };
+        if !self.heard.note(news) {
+            return;
+        }
+        let body = FrameBody::Verdicts(Verdicts { verdicts: vec![verdict] });
+        self.to_proxy(body.clone());
+        self.recent.push((now, body.clone()));
+        let own = self.parts.identity.data_centre.clone();
+        for peer in self.parts.core.neighbours(now.as_micros()) {
+            let member = self.parts.core.members().get(&peer);
+            if Some(&peer) != from && member.is_some_and(|member| *member.data_centre == *own) {
+                self.send(&peer, body.clone());
+            }
+        }
+    }
+
+    /// That a target leaves is true everywhere.
+    pub(super) fn pass_on_leaving(
+        &mut self,
+        now: TimePoint,
+        from: Option<&Arc<str>>,
+        leaving: Leaving,
+    ) {
+        let news = NewsKey::Leaving { origin: leaving.origin.clone(), number: leaving.number };
+        if !self.heard.note(news) {
+            return;
+        }
+        let body = FrameBody::Leaving(leaving);
+        if from.is_some() {
+            self.to_proxy(body.clone());
+        }
+        self.recent.push((now, body.clone()));
+        for peer in self.parts.core.neighbours(now.as_micros()) {
+            if Some(&peer) != from {
+                self.send(&peer, body.clone());
+            }
+        }
+    }
+}
+
+fn source_of(identity: &BoxIdentity) -> wingbridge_decide::EvidenceSource {
+    wingbridge_decide::EvidenceSource {
+        box_id: identity.box_id.clone(),
+        data_centre: identity.data_centre.clone(),
+    }
+}
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange/mod.rs
@@ -4,6 +4,9 @@
 //! [`JudgeCore`] for evidence) with what connections, the store, the timer and
 //! operators put into its ring, and sends what they command.
 
+mod evidence;
+mod questions;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,28 +14,24 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use serde::Serialize;
 use wingbridge_config::{HAND_PREFIX, POLICY_PREFIX, SERVICE_PREFIX, parse_service};
-use wingbridge_decide::{JudgeCore, Name, TimePoint};
+use wingbridge_decide::{JudgeCore, TimePoint};
 use wingbridge_process::ProcessClock;
 use wingbridge_spread::core::SpreadEvent;
 use wingbridge_spread::gossip::HeardNews;
-use wingbridge_spread::map::key_stamp;
-use wingbridge_spread::members::SMALL_FLEET;
-use wingbridge_spread::{BoxIdentity, MemberState, SpreadCommand, SpreadCore};
+use wingbridge_spread::{BoxIdentity, SpreadCommand, SpreadCore};
 use wingbridge_trace::TimeLine;
-use wingbridge_wire::convert::{batches_of, service_evidence, verdict_message};
+use wingbridge_wire::convert::verdict_message;
 use wingbridge_wire::{
-    CaughtUp, Digest, Entries, Entry, Events, Evidence, FrameBody, KeyStamp, Leaving, ProxyState,
-    Readiness, Stamp, VerdictMessage, Verdicts,
+    CaughtUp, Digest, Entries, Entry, Events, FrameBody, KeyStamp, ProxyState, Readiness, Stamp,
+    VerdictMessage, Verdicts,
 };
 
-use crate::admin::AdminQuestion;
+use crate::events::AgentEvent;
 use crate::links::{PeerLinks, SEED_PREFIX};
 use crate::outgoing::OutgoingEvidence;
 use crate::self_suspicion::SelfSuspicion;
 use crate::store_duty::StoreOrders;
-use crate::views::{BoxView, KeyView, StatusView, TargetView};
 
 /// Period of the exchange's timer.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
@@ -43,25 +42,6 @@
 /// Entries in one message to the proxy.
 const ENTRIES_AT_ONCE: usize = 64;
 
-/// Events into the exchange.
-#[derive(Clone)]
-pub(crate) enum AgentEvent {
-    /// Time has passed.
-    TimerFired,
-    /// The store was called.
-    StoreRead { entries: Vec<Entry>, reachable: bool },
-    /// A peer connected.
-    PeerConnected { peer: Arc<str>, ring: Sender<FrameBody> },
-    /// A connection to a peer ended.
-    PeerClosed { peer: Arc<str> },
-    /// A peer, or this box's proxy, sent something.
-    Received { from: Arc<str>, body: FrameBody },
-    /// This box's proxy connected.
-    ProxyConnected { ring: Sender<FrameBody> },
-    /// An operator asked.
-    Asked { question: AdminQuestion, reply: Sender<String> },
-}
-
 /// What the exchange is made of.
 pub(crate) struct ExchangeParts {
     pub(crate) identity: BoxIdentity,
@@ -271,104 +251,6 @@
         }
     }
 
-    /// Hands this box's evidence to the judges of each service.
-    fn route_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
-        let (_, batches) = batches_of(evidence);
-        let identity = self.parts.identity.clone();
-        for batch in batches {
-            for judge in self.judges_up(&batch.service) {
-                if judge == identity.box_id {
-                    self.judge.take(now, &source_of(&identity), &batch);
-                } else {
-                    self.outgoing.add(now, judge, &batch);
-                }
-            }
-        }
-    }
-
-    /// The judges to tell. A small fleet tells all of them; in a large one the first that
-    /// is up is enough, and a second would cost as many bytes again. A box that knows no
-    /// other judges for itself.
-    fn judges_up(&self, service: &str) -> Vec<Arc<str>> {
-        let identity = &self.parts.identity;
-        let members = self.parts.core.members();
-        let mut judges = members.judges(service, &identity.data_centre);
-        judges.retain(|judge| !self.parts.links.is_down(judge));
-        if members.len() > SMALL_FLEET {
-            judges.truncate(1);
-        }
-        if judges.is_empty() {
-            judges.push(identity.box_id.clone());
-        }
-        judges
-    }
-
-    fn send_evidence(&mut self, now: TimePoint) {
-        let identity = self.parts.identity.clone();
-        let boxes = self.parts.core.members().len();
-        for (judge, batches) in self.outgoing.take_due(now, boxes) {
-            let evidence = Evidence {
-                box_id: identity.box_id.to_string(),
-                data_centre: identity.data_centre.to_string(),
-                services: batches.iter().map(service_evidence).collect(),
-            };
-            self.send(&judge, FrameBody::Evidence(evidence));
-        }
-    }
-
-    fn take_evidence(&mut self, now: TimePoint, evidence: &Evidence) {
-        let (source, batches) = batches_of(evidence);
-        for batch in batches {
-            self.judge.take(now, &source, &batch);
-        }
-    }
-
-    /// Verdicts go round in the data centre that they were found for.
-    fn pass_on_verdict(
-        &mut self,
-        now: TimePoint,
-        from: Option<&Arc<str>>,
-        verdict: VerdictMessage,
-    ) {
-        let news = NewsKey::Verdict {
-            service: verdict.service.clone(),
-            target: verdict.target,
-            stamp: verdict.stamp,
-            convicted: verdict.convicted,
-        };
-        if !self.heard.note(news) {
-            return;
-        }
-        let body = FrameBody::Verdicts(Verdicts { verdicts: vec![verdict] });
-        self.to_proxy(body.clone());
-        self.recent.push((now, body.clone()));
-        let own = self.parts.identity.data_centre.clone();
-        for peer in self.parts.core.neighbours(now.as_micros()) {
-            let member = self.parts.core.members().get(&peer);
-            if Some(&peer) != from && member.is_some_and(|member| *member.data_centre == *own) {
-                self.send(&peer, body.clone());
-            }
-        }
-    }
-
-    /// That a target leaves is true everywhere.
-    fn pass_on_leaving(&mut self, now: TimePoint, from: Option<&Arc<str>>, leaving: Leaving) {
-        let news = NewsKey::Leaving { origin: leaving.origin.clone(), number: leaving.number };
-        if !self.heard.note(news) {
-            return;
-        }
-        let body = FrameBody::Leaving(leaving);
-        if from.is_some() {
-            self.to_proxy(body.clone());
-        }
-        self.recent.push((now, body.clone()));
-        for peer in self.parts.core.neighbours(now.as_micros()) {
-            if Some(&peer) != from {
-                self.send(&peer, body.clone());
-            }
-        }
-    }
-
     fn welcome(&mut self, now: TimePoint, peer: Arc<str>, ring: Sender<FrameBody>) {
         let same_centre = self
             .parts
@@ -446,61 +328,6 @@
         self.parts.line.note(kind, &[]);
         log::info!(reachable; "store-reachability-changed");
     }
-
-    fn answer(&self, question: AdminQuestion) -> String {
-        match question {
-            AdminQuestion::Status => to_json(&self.status()),
-            AdminQuestion::Targets => {
-                let targets = self.proxy_state.targets.iter().map(TargetView::of);
-                to_json(&targets.collect::<Vec<_>>())
-            }
-            AdminQuestion::Boxes => to_json(&self.boxes()),
-            AdminQuestion::Keys { prefix } => to_json(&self.keys(&prefix)),
-            AdminQuestion::TimeLine => to_json(&self.parts.line.events()),
-        }
-    }
-
-    fn status(&self) -> StatusView {
-        let proxy_connected = self.proxy.as_ref().is_some_and(|ring| !ring.is_closed());
-        let lacking = self.keys("").into_iter().filter(|key| !key.in_force);
-        StatusView {
-            box_id: self.parts.identity.box_id.to_string(),
-            data_centre: self.parts.identity.data_centre.to_string(),
-            whole: self.whole,
-            store_reachable: self.store_reachable.unwrap_or(false),
-            watches_store: self.parts.orders.watch.load(Ordering::Acquire),
-            proxy_connected,
-            proxy_ready: proxy_connected && self.proxy_state.ready,
-            holds_itself_sick: self.suspicion.own_failing(),
-            requests_held: self.proxy_state.requests_held,
-            boxes_known: self.parts.core.members().len(),
-            peers_connected: self.parts.links.connected().count(),
-            root: format!("{:016x}", self.parts.core.map().root()),
-            not_in_force: lacking.map(|key| key.key).collect(),
-        }
-    }
-
-    fn boxes(&self) -> Vec<BoxView> {
-        let members = self.parts.core.members().iter();
-        let view = |(box_id, member): (&Name, &wingbridge_spread::MemberValue)| BoxView {
-            box_id: box_id.to_string(),
-            data_centre: member.data_centre.clone(),
-            admin: member.admin.clone(),
-            leaving: member.state == MemberState::Leaving,
-        };
-        members.map(view).collect()
-    }
-
-    fn keys(&self, prefix: &str) -> Vec<KeyView> {
-        let entries = self.parts.core.map().entries();
-        let entries =
-            entries.filter(|entry| is_config(&entry.key) && entry.key.starts_with(prefix));
-        let view = |entry: &Entry| {
-            let in_force = self.in_force.get(&entry.key) == Some(&entry.stamp);
-            KeyView::of(&key_stamp(entry), entry.deleted, in_force)
-        };
-        entries.map(view).collect()
-    }
 }
 
 /// Whether a key is the operators' configuration, which proxies put in force.
@@ -508,13 +335,6 @@
     [SERVICE_PREFIX, POLICY_PREFIX, HAND_PREFIX].iter().any(|prefix| key.starts_with(prefix))
 }
 
-fn source_of(identity: &BoxIdentity) -> wingbridge_decide::EvidenceSource {
-    wingbridge_decide::EvidenceSource {
-        box_id: identity.box_id.clone(),
-        data_centre: identity.data_centre.clone(),
-    }
-}
-
 fn scope_name(scope: u32) -> &'static str {
     match scope {
         0 => "path",
@@ -522,7 +342,3 @@
         _ => "target",
     }
 }
-
-fn to_json(value: &impl Serialize) -> String {
-    serde_json::to_string(value).unwrap_or_else(|_| "null".into())
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 //! without its agent.
 
 mod admin;
+mod events;
 mod exchange;
 mod links;
 pub mod outgoing;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -20,7 +20,7 @@
     split_stream,
 };
 
-use crate::exchange::AgentEvent;
+use crate::events::AgentEvent;
 
 /// Messages that wait for one connection.
 const RING: usize = 256;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -14,7 +14,8 @@
 use wingbridge_wire::{FleetKey, Hello};
 
 use crate::admin::serve_admin;
-use crate::exchange::{AgentEvent, Exchange, ExchangeParts, TICK};
+use crate::events::AgentEvent;
+use crate::exchange::{Exchange, ExchangeParts, TICK};
 use crate::links::{CutSwitch, LinkContext, PeerLinks, accept_peers, accept_proxy};
 use crate::settings::AgentSettings;
 use crate::store_duty::{StoreDuty, StoreOrders};
--- a/crates/agent/src/store_duty.rs
+++ b/crates/agent/src/store_duty.rs
@@ -15,7 +15,7 @@
 };
 use wingbridge_wire::{Entry, Stamp};
 
-use crate::exchange::AgentEvent;
+use crate::events::AgentEvent;
 
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Pause of a box that does not watch, before it looks whether it should.
--- a/crates/proxy/src/agent_link.rs
+++ b/crates/proxy/src/agent_link.rs
@@ -18,7 +18,7 @@
 
 use crate::active_config::ConfigKeeper;
 use crate::context::ProxyContext;
-use crate::decision::DecisionInput;
+use crate::inputs::DecisionInput;
 
 const RECONNECT_WAIT: Duration = Duration::from_millis(200);
 /// Messages to the agent that wait; without an agent, later ones are dropped.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,8 +11,8 @@
 use wingbridge_http::{AnswerBody, ErrorKind, HttpError, IncomingAnswer, MessageLimits};
 
 use crate::context::ProxyContext;
-use crate::decision::DecisionInput;
 use crate::headers::{self, BOX, DEADLINE, REQUEST};
+use crate::inputs::DecisionInput;
 use crate::pool::TargetConnection;
 
 /// Chunked answers are held whole up to this length, in bytes.
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -9,7 +9,7 @@
 use wingbridge_trace::TimeLine;
 
 use crate::active_config::ActiveConfig;
-use crate::decision::DecisionInput;
+use crate::inputs::DecisionInput;
 use crate::lifecycle::ReadyFlag;
 use crate::pool::ConnectionPool;
 use crate::settings::ProxySettings;
--- a/crates/proxy/src/decision.rs
+++ b/crates/proxy/src/decision.rs
@@ -9,38 +9,15 @@
 use wingbridge_decide::messages::HealthNotice;
 use wingbridge_decide::service::{ServiceState, TargetState};
 use wingbridge_decide::{
-    BoxCommand, BoxEvent, Conclusion, HandOrderKind, HealthState, Name, RequestId, RequestPlan,
-    TargetKey, TimePoint, VerdictScope,
+    BoxCommand, BoxEvent, HandOrderKind, HealthState, Name, RequestId, TargetKey, TimePoint,
+    VerdictScope,
 };
 use wingbridge_wire::convert::service_evidence;
 use wingbridge_wire::{Evidence, FrameBody, Leaving, ProxyState};
 
 use crate::attempt::probe_target;
 use crate::context::ProxyContext;
-
-/// Directives that wait for one request; the core gives at most one for each attempt
-/// and one at the end.
-pub(crate) const DIRECTIVES: usize = 16;
-
-/// Into the decision thread.
-#[derive(Clone)]
-pub(crate) enum DecisionInput {
-    /// A request with where its directives go.
-    Arrived { request: RequestId, plan: RequestPlan, directives: Sender<Directive> },
-    /// Anything else for the core.
-    Event(BoxEvent),
-    /// The proxy's state is to be reported to the agent.
-    StateDue,
-}
-
-/// What the core wants of one request's task.
-#[derive(Debug, Clone)]
-pub(crate) enum Directive {
-    /// Send it to a target, and drop an earlier attempt.
-    Send { attempt: u32, target: Name, fresh_connection: bool },
-    /// It is finished.
-    Conclude(Conclusion),
-}
+use crate::inputs::{DecisionInput, Directive};
 
 /// The thread's state.
 pub(crate) struct DecisionDuty {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod decision;
 mod headers;
+mod inputs;
 mod lifecycle;
 mod pool;
 mod requests;
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -11,7 +11,7 @@
 
 use crate::attempt::{AttemptResult, OutgoingRequest, TargetAnswer, attempt_target};
 use crate::context::ProxyContext;
-use crate::decision::{DIRECTIVES, DecisionInput, Directive};
+use crate::inputs::{DIRECTIVES, DecisionInput, Directive};
 
 type RunningAttempt = Pin<Box<dyn Future<Output = AttemptResult> + Send>>;
 
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -19,8 +19,8 @@
 
 use crate::attempt::{OutgoingRequest, TargetAnswer};
 use crate::context::ProxyContext;
-use crate::decision::DecisionInput;
 use crate::headers::text;
+use crate::inputs::DecisionInput;
 use crate::requests::{RequestEnd, run_request};
 
 const CHUNK: usize = 32 * 1024;
