--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -45,19 +45,14 @@
     pub silent_retries: u32,
 }
 
-impl RetryTally {
-    /// Whether it counts nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == RetryTally::default()
-    }
-}
-
 /// The tallies of one service over the window.
 #[derive(Debug, Default)]
 pub struct RetryLedger {
     parts: VecDeque<WindowPart>,
     /// What each peer told last, by its incarnation.
     peers: HashMap<u64, (RetryTally, TimePoint)>,
+    /// Whether this box did something that it has not told yet.
+    untold: bool,
 }
 
 /// What this box did in a part of the window.
@@ -72,11 +67,13 @@
     /// Counts a request of this box.
     pub fn note_request(&mut self, now: TimePoint) {
         self.part(now).requests += 1;
+        self.untold = true;
     }
 
     /// Counts a retry of this box.
     pub fn note_retry(&mut self, now: TimePoint) {
         self.part(now).retries += 1;
+        self.untold = true;
     }
 
     /// Takes what the peer of that incarnation told.
@@ -84,7 +81,14 @@
         self.peers.insert(peer, (tally, now));
     }
 
-    /// What this box tells its peers.
+    /// What this box tells its peers, if it did something since it last told. Of services
+    /// that rest nothing is told again and again: a large fleet has hundreds of them.
+    pub fn take_untold(&mut self, now: TimePoint, window: Duration) -> Option<RetryTally> {
+        let untold = std::mem::take(&mut self.untold);
+        untold.then(|| self.own_tally(now, window))
+    }
+
+    /// What this box did within the window, and what silent boxes did.
     pub fn own_tally(&mut self, now: TimePoint, window: Duration) -> RetryTally {
         self.forget_old(now, window);
         let silent = self.peers.values().filter(|(_, told)| is_silent(now, *told));
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -160,12 +160,15 @@
         self.ledger(service).note_told(now, peer, tally);
     }
 
-    /// What this box did of each service within the last window, for its peers.
-    pub fn own_tallies(&mut self, now: TimePoint) -> Vec<(Name, RetryTally)> {
+    /// What this box did of each service within the last window, for its peers; services
+    /// that rested since it last told are left out.
+    pub fn untold_tallies(&mut self, now: TimePoint) -> Vec<(Name, RetryTally)> {
         let window = self.setup.retries.window;
-        let own = self.ledgers.iter_mut();
-        let own = own.map(|(service, ledger)| (service.clone(), ledger.own_tally(now, window)));
-        own.filter(|(_, tally)| !tally.is_empty()).collect()
+        let untold = self.ledgers.iter_mut().filter_map(|(service, ledger)| {
+            let tally = ledger.take_untold(now, window)?;
+            Some((service.clone(), tally))
+        });
+        untold.collect()
     }
 
     /// Chooses a target.
--- a/crates/decide/tests/steer.rs
+++ b/crates/decide/tests/steer.rs
@@ -511,6 +511,18 @@
     assert!(late.allows(at(3), &no_slack, 2, 40));
 }
 
+#[test]
+fn services_that_rest_are_not_told_again() {
+    let mut core = core();
+    core.note_request(at(0), SERVICE);
+    core.note_request(at(10), "another");
+    assert_eq!(core.untold_tallies(at(20)).len(), 2);
+    core.note_request(at(30), SERVICE);
+    let tally = RetryTally { requests: 2, ..RetryTally::default() };
+    assert_eq!(core.untold_tallies(at(40)), [(SERVICE.into(), tally)]);
+    assert_eq!(core.untold_tallies(at(50)), []);
+}
+
 #[test]
 fn what_silent_boxes_spent_is_counted_and_earns_nothing() {
     let spent = RetryTally { requests: 100, retries: 10, silent_retries: 0 };
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -193,7 +193,7 @@
             let peers = self.context.peers();
             (peers.near(), peers.far())
         };
-        let mut tallies = self.own_tallies();
+        let mut tallies = self.untold_tallies();
         for part in seen.chunks(SIGHTINGS) {
             let tallies = std::mem::take(&mut tallies);
             self.send_sightings(&near, Sightings { targets: part.to_vec(), tallies }).await;
@@ -209,16 +209,16 @@
         }
     }
 
-    fn own_tallies(&self) -> Vec<Tally> {
+    fn untold_tallies(&self) -> Vec<Tally> {
         let now = self.context.now();
-        let own = self.context.core().own_tallies(now).into_iter();
+        let untold = self.context.core().untold_tallies(now).into_iter();
         let tally = |(service, tally): (wingbridge_decide::Name, RetryTally)| Tally {
             service: service.to_string(),
             requests: tally.requests,
             retries: tally.retries,
             silent_retries: tally.silent_retries,
         };
-        own.map(tally).collect()
+        untold.map(tally).collect()
     }
 
     async fn take(&self, from: IpAddr, datagram: Datagram) {
