--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -47,7 +47,8 @@
     let directory = settings.directory.join(format!("seed-{seed}-{}", std::process::id()));
     fs::create_dir_all(&directory)
         .wrap_err_with(|| format!("'{}' can't be made", directory.display()))?;
-    let run = std::process::id().wrapping_add(seed as u32);
+    // Seeds of one process come one after the other: its id keeps runs side by side apart.
+    let run = std::process::id();
     let places: Vec<BoxPlace> =
         (0..settings.boxes).map(|index| BoxPlace::new(run, index)).collect();
     let world = SoakWorld::start(settings.targets)?;
