Count boxes that the machine keeps from running as disturbed, by the kernel's account

Change: the soak reads how long each thread of a box, and its own, waited for a processor, excuses bounds on times for that while, and reports the longest wait (starved_ms). What must hold at any time is not excused.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -12,10 +12,13 @@
 use crate::plan::{FaultPlan, PlannedFault};
 use crate::relay::RelayMode;
 use crate::spans::{SpanLog, SpanScope};
+use crate::starvation::{STARVED_FROM, StarvationWatch};
 use crate::world::SoakWorld;
 
 /// Time between two looks at what is due.
 const STEP: Duration = Duration::from_millis(10);
+/// Time between two looks at how long boxes waited for a processor.
+const STARVATION_PERIOD: Duration = Duration::from_millis(100);
 /// A killed or stopped process is started again after this long.
 const RESTART_AFTER: Duration = Duration::from_millis(500);
 /// A process that has not ended so long after its time is killed.
@@ -85,6 +88,10 @@
     began: Instant,
     /// What was done, each with its time.
     pub time_line: Vec<String>,
+    /// The longest time that the machine kept a box from running within one look.
+    pub longest_wait: Duration,
+    starvation: StarvationWatch,
+    looked: Instant,
     /// Processes that ended when nobody wanted them to, or did not when they should.
     pub strays: Vec<String>,
 }
@@ -119,6 +126,9 @@
             steps: 0,
             began: Instant::now(),
             time_line: Vec::new(),
+            longest_wait: Duration::ZERO,
+            starvation: StarvationWatch::default(),
+            looked: Instant::now(),
             strays: Vec::new(),
         })
     }
@@ -151,6 +161,20 @@
                 self.take(step)?;
             }
             self.mind_processes()?;
+            self.mind_starvation();
+            thread::sleep(STEP);
+        }
+        Ok(())
+    }
+
+    /// Goes on watching over processes, while `check` says that it must.
+    ///
+    /// # Errors
+    /// A process can't be started again.
+    pub fn watch_while(&mut self, mut check: impl FnMut() -> bool) -> std::io::Result<()> {
+        while check() {
+            self.mind_processes()?;
+            self.mind_starvation();
             thread::sleep(STEP);
         }
         Ok(())
@@ -332,6 +356,26 @@
         self.put_in(RESTART_AFTER, DriverStep::StartBox(index));
     }
 
+    /// Notes boxes that the machine kept from running since the last look.
+    fn mind_starvation(&mut self) {
+        let since = self.looked.elapsed();
+        if since < STARVATION_PERIOD {
+            return;
+        }
+        self.looked = Instant::now();
+        let own = self.starvation.look(std::process::id());
+        for index in 0..self.boxes.len() {
+            let process = self.boxes[index].process_id();
+            let waited = process.map_or(Duration::ZERO, |process| self.starvation.look(process));
+            let waited = waited.max(own);
+            self.longest_wait = self.longest_wait.max(waited);
+            if waited >= STARVED_FROM {
+                self.note(&format!("box {index} waited {} ms for a processor", waited.as_millis()));
+                self.spans.note_past(SpanScope::Box(index), since + waited);
+            }
+        }
+    }
+
     /// Notes processes that have ended, and ends those that are over their time.
     fn mind_processes(&mut self) -> std::io::Result<()> {
         for index in 0..self.boxes.len() {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -127,6 +127,11 @@
         self.lives
     }
 
+    /// Its process's id, while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether its process runs.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod run;
 pub mod settings;
 pub mod spans;
+pub mod starvation;
 pub mod world;
 
 pub use report::SoakReport;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -47,6 +47,9 @@
     /// The longest time by which this program was woken late, in milliseconds: bounds are
     /// stretched by it.
     pub late_ms: u64,
+    /// The longest time by which the machine kept a box from running within one look, in
+    /// milliseconds. Boxes that waited long count as disturbed.
+    pub starved_ms: u64,
     /// Promises that were not kept.
     pub violations: Vec<Violation>,
     /// Where logs and time line are, if they were kept.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -73,7 +73,7 @@
     let watch = Watchers::start(&places, &driver.lives(), &board);
     let crowd = CallerCrowd::start(&places, settings.callers, seed);
     driver.carry_out(&plan, settings.time)?;
-    let recovered = wait_recovered(&crowd);
+    let recovered = wait_recovered(&mut driver, &crowd)?;
     let records = crowd.finish();
     let (probes, late) = watch.finish();
     driver.finish()?;
@@ -89,6 +89,7 @@
         recovered,
     };
     let mut report = report(seed, &plan, &evidence, late);
+    report.starved_ms = driver.longest_wait.as_millis() as u64;
     report.directory = keep_or_remove(&directory, &driver, !report.violations.is_empty())?;
     Ok(report)
 }
@@ -105,20 +106,17 @@
 }
 
 /// Waits until callers are served again; false if that takes too long.
-fn wait_recovered(crowd: &CallerCrowd) -> bool {
+fn wait_recovered(driver: &mut FaultDriver, crowd: &CallerCrowd) -> std::io::Result<bool> {
     let until = Instant::now() + RECOVERY;
     let before = crowd.ended();
-    loop {
+    let mut recovered = false;
+    driver.watch_while(|| {
         // Fresh requests alone tell.
         let enough = crowd.ended() >= before + RECOVERY_REQUESTS * 4;
-        if enough && crowd.served_share(RECOVERY_REQUESTS) >= RECOVERY_SHARE {
-            return true;
-        }
-        if Instant::now() >= until {
-            return false;
-        }
-        thread::sleep(LOOK_PAUSE);
-    }
+        recovered = enough && crowd.served_share(RECOVERY_REQUESTS) >= RECOVERY_SHARE;
+        !recovered && Instant::now() < until
+    })?;
+    Ok(recovered)
 }
 
 fn report(seed: u64, plan: &FaultPlan, evidence: &SoakEvidence, late: Duration) -> SoakReport {
@@ -133,6 +131,7 @@
         probes: evidence.probes.len(),
         configs: evidence.board.newest(),
         late_ms: late.as_millis() as u64,
+        starved_ms: 0,
         violations: check_all(evidence),
         directory: None,
     }
--- a/crates/soak/src/spans.rs
+++ b/crates/soak/src/spans.rs
@@ -41,6 +41,13 @@
         spans.len() - 1
     }
 
+    /// Notes a span that is over, of the time just passed.
+    pub fn note_past(&self, scope: SpanScope, length: Duration) {
+        let now = Instant::now();
+        let from = now.checked_sub(length).unwrap_or(now);
+        lock(&self.spans).push(FaultSpan { scope, from, until: Some(now) });
+    }
+
     /// Ends a span.
     pub fn end(&self, number: usize) {
         lock(&self.spans)[number].until = Some(Instant::now());
