--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -73,7 +73,8 @@
     let taken_ms = millis(since.elapsed());
     log::info!(
         request = id, path, route:% = trace.route, service:% = trace.service,
-        held_ms = trace.held_ms, attempts = trace.attempts, target:% = trace.target, target_centre:% = trace.data_centre,
+        held_ms = trace.held_ms, attempts = trace.attempts,
+        target:% = trace.target, target_centre:% = trace.data_centre,
         risk:% = trace.risk, busy:% = trace.busy, tried:% = trace.tried,
         status = answer.status, outcome, why = answer.why,
         view_age_ms, limit_ms = trace.limit_ms, taken_ms;
