--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -156,10 +156,9 @@
         evidence.arrivals.iter().map(|arrival| arrival.request.as_str()).collect();
     let closed = evidence.records.iter().filter(|record| record.end == CallerEnd::Closed);
     let lost = closed.filter(|record| {
-        let from = record.sent.checked_sub(CONTACT).unwrap_or(record.sent);
         let crossed = !arrived.contains(record.id.as_str())
             && record.ended - record.sent <= LOSS_SLACK + evidence.margin;
-        !crossed && !evidence.spans.touches(&SpanScope::Box(record.index), from, record.ended)
+        !crossed && was_undisturbed(evidence, record)
     });
     lost.map(describe).collect()
 }
@@ -167,13 +166,16 @@
 fn held_too_long(evidence: &SoakEvidence) -> Vec<String> {
     let most = ROUTE_TIME + HELD_TIME + evidence.margin;
     let long = evidence.records.iter().filter(|record| record.ended - record.sent > most);
-    let long = long.filter(|record| {
-        let from = record.sent.checked_sub(CONTACT).unwrap_or(record.sent);
-        !evidence.spans.touches(&SpanScope::Box(record.index), from, record.ended)
-    });
+    let long = long.filter(|record| was_undisturbed(evidence, record));
     long.map(describe).collect()
 }
 
+/// Whether nothing unplanned disturbed a request's box from a while before it until its end.
+fn was_undisturbed(evidence: &SoakEvidence, record: &CallerRecord) -> bool {
+    let from = record.sent.checked_sub(CONTACT).unwrap_or(record.sent);
+    !evidence.spans.touches(&SpanScope::Box(record.index), from, record.ended)
+}
+
 fn late_at_leaving(evidence: &SoakEvidence) -> Vec<String> {
     let mut cases = Vec::new();
     for (target, acknowledged) in &evidence.departures {
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -65,11 +65,6 @@
     pub fn of(&self, index: usize) -> Option<u32> {
         Some(self.lives[index].load(Ordering::Acquire)).filter(|life| *life > 0)
     }
-
-    /// How many boxes there are.
-    pub fn count(&self) -> usize {
-        self.lives.len()
-    }
 }
 
 /// Boxes and world under a plan.
@@ -160,9 +155,7 @@
                 let step = entry.remove();
                 self.take(step)?;
             }
-            self.mind_processes()?;
-            self.mind_starvation();
-            thread::sleep(STEP);
+            self.mind_boxes()?;
         }
         Ok(())
     }
@@ -173,9 +166,7 @@
     /// A process can't be started again.
     pub fn watch_while(&mut self, mut check: impl FnMut() -> bool) -> std::io::Result<()> {
         while check() {
-            self.mind_processes()?;
-            self.mind_starvation();
-            thread::sleep(STEP);
+            self.mind_boxes()?;
         }
         Ok(())
     }
@@ -356,6 +347,14 @@
         self.put_in(RESTART_AFTER, DriverStep::StartBox(index));
     }
 
+    /// Looks after all boxes once, and waits for the next look.
+    fn mind_boxes(&mut self) -> std::io::Result<()> {
+        self.mind_processes()?;
+        self.mind_starvation();
+        thread::sleep(STEP);
+        Ok(())
+    }
+
     /// Notes boxes that the machine kept from running since the last look.
     fn mind_starvation(&mut self) {
         let since = self.looked.elapsed();
