Count what peers have open as tried, and weigh stalls by their learned part of failures

Each box drew its trials for itself and took a target as untried until an attempt there had ended, so several boxes tried one stalled target at once. Boxes elsewhere hear of few successes and tried targets whose own boxes were busy with them.

Change: a target at which a peer has something open counts as tried; others' targets are tried after six times the wait in place of three; what a stall says, and when a second attempt is due, follows the learned part of failures that are stalls.

--- a/crates/decide/src/steer/belief.rs
+++ b/crates/decide/src/steer/belief.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use crate::steer::times::{OVERDUE_SHARE, STALLS_WHEN_SOUND};
 use crate::time::TimePoint;
 
 /// Share of targets in a spell that is assumed of a service before anything was seen of
@@ -74,9 +75,23 @@
         self.share
     }
 
-    /// The share of requests in a spell that stall; the other failures come back as errors.
+    /// The part of failures that are stalls; the others come back as errors.
+    pub fn stalled_part(&self) -> f64 {
+        self.stalls / (self.stalls + self.errors)
+    }
+
+    /// The share of requests in a spell that stall.
     pub fn stalling(&self) -> f64 {
-        BAD_IN_SPELL * self.stalls / (self.stalls + self.errors)
+        BAD_IN_SPELL * self.stalled_part()
+    }
+
+    /// How many times likelier an attempt counts as stalled in a spell than at a sound
+    /// target: hardly at a service whose failures come back as errors, where what is open
+    /// for long is mostly just slow.
+    fn stalled_ratio(&self) -> f64 {
+        let in_spell = self.stalling() + (1.0 - self.stalling()) * OVERDUE_SHARE;
+        let sound = STALLS_WHEN_SOUND + (1.0 - STALLS_WHEN_SOUND) * OVERDUE_SHARE;
+        (in_spell / sound).max(1.0)
     }
 
     /// Counts a failure by its kind.
@@ -125,7 +140,8 @@
     pub fn note(&mut self, now: TimePoint, sample: BeliefSample, habits: &mut SpellHabits) {
         let ratio = match sample {
             BeliefSample::Good => (1.0 - BAD_IN_SPELL) / (1.0 - BAD_WHEN_SOUND),
-            BeliefSample::Bad | BeliefSample::Stalled => BAD_IN_SPELL / BAD_WHEN_SOUND,
+            BeliefSample::Bad => BAD_IN_SPELL / BAD_WHEN_SOUND,
+            BeliefSample::Stalled => habits.stalled_ratio(),
         };
         let rested = now.since(self.updated) >= RESTED_AFTER;
         self.take_ratio(now, ratio, habits.share);
--- a/crates/decide/src/steer/choose.rs
+++ b/crates/decide/src/steer/choose.rs
@@ -32,7 +32,7 @@
 /// What each busy slot costs, so that equal targets share the work.
 const BUSY_COST: f64 = 0.06;
 /// What leaving the data centre costs beside bytes: the load there is known by hearsay.
-const AWAY_COST: f64 = 0.5;
+const AWAY_COST: f64 = 0.3;
 
 /// A target that could take a request.
 pub(crate) struct Candidate {
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -35,6 +35,7 @@
 use crate::steer::pool::{ASSUMED_TIME, TargetPool};
 use crate::steer::record::{SteerTarget, TargetRecord};
 use crate::steer::routes::RouteTable;
+use crate::steer::times::OVERDUE_SHARE;
 use crate::steer::trial::{TrialPlace, draw_trial};
 use crate::time::TimePoint;
 
@@ -55,7 +56,7 @@
 /// after all mostly has by then, and its retry is saved for a request that needs it.
 const HEDGE_LEAST: f64 = 0.6;
 /// Bounds on the part of attempts that stall, for that: no target is beyond doubt.
-const LEAST_STALLS: f64 = 0.03;
+const LEAST_STALLS: f64 = 0.01;
 const MOST_STALLS: f64 = 0.9;
 /// Targets, beliefs about them, and the choice among them. Times count from the start of
 /// the process.
@@ -291,8 +292,6 @@
 
     /// The time after its start from which on an attempt is longer open than nearly all.
     pub fn overdue_after(&self, mark: &AttemptMark) -> Duration {
-        /// Of sound answers, so few take longer.
-        const OVERDUE_SHARE: f64 = 0.01;
         self.age_of_share(mark, OVERDUE_SHARE).unwrap_or(ASSUMED_TIME)
     }
 
@@ -303,7 +302,9 @@
         if !self.setup.mechanisms.has(Mechanism::Hedges) {
             return None;
         }
-        let stalls = self.risk(now, mark.key)?.clamp(LEAST_STALLS, MOST_STALLS);
+        let pool = self.pools.get(self.services.get(&mark.key)?)?;
+        let stalls = pool.risk(now, &pool[mark.key]) * pool.stalled_part();
+        let stalls = stalls.clamp(LEAST_STALLS, MOST_STALLS);
         let sound = 1.0 - stalls;
         let share = stalls * (1.0 - HEDGE_FROM) / (HEDGE_FROM * sound);
         let least = mark.usual.mul_f64(HEDGE_LEAST);
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -147,7 +147,7 @@
             record.note_time(multiple);
         }
         if let Some(open) = sample.open {
-            record.open.note_peer(now, peer, open, &sample.telling);
+            record.note_peer_open(now, peer, open, &sample.telling);
         }
         let counted = [
             (sample.good, BeliefSample::Good),
@@ -242,6 +242,11 @@
         ages.map(|age| self.times.stall_ratio(age.multiple(now), stalling)).product()
     }
 
+    /// The part of failures that are stalls.
+    pub(crate) fn stalled_part(&self) -> f64 {
+        self.habits.stalled_part()
+    }
+
     /// The share of attempts that failed of late, as far as boxes of the data centre tell.
     pub(crate) fn failing(&self, now: TimePoint) -> f64 {
         let fading = self.fading(now);
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -5,7 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, SpellHabits, TargetBelief};
 use crate::steer::messages::{SteerOutcome, SuspicionChange};
-use crate::steer::open::{AttemptMark, OpenAttempts};
+use crate::steer::open::{AttemptMark, OpenAge, OpenAttempts};
 use crate::time::TimePoint;
 
 /// A reported load loses half its weight in this time: about one request's work.
@@ -198,6 +198,22 @@
         self.slowness += (multiple - self.slowness) * TIME_WEIGHT;
     }
 
+    /// Takes what a peer has open here. Who has something open tries the target, so that
+    /// nobody else needs to.
+    pub(crate) fn note_peer_open(
+        &mut self,
+        now: TimePoint,
+        peer: u64,
+        count: u32,
+        telling: &[OpenAge],
+    ) {
+        self.open.note_peer(now, peer, count, telling);
+        if count > 0 {
+            self.fresh = false;
+            self.tried_at = now;
+        }
+    }
+
     /// Notes what an own outcome says of the path, the load and the times.
     pub(crate) fn note_own(&mut self, now: TimePoint, outcome: SteerOutcome) {
         match outcome {
--- a/crates/decide/src/steer/times.rs
+++ b/crates/decide/src/steer/times.rs
@@ -17,7 +17,9 @@
 /// The assumption counts as much as this many answers.
 const ASSUMED_ANSWERS: f64 = 20.0;
 /// Attempts at a sound target that never come back: lost packets and cut paths.
-const STALLS_WHEN_SOUND: f64 = 0.01;
+pub(crate) const STALLS_WHEN_SOUND: f64 = 0.01;
+/// An attempt is overdue when so few sound answers take longer.
+pub(crate) const OVERDUE_SHARE: f64 = 0.01;
 
 /// The learned spread of one service's times.
 #[derive(Debug)]
--- a/crates/decide/src/steer/trial.rs
+++ b/crates/decide/src/steer/trial.rs
@@ -33,7 +33,7 @@
 const TRIAL_CHANCE_MOST: f64 = 0.3;
 /// Boxes of other data centres wait this many times as long before they try. They hear of
 /// few successes there, so that nearly each target would seem due to them.
-const AWAY_TRIAL_FACTOR: f64 = 3.0;
+const AWAY_TRIAL_FACTOR: f64 = 6.0;
 
 /// Where a box stands, as far as trials depend on it.
 pub(crate) struct TrialPlace<'a> {
