Explain where requests were lost, from the logs of boxes

A line that can't be read is named with its file and number. Tests: crates/ctl/tests/explain.rs. No picture yet.

--- /dev/null
+++ b/crates/ctl/src/explain/mod.rs
@@ -0,0 +1,54 @@
+//! `wingctl explain`: where requests were lost, by the log lines of boxes.
+//!
+//! One line of a request tells its own story. Which story is the usual one, and so what
+//! to mend first, shows only in all of them: by service and way of ending, by what was
+//! believed of the target, and by where in a target's spell of failures they fell.
+
+mod calibration;
+mod losses;
+mod report;
+mod request_line;
+mod spells;
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, stdin};
+
+use clap::ArgMatches;
+use eyre::{WrapErr, eyre};
+use wingbridge_process::Outcome;
+
+use crate::output::print;
+
+pub use report::{LogReport, explain_lines};
+
+/// The name for standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// Reads the named files and prints what they tell.
+///
+/// # Errors
+/// A file can't be read, a line is no request line though it should be, or there is none.
+pub fn show(matches: &ArgMatches, json: bool) -> eyre::Result<Outcome> {
+    let names = matches.get_many::<String>("files").into_iter().flatten();
+    let mut readers: Vec<(String, Box<dyn BufRead>)> = Vec::new();
+    for name in names {
+        readers.push((name.clone(), open(name)?));
+    }
+    let report = explain_lines(readers)?;
+    if report.requests == 0 {
+        return Err(eyre!(
+            "no line of a request was found: a box's log has one line of JSON for each, with \
+             \"event\":\"request\""
+        ));
+    }
+    print(json, &report, || report.as_text());
+    Ok(Outcome::Done)
+}
+
+fn open(name: &str) -> eyre::Result<Box<dyn BufRead>> {
+    if name == STANDARD_INPUT {
+        return Ok(Box::new(BufReader::new(stdin())));
+    }
+    let file = File::open(name).wrap_err_with(|| format!("opening {name}"))?;
+    Ok(Box::new(BufReader::new(file)))
+}
--- /dev/null
+++ b/crates/ctl/src/explain/request_line.rs
@@ -0,0 +1,125 @@
+//! The log line of a request, decoded once.
+
+use chrono::DateTime;
+use eyre::{WrapErr, eyre};
+use serde::Deserialize;
+
+/// How a request ended, for the count of losses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LineEnd {
+    /// A target's success.
+    Served,
+    /// Refused, and nothing was run.
+    Refused,
+    /// It failed, or whether it ran is unknown.
+    Failed,
+    /// The request itself could not be taken.
+    Rejected,
+}
+
+/// A request, as its box logged it.
+#[derive(Debug, Clone)]
+pub(super) struct RequestLine {
+    pub(super) service: String,
+    pub(super) status: u16,
+    pub(super) end: LineEnd,
+    /// Targets that were asked.
+    pub(super) attempts: u32,
+    /// Whether a second attempt was made beside an open one.
+    pub(super) hedged: bool,
+    pub(super) target: String,
+    pub(super) target_centre: String,
+    /// How likely the last attempt was taken to fail, if there was one.
+    pub(super) risk: Option<f64>,
+    pub(super) trial: bool,
+    /// When it was read and when its answer was ready, in milliseconds.
+    pub(super) started_ms: i64,
+    pub(super) ended_ms: i64,
+}
+
+/// What a line of a log is, as far as it counts here.
+pub(super) enum LogLine {
+    Request(Box<RequestLine>),
+    /// A box's start, with its data centre.
+    Started(String),
+    Other,
+}
+
+/// The fields as they stand in the log: each value is a text.
+#[derive(Deserialize)]
+struct RawLine {
+    #[serde(default)]
+    event: String,
+    #[serde(default)]
+    time: String,
+    #[serde(default)]
+    data_centre: String,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    status: String,
+    #[serde(default)]
+    outcome: String,
+    #[serde(default)]
+    attempts: String,
+    #[serde(default)]
+    hedged_ms: String,
+    #[serde(default)]
+    target: String,
+    #[serde(default)]
+    target_centre: String,
+    #[serde(default)]
+    risk: String,
+    #[serde(default)]
+    taken_ms: String,
+}
+
+/// Decodes the JSON of one line.
+///
+/// # Errors
+/// It is no JSON object, or a request's field is missing or is no number.
+pub(super) fn decode(json: &str) -> eyre::Result<LogLine> {
+    let raw: RawLine = serde_json::from_str(json).wrap_err("it is no JSON object of a log")?;
+    match raw.event.as_str() {
+        "request" => Ok(LogLine::Request(Box::new(decode_request(raw)?))),
+        "started" => Ok(LogLine::Started(raw.data_centre)),
+        _ => Ok(LogLine::Other),
+    }
+}
+
+fn decode_request(raw: RawLine) -> eyre::Result<RequestLine> {
+    let status = number(&raw.status, "status")?;
+    let ended = DateTime::parse_from_rfc3339(&raw.time)
+        .wrap_err_with(|| format!("its time is '{}'", raw.time))?;
+    let ended_ms = ended.timestamp_millis();
+    let (risk, trial) = match raw.risk.split_once(' ') {
+        Some((risk, _)) => (risk, true),
+        None => (raw.risk.as_str(), false),
+    };
+    Ok(RequestLine {
+        end: end_of(status, &raw.outcome),
+        status,
+        attempts: number(&raw.attempts, "attempts")?,
+        hedged: raw.hedged_ms.parse::<u64>().is_ok(),
+        risk: risk.parse().ok(),
+        trial,
+        started_ms: ended_ms - number::<i64>(&raw.taken_ms, "taken_ms")?,
+        ended_ms,
+        service: raw.service,
+        target: raw.target,
+        target_centre: raw.target_centre,
+    })
+}
+
+fn end_of(status: u16, outcome: &str) -> LineEnd {
+    match outcome {
+        "answered" if status < 500 => LineEnd::Served,
+        "not-run" => LineEnd::Refused,
+        "rejected" => LineEnd::Rejected,
+        _ => LineEnd::Failed,
+    }
+}
+
+fn number<T: std::str::FromStr>(text: &str, name: &str) -> eyre::Result<T> {
+    text.parse().map_err(|_| eyre!("its field '{name}' is '{text}', which is no whole number"))
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod boxes;
 pub mod changes;
 pub mod commands;
+pub mod explain;
 pub mod fleet;
 pub mod hands;
 pub mod output;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -14,6 +14,7 @@
     check_config, check_policy, delete, diff_policy, get, history, list, put_config, put_policy,
     show_reports,
 };
+use crate::explain;
 use crate::fleet::FleetClient;
 use crate::hands;
 use crate::settings::{CtlSettings, ctl_command, resolve};
@@ -47,6 +48,7 @@
             let html = matches.get_one::<String>("html").map(String::as_str);
             timeline::show(&fleet, json, html).await
         }
+        "explain" => explain::show(matches, json),
         "completions" => print_completions(matches),
         "man" => print_manual(),
         other => Err(eyre!("unknown command {other}")),
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -66,6 +66,7 @@
         .subcommand(hand_command("drain", "Send a target no new work, whatever the floor"))
         .subcommand(hand_command("restore", "Take back what was ordered by hand about a target"))
         .subcommand(timeline_command())
+        .subcommand(explain_command())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -136,6 +137,16 @@
     )
 }
 
+fn explain_command() -> Command {
+    Command::new("explain").about("Where requests were lost, by the logs of boxes").arg(
+        Arg::new("files")
+            .value_name("FILE")
+            .num_args(1..)
+            .default_value("-")
+            .help("Logs of boxes, one line of JSON for each event; - for standard input"),
+    )
+}
+
 fn file() -> Arg {
     Arg::new("file").required(true).value_name("FILE").help("The file; - for standard input")
 }
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,143 @@
+//! `wingctl explain`: what it counts, and what it says of lines that it can't read.
+
+use std::io::{BufRead, Cursor};
+
+use wingctl::explain::{LogReport, explain_lines};
+
+/// One request line of a box's log.
+struct LineCase {
+    /// When its answer was ready, in milliseconds of a minute, and how long it took.
+    ended_ms: u32,
+    taken_ms: u32,
+    status: u16,
+    outcome: &'static str,
+    target: &'static str,
+    risk: &'static str,
+    attempts: u32,
+    hedged_ms: &'static str,
+}
+
+const FINE: LineCase = LineCase {
+    ended_ms: 1_000,
+    taken_ms: 100,
+    status: 200,
+    outcome: "answered",
+    target: "t1",
+    risk: "0.020",
+    attempts: 1,
+    hedged_ms: "",
+};
+const STALLED: LineCase = LineCase { status: 504, outcome: "unknown", taken_ms: 1_000, ..FINE };
+
+impl LineCase {
+    fn text(&self) -> String {
+        format!(
+            "{{\"event\":\"request\",\"time\":\"2026-01-01T00:00:{:02}.{:03}+00:00\",\
+             \"service\":\"orders\",\"status\":\"{}\",\"outcome\":\"{}\",\"attempts\":\"{}\",\
+             \"hedged_ms\":\"{}\",\"target\":\"{}\",\"target_centre\":\"far\",\"risk\":\"{}\",\
+             \"taken_ms\":\"{}\"}}",
+            self.ended_ms / 1000,
+            self.ended_ms % 1000,
+            self.status,
+            self.outcome,
+            self.attempts,
+            self.hedged_ms,
+            self.target,
+            self.risk,
+            self.taken_ms,
+        )
+    }
+}
+
+fn explain(text: String) -> eyre::Result<LogReport> {
+    let reader: Box<dyn BufRead> = Box::new(Cursor::new(text));
+    explain_lines(vec![("box-1.log".to_string(), reader)])
+}
+
+fn report(cases: &[LineCase]) -> LogReport {
+    let lines: Vec<String> = cases.iter().map(LineCase::text).collect();
+    explain(lines.join("\n")).expect("sound lines")
+}
+
+#[test]
+fn requests_are_counted_by_how_they_ended() {
+    let report = report(&[
+        FINE,
+        LineCase { status: 404, ..FINE },
+        LineCase { status: 500, ..FINE },
+        LineCase { status: 503, outcome: "not-run", ..FINE },
+        LineCase { risk: "0.400 trial", ..STALLED },
+        LineCase { attempts: 2, hedged_ms: "300", ..FINE },
+        LineCase { attempts: 2, hedged_ms: "300", ..STALLED },
+        LineCase { hedged_ms: "no retry was left", ..STALLED },
+    ]);
+    let orders = &report.services[0];
+    assert_eq!((orders.requests, orders.refused, orders.failed), (8, 1, 4));
+    assert_eq!((orders.trials, orders.failed_trials), (1, 1));
+    assert_eq!((orders.hedged, orders.hedged_served), (2, 1));
+    assert_eq!(report.losses.iter().map(|row| row.requests).sum::<usize>(), 5);
+    assert!(report.as_text().contains("second attempt"));
+}
+
+#[test]
+fn losses_are_told_apart_by_what_could_be_known() {
+    let report = report(&[
+        // Known at 2 s.
+        LineCase { ended_ms: 2_000, ..STALLED },
+        LineCase { ended_ms: 2_500, ..STALLED },
+        LineCase { ended_ms: 3_100, ..STALLED },
+        LineCase { ended_ms: 4_000, risk: "0.300 trial", ..STALLED },
+        // Another spell, and another target.
+        LineCase { ended_ms: 9_000, ..STALLED },
+        LineCase { ended_ms: 9_100, target: "t2", ..STALLED },
+    ]);
+    let spells = &report.spells;
+    assert_eq!((spells.spells, spells.first, spells.on_the_way), (3, 3, 1));
+    assert_eq!((spells.later, spells.trials), (1, 1));
+}
+
+#[test]
+fn beliefs_are_held_against_what_came() {
+    let mut cases: Vec<LineCase> = (0..9).map(|_| LineCase { risk: "0.110", ..FINE }).collect();
+    cases.push(LineCase { risk: "0.110", ..STALLED });
+    let report = report(&cases);
+    let [row] = report.calibration.as_slice() else { panic!("{:?}", report.calibration) };
+    assert_eq!((row.requests, row.failed), (10, 0.1));
+    assert!((row.believed - 0.11).abs() < 1e-9);
+}
+
+#[test]
+fn what_left_the_data_centre_is_known_by_the_box_s_start() {
+    let started = "{\"event\":\"started\",\"data_centre\":\"near\"}";
+    let text = format!("1.0 box-1 {started}\n2.0 box-1 {}\n3.0 box-2 {}", FINE.text(), FINE.text());
+    let report = explain(text).expect("sound lines");
+    assert_eq!(report.services[0].crossed, 1, "the start of the second is not in the log");
+}
+
+struct BadLine {
+    name: &'static str,
+    line: &'static str,
+    says: &'static str,
+}
+
+const BAD_LINES: &[BadLine] = &[
+    BadLine { name: "cut short", line: "{\"event\":\"request\"", says: "no JSON object" },
+    BadLine { name: "no number", line: "{\"event\":\"request\",\"status\":\"x\"}", says: "status" },
+    BadLine {
+        name: "no time",
+        line: "{\"event\":\"request\",\"status\":\"200\",\"time\":\"noon\"}",
+        says: "noon",
+    },
+];
+
+#[test]
+fn a_line_that_can_t_be_read_is_named() {
+    for case in BAD_LINES {
+        let text = format!("no JSON\n{}\n{}", FINE.text(), case.line);
+        let error = format!("{:#}", explain(text).expect_err(case.name));
+        assert!(error.contains("box-1.log, line 3"), "{}: {error}", case.name);
+        assert!(error.contains(case.says), "{}: {error}", case.name);
+    }
+    let report = explain("no JSON\n".to_string()).expect("passed over");
+    assert_eq!((report.requests, report.other_lines), (0, 1));
+}
