Emulate steering on fleets drawn at random

Cause: constants and mechanisms were judged on deployments that they had been tuned on. Tests: crates/bench/tests/steer.rs, ratios against uniform picks on eight seeded fleets; the second one shows that the bounds fail where nothing is steered.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod run;
 pub mod settings;
 pub mod spread;
+pub mod steer;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -18,10 +18,11 @@
 use crate::decide::report::{DecideReport, Detection, FaultRow};
 use crate::decide::{DecideSetup, measure};
 use crate::path::{PathRow, measure_path};
-use crate::settings::resolve_decide;
+use crate::settings::{resolve_decide, resolve_steer};
 use crate::spread::cores::measure_cores;
 use crate::spread::real::measure_real;
 use crate::spread::{REAL_MOST, SpreadBench, SpreadRow};
+use crate::steer::measure_steer;
 
 /// Rows of a table, as JSON.
 #[derive(Debug, Serialize)]
@@ -55,6 +56,10 @@
             let rows = run_spread(matches)?;
             show(json, &RowsReport { rows: &rows }, || spread_table(&rows))
         }
+        Some(("steer", matches)) => {
+            let report = measure_steer(&resolve_steer(matches)?)?;
+            show(json, &report, || report.as_text())
+        }
         _ => Err(eyre!("no measurement was named")),
     }
 }
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -1,11 +1,13 @@
 //! `wingbench`'s command line.
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use wingbridge_decide::steer::mechanism::MechanismSet;
 use wingbridge_process::SettingError;
 use wingbridge_process::settings::{number, raw_text, setting};
 
 use crate::decide::DecideSetup;
 use crate::decide::site::SiteSetup;
+use crate::steer::SteerBench;
 
 /// The whole command line.
 pub fn bench_command() -> Command {
@@ -24,6 +26,7 @@
         .subcommand(decide_command())
         .subcommand(path_command())
         .subcommand(spread_command())
+        .subcommand(steer_command())
         .subcommand(
             Command::new("box")
                 .about("Memory and processor time of one box at rest, by how much is configured"),
@@ -104,6 +107,41 @@
         )
 }
 
+fn steer_command() -> Command {
+    Command::new("steer")
+        .about("The choice of targets on fleets drawn at random, against uniform picks")
+        .arg(setting("seed", "The first fleet's seed", "0 to 4294967295.").default_value("1"))
+        .arg(setting("fleets", "How many fleets", "1 to 1000.").default_value("40"))
+        .arg(setting("seconds", "Seconds of traffic for each", "1 to 600.").default_value("30"))
+        .arg(setting("workers", "Threads", "1 to 64.").default_value("4"))
+        .arg(
+            setting(
+                "without",
+                "Parts of the choice that are switched off",
+                "Names with commas between; a wrong one lists all.",
+            )
+            .default_value(""),
+        )
+}
+
+/// Checks the settings of `steer`.
+///
+/// # Errors
+/// The first setting that is not allowed.
+pub fn resolve_steer(matches: &ArgMatches) -> Result<SteerBench, SettingError> {
+    let raw = raw_text(matches, "without");
+    let without = raw.parse().map_err(|_| {
+        SettingError::new("without", &raw, &format!("some of {}", MechanismSet::names()))
+    })?;
+    Ok(SteerBench {
+        seed: number(matches, "seed", 0..=u64::from(u32::MAX))?,
+        fleets: number(matches, "fleets", 1..=1000)? as usize,
+        seconds: number(matches, "seconds", 1..=600)?,
+        workers: number(matches, "workers", 1..=64)? as usize,
+        without,
+    })
+}
+
 fn spread_command() -> Command {
     Command::new("spread")
         .about("How fast a change is in force everywhere, and what the exchange costs")
--- /dev/null
+++ b/crates/bench/src/steer/fleet.rs
@@ -0,0 +1,101 @@
+//! A fleet drawn from a seed: its boxes, services, targets and troubles.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// A fleet.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// Its seed.
+    pub seed: u64,
+    /// Data centres.
+    pub centres: usize,
+    /// Boxes in each data centre.
+    pub boxes: usize,
+    /// One way between data centres.
+    pub between: Duration,
+    /// What a kilobyte across costs.
+    pub cross_cost: f64,
+    /// The services.
+    pub services: Vec<ServicePlan>,
+}
+
+/// A service and the requests for it.
+#[derive(Debug, Clone)]
+pub struct ServicePlan {
+    /// Its targets, spread over the data centres.
+    pub targets: usize,
+    /// Requests that a target works on at once.
+    pub slots: u32,
+    /// Median work of a request.
+    pub work: Duration,
+    /// Spread of the work: the standard deviation of its logarithm.
+    pub spread: f64,
+    /// Requests a second, of all callers.
+    pub rate: f64,
+    /// Whether they may run again.
+    pub repeatable: bool,
+    /// The time within which an answer is worth most.
+    pub goal: Duration,
+    /// The time after which a request is given up.
+    pub timeout: Duration,
+    /// Share of targets in a spell of failures at any moment.
+    pub spell_share: f64,
+    /// Mean length of a spell.
+    pub spell: Duration,
+    /// Share of requests that fail in a spell.
+    pub failing: f64,
+    /// Share of these that stall; the others come back as errors.
+    pub stalling: f64,
+}
+
+impl FleetPlan {
+    /// Draws a fleet. Ranges reach to both sides of what the three users have.
+    pub fn draw(seed: u64) -> FleetPlan {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let centres = random.random_range(2..=4);
+        let services = random.random_range(1..=3);
+        FleetPlan {
+            seed,
+            centres,
+            boxes: random.random_range(4..=14),
+            between: Duration::from_micros(random.random_range(300..=4_000)),
+            cross_cost: random.random_range(0.005..0.03),
+            services: (0..services).map(|_| ServicePlan::draw(&mut random)).collect(),
+        }
+    }
+}
+
+impl ServicePlan {
+    fn draw(random: &mut SmallRng) -> ServicePlan {
+        let targets = random.random_range(5..=24);
+        let slots = random.random_range(2..=4);
+        let work_ms = random.random_range(80.0..420.0);
+        let load = random.random_range(0.15..0.45);
+        let stalling = match random.random_range(0..3) {
+            0 => 0.0,
+            1 => 1.0,
+            _ => random.random_range(0.2..0.8),
+        };
+        ServicePlan {
+            targets,
+            slots,
+            work: from_ms(work_ms),
+            spread: random.random_range(0.2..0.8),
+            rate: load * targets as f64 * f64::from(slots) / (work_ms / 1000.0),
+            repeatable: random.random_bool(0.5),
+            goal: from_ms(work_ms * random.random_range(2.8..4.5)),
+            timeout: from_ms(work_ms * random.random_range(5.0..9.0)),
+            spell_share: random.random_range(0.05..0.3),
+            spell: from_ms(random.random_range(2_000.0..8_000.0)),
+            failing: random.random_range(0.4..0.95),
+            stalling,
+        }
+    }
+}
+
+fn from_ms(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis / 1000.0)
+}
--- /dev/null
+++ b/crates/bench/src/steer/world.rs
@@ -0,0 +1,464 @@
+//! The events of one emulated fleet, in the order of their times.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use wingbridge_decide::steer::ledger::{RetryBounds, RetryTally};
+use wingbridge_decide::steer::mechanism::MechanismSet;
+use wingbridge_decide::steer::record::SteerTarget;
+use wingbridge_decide::steer::{
+    AttemptMark, AttemptNews, NoPick, PeerSample, RetryUse, SteerCore, SteerOutcome, SteerRequest,
+    SteerSetup,
+};
+use wingbridge_decide::{Name, TargetKey, TimePoint};
+
+use crate::steer::fleet::{FleetPlan, ServicePlan};
+use crate::steer::report::FleetSums;
+use crate::steer::targets::{EmulatedTarget, WorkEnd};
+
+/// How long a box gathers what it saw before it tells its data centre.
+const TELL_AFTER: Duration = Duration::from_millis(25);
+/// Within a data centre.
+const NEAR: Duration = Duration::from_micros(200);
+/// Time between two looks for a second attempt that could not be made.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Time between two looks for a target while all are crowded.
+const HOLD_STEP: Duration = Duration::from_millis(60);
+/// Attempts of a request at most.
+const ATTEMPTS: usize = 3;
+/// The first seconds are not counted: boxes have no slack for retries then.
+const SETTLING: Duration = Duration::from_secs(12);
+const RETRIES: RetryBounds =
+    RetryBounds { share: 0.2, slack: 50.0, window: Duration::from_secs(10) };
+
+/// What happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival { service: usize },
+    Reached { attempt: usize },
+    Done { attempt: usize },
+    Answered { attempt: usize, how: u8 },
+    Overdue { attempt: usize },
+    HedgeDue { request: usize, attempt: usize },
+    TimeOver { request: usize },
+    LookAgain { request: usize },
+    Told { message: usize },
+}
+
+struct Attempt {
+    request: usize,
+    target: usize,
+    mark: AttemptMark,
+    open: bool,
+}
+
+struct Request {
+    service: usize,
+    gateway: usize,
+    since: TimePoint,
+    attempts: Vec<usize>,
+    over: bool,
+}
+
+struct Message {
+    to: usize,
+    from: u64,
+    key: TargetKey,
+    sample: PeerSample,
+    tallies: Vec<(usize, RetryTally)>,
+}
+
+struct World<'a> {
+    plan: &'a FleetPlan,
+    random: SmallRng,
+    now: TimePoint,
+    queue: BinaryHeap<Reverse<(TimePoint, u64, Event)>>,
+    queued: u64,
+    boxes: Vec<SteerCore>,
+    targets: Vec<(usize, EmulatedTarget)>,
+    keys: HashMap<TargetKey, usize>,
+    names: Vec<Name>,
+    attempts: Vec<Attempt>,
+    requests: Vec<Request>,
+    messages: Vec<Option<Message>>,
+    sums: FleetSums,
+}
+
+/// Plays a fleet for `seconds` of traffic.
+pub(super) fn play(plan: &FleetPlan, seconds: u64, without: &MechanismSet) -> FleetSums {
+    let mut world = World::new(plan, without);
+    let end = TimePoint::default() + SETTLING + Duration::from_secs(seconds);
+    for service in 0..plan.services.len() {
+        world.schedule_arrival(service);
+    }
+    while let Some(Reverse((at, _, event))) = world.queue.pop() {
+        if at >= end {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    world.sums
+}
+
+impl World<'_> {
+    fn new<'a>(plan: &'a FleetPlan, without: &MechanismSet) -> World<'a> {
+        let mut random = SmallRng::seed_from_u64(plan.seed);
+        let mut targets = Vec::new();
+        let mut steered = Vec::new();
+        for (service, service_plan) in plan.services.iter().enumerate() {
+            for number in 0..service_plan.targets {
+                steered.push(SteerTarget {
+                    id: format!("t{service}-{number}").into(),
+                    address: format!("10.0.{service}.{number}:1").into(),
+                    service: format!("s{service}").into(),
+                    data_centre: format!("c{}", number % plan.centres).into(),
+                    slots: service_plan.slots,
+                    cold_until: TimePoint::default(),
+                });
+                targets.push((service, EmulatedTarget::new(service_plan, &mut random)));
+            }
+        }
+        let all = plan.boxes * plan.centres;
+        let make_box = |number: usize| {
+            let mut core = SteerCore::new(SteerSetup {
+                data_centre: format!("c{}", number % plan.centres).into(),
+                cross_cost: plan.cross_cost,
+                retries: RETRIES,
+                seed: plan.seed + number as u64,
+                mechanisms: without.clone(),
+            });
+            core.set_targets(TimePoint::default(), steered.clone());
+            core.set_boxes(plan.boxes, all);
+            core
+        };
+        let key_of = |(index, target): (usize, &SteerTarget)| (target.key(), index);
+        World {
+            plan,
+            random,
+            now: TimePoint::default(),
+            queue: BinaryHeap::new(),
+            queued: 0,
+            boxes: (0..all).map(make_box).collect(),
+            keys: steered.iter().enumerate().map(key_of).collect(),
+            names: (0..plan.services.len()).map(|service| format!("s{service}").into()).collect(),
+            targets,
+            attempts: Vec::new(),
+            requests: Vec::new(),
+            messages: Vec::new(),
+            sums: FleetSums::new(plan),
+        }
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.queued += 1;
+        self.queue.push(Reverse((self.now + after, self.queued, event)));
+    }
+
+    fn schedule_arrival(&mut self, service: usize) {
+        let rate = self.plan.services[service].rate;
+        let gap = Exp::new(rate).map_or(1.0 / rate, |gap| gap.sample(&mut self.random));
+        self.schedule(Duration::from_secs_f64(gap), Event::Arrival { service });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival { service } => {
+                self.schedule_arrival(service);
+                self.begin_request(service);
+            }
+            Event::Reached { attempt } => self.reach(attempt),
+            Event::Done { attempt } => self.finish_work(attempt),
+            Event::Answered { attempt, how } => self.take_answer(attempt, how),
+            Event::Overdue { attempt } => self.note_overdue(attempt),
+            Event::HedgeDue { request, attempt } => self.hedge(request, attempt),
+            Event::TimeOver { request } => self.end_request(request, None),
+            Event::LookAgain { request } => {
+                if !self.requests[request].over {
+                    self.send(request);
+                }
+            }
+            Event::Told { message } => self.take_message(message),
+        }
+    }
+
+    fn service_plan(&self, service: usize) -> &ServicePlan {
+        &self.plan.services[service]
+    }
+
+    fn begin_request(&mut self, service: usize) {
+        let gateway = self.random.random_range(0..self.boxes.len());
+        let request = self.requests.len();
+        self.requests.push(Request {
+            service,
+            gateway,
+            since: self.now,
+            attempts: Vec::new(),
+            over: false,
+        });
+        self.boxes[gateway].note_request(self.now, &self.names[service]);
+        let timeout = self.service_plan(service).timeout;
+        self.schedule(timeout, Event::TimeOver { request });
+        self.send(request);
+    }
+
+    /// Sends a request to a target; ends it if there is none, and holds it while all have
+    /// queues and it has time to spare.
+    fn send(&mut self, request: usize) {
+        match self.try_send(request) {
+            Err(NoPick::Crowded) => self.schedule(HOLD_STEP, Event::LookAgain { request }),
+            Err(_) if self.open_attempts(request) == 0 => self.end_request(request, None),
+            Ok(()) | Err(_) => {}
+        }
+    }
+
+    fn try_send(&mut self, request: usize) -> Result<(), NoPick> {
+        let Request { service, gateway, since, .. } = self.requests[request];
+        let plan = &self.plan.services[service];
+        let tried: Vec<TargetKey> = self.requests[request]
+            .attempts
+            .iter()
+            .map(|attempt| self.attempts[*attempt].mark.key)
+            .collect();
+        let name = &self.names[service];
+        let asked = SteerRequest {
+            service: name,
+            route: name,
+            repeatable: plan.repeatable && tried.len() + 1 < ATTEMPTS,
+            large: false,
+            body_bytes: 0,
+            goal: plan.goal,
+            left: plan.timeout.saturating_sub(self.now.since(since)),
+            tried: &tried,
+        };
+        let pick = self.boxes[gateway].pick(self.now, &asked)?;
+        let mark = self.boxes[gateway].begin(self.now, pick.key, name);
+        let target = self.keys[&pick.key];
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt { request, target, mark, open: true });
+        self.requests[request].attempts.push(attempt);
+        let away = *pick.data_centre != *format!("c{}", gateway % self.plan.centres);
+        self.sums.note_attempt(service, away, pick.trial);
+        let way = if away { self.plan.between } else { NEAR };
+        self.schedule(way, Event::Reached { attempt });
+        let overdue = self.boxes[gateway].overdue_after(&mark);
+        self.schedule(overdue, Event::Overdue { attempt });
+        if plan.repeatable
+            && let Some(after) = self.boxes[gateway].hedge_after(self.now, &mark)
+        {
+            self.schedule(after, Event::HedgeDue { request, attempt });
+        }
+        self.tell(gateway, pick.key, None, &AttemptNews::default());
+        Ok(())
+    }
+
+    fn open_attempts(&self, request: usize) -> usize {
+        let attempts = &self.requests[request].attempts;
+        attempts.iter().filter(|attempt| self.attempts[**attempt].open).count()
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let Attempt { target, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        if self.targets[target].1.take(attempt) {
+            self.begin_work(target);
+        } else {
+            self.schedule(NEAR, Event::Answered { attempt, how: 2 });
+        }
+    }
+
+    fn begin_work(&mut self, target: usize) {
+        while let Some(attempt) = self.targets[target].1.begin_next() {
+            let service = self.targets[target].0;
+            let plan = &self.plan.services[service];
+            match self.targets[target].1.draw_end(self.now, plan, &mut self.random) {
+                WorkEnd::Good(time) => {
+                    self.schedule(time, Event::Done { attempt });
+                    self.schedule(time + NEAR, Event::Answered { attempt, how: 0 });
+                }
+                WorkEnd::Failed(time) => {
+                    self.schedule(time, Event::Done { attempt });
+                    self.schedule(time + NEAR, Event::Answered { attempt, how: 1 });
+                }
+                WorkEnd::Stalled => {}
+            }
+        }
+    }
+
+    fn finish_work(&mut self, attempt: usize) {
+        let target = self.attempts[attempt].target;
+        self.targets[target].1.drop_attempt(attempt);
+        self.begin_work(target);
+    }
+
+    /// An answer: good (0), a failure (1), or a refusal (2).
+    fn take_answer(&mut self, attempt: usize, how: u8) {
+        let Attempt { request, mark, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let outcome = match how {
+            0 => SteerOutcome::Good(self.now.since(mark.started)),
+            1 => SteerOutcome::Failed,
+            _ => SteerOutcome::Shed,
+        };
+        self.end_attempt(attempt, outcome);
+        if how == 0 {
+            self.end_request(request, Some(self.now.since(self.requests[request].since)));
+            return;
+        }
+        let Request { service, gateway, .. } = self.requests[request];
+        let ran = how == 1;
+        let plan = self.service_plan(service);
+        let may = (plan.repeatable || !ran) && self.requests[request].attempts.len() < ATTEMPTS;
+        if self.open_attempts(request) > 0 {
+            return;
+        }
+        if may && self.spend(gateway, service, RetryUse::Repeat) {
+            self.send(request);
+        } else {
+            self.end_request(request, None);
+        }
+    }
+
+    fn spend(&mut self, gateway: usize, service: usize, usage: RetryUse) -> bool {
+        let spent = self.boxes[gateway].spend_retry(self.now, &self.names[service], usage);
+        if spent {
+            self.sums.note_retry(service);
+        }
+        spent
+    }
+
+    fn hedge(&mut self, request: usize, attempt: usize) {
+        let Request { service, gateway, over, .. } = self.requests[request];
+        let sent = self.requests[request].attempts.len();
+        let only = self.open_attempts(request) == 1 && self.attempts[attempt].open;
+        if over || !only || sent >= ATTEMPTS {
+            return;
+        }
+        if !self.spend(gateway, service, RetryUse::Hedge) || self.try_send(request).is_err() {
+            self.schedule(LOOK_AGAIN, Event::HedgeDue { request, attempt });
+        }
+    }
+
+    fn note_overdue(&mut self, attempt: usize) {
+        let Attempt { request, mark, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let gateway = self.requests[request].gateway;
+        let news = self.boxes[gateway].note_overdue(self.now, &mark);
+        self.note_suspect(&mark, &news);
+        self.tell(gateway, mark.key, None, &news);
+    }
+
+    fn end_attempt(&mut self, attempt: usize, outcome: SteerOutcome) {
+        let Attempt { request, target, mark, .. } = self.attempts[attempt];
+        self.attempts[attempt].open = false;
+        let Request { service, gateway, .. } = self.requests[request];
+        let name = self.names[service].clone();
+        let core = &mut self.boxes[gateway];
+        let news = core.end(self.now, &mark, &name, outcome, 400);
+        if matches!(outcome, SteerOutcome::Good(_) | SteerOutcome::Failed | SteerOutcome::Shed) {
+            core.note_load(self.now, mark.key, self.targets[target].1.load());
+        }
+        self.note_suspect(&mark, &news);
+        self.tell(gateway, mark.key, Some(outcome), &news);
+    }
+
+    /// Counts a suspicion as right if the target is in a spell.
+    fn note_suspect(&mut self, mark: &AttemptMark, news: &AttemptNews) {
+        if !news.change.as_ref().is_some_and(|change| change.suspect) {
+            return;
+        }
+        let (service, target) = &mut self.targets[self.keys[&mark.key]];
+        let plan = &self.plan.services[*service];
+        let right = target.in_spell(self.now, plan, &mut self.random);
+        self.sums.note_suspicion(right);
+    }
+
+    /// Tells the data centre all of it, and the others of failures.
+    fn tell(
+        &mut self,
+        gateway: usize,
+        key: TargetKey,
+        outcome: Option<SteerOutcome>,
+        news: &AttemptNews,
+    ) {
+        let (open, telling) = self.boxes[gateway].open_at(key);
+        let failed = outcome == Some(SteerOutcome::Failed);
+        let held = self.targets[self.keys[&key]].1.load().held;
+        let sample = PeerSample {
+            good: u32::from(matches!(outcome, Some(SteerOutcome::Good(_)))),
+            bad: u32::from(failed),
+            overdue: u32::from(news.stalled),
+            multiple: news.multiple,
+            held: outcome.map(|_| held),
+            open: Some(open),
+            telling,
+        };
+        let far_sample =
+            PeerSample { bad: sample.bad, overdue: sample.overdue, ..PeerSample::default() };
+        let urgent = failed || news.stalled;
+        let tallies = self.boxes[gateway].untold_tallies(self.now);
+        let named = |(name, tally): (Name, RetryTally)| {
+            Some((self.names.iter().position(|known| *known == name)?, tally))
+        };
+        let tallies: Vec<(usize, RetryTally)> = tallies.into_iter().filter_map(named).collect();
+        for to in (0..self.boxes.len()).filter(|to| *to != gateway) {
+            let near = to % self.plan.centres == gateway % self.plan.centres;
+            if !near && !urgent {
+                continue;
+            }
+            let message = Message {
+                to,
+                from: gateway as u64,
+                key,
+                sample: if near { sample.clone() } else { far_sample.clone() },
+                tallies: if near { tallies.clone() } else { Vec::new() },
+            };
+            let gathered = if urgent { Duration::ZERO } else { TELL_AFTER };
+            let way = if near { NEAR } else { self.plan.between };
+            self.messages.push(Some(message));
+            self.schedule(gathered + way, Event::Told { message: self.messages.len() - 1 });
+        }
+    }
+
+    fn take_message(&mut self, message: usize) {
+        let Some(Message { to, from, key, sample, tallies }) = self.messages[message].take() else {
+            return;
+        };
+        // Suspicions are counted where an attempt gave rise to them.
+        let _ = self.boxes[to].take_peer(self.now, from, key, &sample);
+        for (service, tally) in tallies {
+            self.boxes[to].take_tally(self.now, from, &self.names[service], tally);
+        }
+    }
+
+    /// A request's end, with its time if it was served. What is open of it is cancelled.
+    fn end_request(&mut self, request: usize, served: Option<Duration>) {
+        if self.requests[request].over {
+            return;
+        }
+        self.requests[request].over = true;
+        let outcome =
+            if served.is_some() { SteerOutcome::Dropped } else { SteerOutcome::OutOfTime };
+        for attempt in self.requests[request].attempts.clone() {
+            if self.attempts[attempt].open {
+                self.end_attempt(attempt, outcome);
+                self.finish_work(attempt);
+            }
+        }
+        let Request { service, since, .. } = self.requests[request];
+        if since >= TimePoint::default() + SETTLING {
+            let goal = self.service_plan(service).goal;
+            self.sums.note_request(service, served, goal);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/steer.rs
@@ -0,0 +1,61 @@
+//! The choice of targets on fleets drawn at random, against uniform random picks.
+
+use wingbench::steer::report::{KindSums, SteerReport};
+use wingbench::steer::{SteerBench, measure_steer};
+
+const SEED: u64 = 700;
+const FLEETS: usize = 8;
+
+fn measured(without: &str) -> SteerReport {
+    let bench = SteerBench {
+        seed: SEED,
+        fleets: FLEETS,
+        seconds: 20,
+        workers: 2,
+        without: without.parse().expect("names of mechanisms"),
+    };
+    measure_steer(&bench).expect("names of mechanisms")
+}
+
+struct LossCase {
+    name: &'static str,
+    kind: fn(&SteerReport) -> (&KindSums, &KindSums),
+    /// Lost requests at most, as a share of what uniform picks lose.
+    most: f64,
+}
+
+const LOSSES: &[LossCase] = &[
+    LossCase {
+        name: "requests that may run again",
+        kind: |report| (&report.steered.repeatable, &report.uniform.repeatable),
+        most: 0.3,
+    },
+    LossCase {
+        name: "requests that run once",
+        kind: |report| (&report.steered.once, &report.uniform.once),
+        most: 0.5,
+    },
+];
+
+/// Without steering these shares are near 1, as the second test shows.
+#[test]
+fn far_fewer_requests_are_lost_than_by_uniform_picks() {
+    let report = measured("");
+    println!("{}", report.as_text());
+    for case in LOSSES {
+        let (steered, uniform) = (case.kind)(&report);
+        assert!(uniform.requests > 1000, "{}: seeds {SEED}+: too few to tell", case.name);
+        let share = steered.lost() / uniform.lost();
+        assert!(share <= case.most, "{}: seeds {SEED}+: {share:.3}", case.name);
+    }
+}
+
+#[test]
+fn the_bounds_fail_where_nothing_is_steered() {
+    let report = measured("steering,peer-sightings,hedges,trials,hold-back");
+    for case in LOSSES {
+        let (steered, uniform) = (case.kind)(&report);
+        let share = steered.lost() / uniform.lost();
+        assert!(share > case.most, "{}: seeds {SEED}+: {share:.3}", case.name);
+    }
+}
