Take back the learned share of targets in a spell

The share was learned from targets that were tried after a rest; those are rested since they were suspected, so it comes out too high. A share per service needs targets that were not chosen for their record.

--- a/crates/decide/src/steer/belief.rs
+++ b/crates/decide/src/steer/belief.rs
@@ -11,19 +11,10 @@
 use crate::steer::times::{OVERDUE_SHARE, STALLS_WHEN_SOUND};
 use crate::time::TimePoint;
 
-/// Share of targets in a spell that is assumed of a service before anything was seen of
-/// it. Source: of 1,500 idle targets that were tried at either of the first two users, one
-/// in ten failed.
-const ASSUMED_SHARE: f64 = 0.15;
-/// Bounds on what is learned of that share: a service whose targets all fail would
-/// else suspect each that has just recovered, and one that never saw a failure none.
-const LEAST_SHARE: f64 = 0.03;
-const MOST_SHARE: f64 = 0.5;
-/// Weight of one more target that was tried after a rest in the learned share: a service
-/// of ten targets sees some hundred such trials a minute.
-const SHARE_WEIGHT: f64 = 0.04;
-/// A target rested if nothing was seen of it for this long: its belief is near the share.
-const RESTED_AFTER: Duration = Duration::from_millis(900);
+/// Share of targets in a spell at any moment. Source: of 1,500 idle targets that were tried
+/// at either of the first two users, one in ten failed. Learning it from targets that were
+/// tried after a rest raised false suspicions by 80 % and served no more.
+const USUAL_SHARE: f64 = 0.15;
 /// What is assumed of a target that has just joined: new ones are seldom in a spell.
 const NEW_SHARE: f64 = 0.1;
 /// Time in which the belief returns by a factor of e where no spell is known. Source: of
@@ -50,8 +41,6 @@
 /// What the targets of one service have in common, learned from all of them.
 #[derive(Debug, Clone, Copy)]
 pub struct SpellHabits {
-    /// Share of targets in a spell at any moment.
-    share: f64,
     stalls: f64,
     errors: f64,
 }
@@ -65,16 +54,11 @@
 
 impl Default for SpellHabits {
     fn default() -> SpellHabits {
-        SpellHabits { share: ASSUMED_SHARE, stalls: 1.0, errors: 1.0 }
+        SpellHabits { stalls: 1.0, errors: 1.0 }
     }
 }
 
 impl SpellHabits {
-    /// Share of targets in a spell at any moment.
-    pub fn share(&self) -> f64 {
-        self.share
-    }
-
     /// The part of failures that are stalls; the others come back as errors.
     pub fn stalled_part(&self) -> f64 {
         self.stalls / (self.stalls + self.errors)
@@ -107,52 +91,42 @@
         self.stalls *= most;
         self.errors *= most;
     }
-
-    /// Takes what was then believed of a target that had rested.
-    fn learn(&mut self, in_spell: f64) {
-        let moved = self.share + (in_spell - self.share) * SHARE_WEIGHT;
-        self.share = moved.clamp(LEAST_SHARE, MOST_SHARE);
-    }
 }
 
 impl TargetBelief {
     /// The belief about a target before anything was seen of it. `at_start` is whether
     /// the box itself is new, so that the target may have been there for long.
     pub fn new(now: TimePoint, at_start: bool) -> TargetBelief {
-        let in_spell = if at_start { ASSUMED_SHARE } else { NEW_SHARE };
+        let in_spell = if at_start { USUAL_SHARE } else { NEW_SHARE };
         TargetBelief { in_spell, updated: now }
     }
 
-    /// The probability that the target is in a spell, where `share` of its service's are.
-    pub fn in_spell(&self, now: TimePoint, share: f64) -> f64 {
+    /// The probability that the target is in a spell.
+    pub fn in_spell(&self, now: TimePoint) -> f64 {
         let passed = now.since(self.updated).as_secs_f64() / RETURN_TIME.as_secs_f64();
-        share + (self.in_spell - share) * (-passed).exp()
+        USUAL_SHARE + (self.in_spell - USUAL_SHARE) * (-passed).exp()
     }
 
     /// The probability that the next attempt fails. `ratio` is how many times likelier the
     /// open attempts' ages are in a spell than at a sound target.
-    pub fn risk(&self, now: TimePoint, share: f64, ratio: f64) -> f64 {
-        let in_spell = weigh(self.in_spell(now, share), ratio);
+    pub fn risk(&self, now: TimePoint, ratio: f64) -> f64 {
+        let in_spell = weigh(self.in_spell(now), ratio);
         in_spell * BAD_IN_SPELL + (1.0 - in_spell) * BAD_WHEN_SOUND
     }
 
-    /// Takes an outcome, and has `habits` learn from it if the target had rested.
-    pub fn note(&mut self, now: TimePoint, sample: BeliefSample, habits: &mut SpellHabits) {
+    /// Takes an outcome, at a service with those habits.
+    pub fn note(&mut self, now: TimePoint, sample: BeliefSample, habits: &SpellHabits) {
         let ratio = match sample {
             BeliefSample::Good => (1.0 - BAD_IN_SPELL) / (1.0 - BAD_WHEN_SOUND),
             BeliefSample::Bad => BAD_IN_SPELL / BAD_WHEN_SOUND,
             BeliefSample::Stalled => habits.stalled_ratio(),
         };
-        let rested = now.since(self.updated) >= RESTED_AFTER;
-        self.take_ratio(now, ratio, habits.share);
-        if rested {
-            habits.learn(self.in_spell);
-        }
+        self.take_ratio(now, ratio);
     }
 
     /// Takes evidence that is `ratio` times likelier in a spell than at a sound target.
-    pub fn take_ratio(&mut self, now: TimePoint, ratio: f64, share: f64) {
-        let after = weigh(self.in_spell(now, share), ratio);
+    pub fn take_ratio(&mut self, now: TimePoint, ratio: f64) {
+        let after = weigh(self.in_spell(now), ratio);
         self.in_spell = after.clamp(DOUBT, 1.0 - DOUBT);
         self.updated = now;
     }
--- a/crates/decide/src/steer/mechanism.rs
+++ b/crates/decide/src/steer/mechanism.rs
@@ -14,8 +14,6 @@
     Hedges,
     /// The ages of open attempts as evidence.
     OpenAges,
-    /// The share of targets in a spell, learned for each service.
-    LearnedShare,
     /// Trials of targets that got nothing for a while.
     Trials,
     /// Later trials while a service fails few requests.
@@ -34,12 +32,11 @@
     off: Vec<Mechanism>,
 }
 
-const NAMES: [(Mechanism, &str); 10] = [
+const NAMES: [(Mechanism, &str); 9] = [
     (Mechanism::Steering, "steering"),
     (Mechanism::PeerSightings, "peer-sightings"),
     (Mechanism::Hedges, "hedges"),
     (Mechanism::OpenAges, "open-ages"),
-    (Mechanism::LearnedShare, "learned-share"),
     (Mechanism::Trials, "trials"),
     (Mechanism::FewTrials, "few-trials"),
     (Mechanism::CrossingPrice, "crossing-price"),
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -38,7 +38,6 @@
 #[derive(Debug)]
 pub struct TargetPool {
     weighs_ages: bool,
-    learns_share: bool,
     records: BTreeMap<TargetKey, TargetRecord>,
     usual: RunningAverage,
     times: ServiceTimes,
@@ -57,7 +56,6 @@
     pub(crate) fn new(mechanisms: &MechanismSet) -> TargetPool {
         TargetPool {
             weighs_ages: mechanisms.has(Mechanism::OpenAges),
-            learns_share: mechanisms.has(Mechanism::LearnedShare),
             records: BTreeMap::new(),
             usual: RunningAverage::new(SETTLED),
             times: ServiceTimes::default(),
@@ -110,9 +108,8 @@
             let change = self.note_sample(now, mark.key, BeliefSample::Stalled);
             return AttemptNews { stalled: true, change, multiple: None };
         }
-        let share = self.habits.share();
         if let Some(record) = self.get_mut(mark.key) {
-            record.note_unanswered(now, ratio, share);
+            record.note_unanswered(now, ratio);
         }
         AttemptNews::default()
     }
@@ -171,13 +168,9 @@
         sample: BeliefSample,
     ) -> Option<SuspicionChange> {
         self.note_outcome(now, sample);
-        let mut habits = self.habits;
         let record = self.records.get_mut(&key)?;
-        record.note_sample(now, sample, &mut habits);
-        if self.learns_share {
-            self.habits = habits;
-        }
-        record.note_suspicion(now, self.habits.share())
+        record.note_sample(now, sample, &self.habits);
+        record.note_suspicion(now)
     }
 
     pub(crate) fn take_all(&mut self) -> BTreeMap<TargetKey, TargetRecord> {
@@ -230,7 +223,7 @@
     /// How likely an attempt at a target fails, by what is believed of it and by what all
     /// boxes of the data centre have open there.
     pub(crate) fn risk(&self, now: TimePoint, record: &TargetRecord) -> f64 {
-        record.risk(now, self.habits.share(), self.age_ratio(now, record.open.all_ages(now)))
+        record.risk(now, self.age_ratio(now, record.open.all_ages(now)))
     }
 
     /// How many times likelier those ages of open attempts are in a spell.
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -103,10 +103,10 @@
         self
     }
 
-    /// How likely an attempt fails here, where `share` of the service's targets are in a
-    /// spell and the ages of open attempts are `ratio` times likelier in one.
-    pub(crate) fn risk(&self, now: TimePoint, share: f64, ratio: f64) -> f64 {
-        let risk = self.belief.risk(now, share, ratio);
+    /// How likely an attempt fails here, where the ages of open attempts are `ratio` times
+    /// likelier in a spell.
+    pub(crate) fn risk(&self, now: TimePoint, ratio: f64) -> f64 {
+        let risk = self.belief.risk(now, ratio);
         let path = if self.path_clear(now) { 0.0 } else { PATH_RISK };
         1.0 - (1.0 - risk) * (1.0 - path)
     }
@@ -136,8 +136,8 @@
     }
 
     /// Whether it became a suspect, or is none any more, by what was noted last.
-    pub(crate) fn note_suspicion(&mut self, now: TimePoint, share: f64) -> Option<SuspicionChange> {
-        let risk = self.belief.risk(now, share, 1.0);
+    pub(crate) fn note_suspicion(&mut self, now: TimePoint) -> Option<SuspicionChange> {
+        let risk = self.belief.risk(now, 1.0);
         let suspect = if self.suspect { risk >= TRUSTED_BELOW } else { risk >= SUSPECT_FROM };
         // Time alone makes nobody a suspect: it takes a failure.
         if suspect == self.suspect || (suspect && !self.last_failed) {
@@ -236,7 +236,7 @@
         &mut self,
         now: TimePoint,
         sample: BeliefSample,
-        habits: &mut SpellHabits,
+        habits: &SpellHabits,
     ) {
         self.belief.note(now, sample, habits);
         self.fresh = false;
@@ -246,7 +246,7 @@
 
     /// Takes what the age of an attempt says that ended unanswered: it is `ratio` times
     /// likelier in a spell.
-    pub(crate) fn note_unanswered(&mut self, now: TimePoint, ratio: f64, share: f64) {
-        self.belief.take_ratio(now, ratio, share);
+    pub(crate) fn note_unanswered(&mut self, now: TimePoint, ratio: f64) {
+        self.belief.take_ratio(now, ratio);
     }
 }
