--- a/crates/decide/src/steer/routes.rs
+++ b/crates/decide/src/steer/routes.rs
@@ -3,7 +3,8 @@
 //! Routes to one service differ in their work, some by a factor of twenty, so an attempt's
 //! age says something only beside what is usual for its route. Some routes have less time
 //! than their work takes, wherever they go: what runs out of time there speaks of the
-//! route, and would make each target that it meets a suspect.
+//! route, and would make each target that it meets a suspect: two requests a second of one
+//! such route, which never came back in time, did so at a service of ten targets.
 
 use std::collections::HashMap;
 use std::time::Duration;
