--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,4 +31,4 @@
 
 pub use run::run;
 pub use settings::GatewaySettings;
-pub use wingbridge_decide::steer::mechanism::MechanismSet;
+pub use wingbridge_decide::steer::mechanism::{Mechanism, MechanismSet};
