Log each reading and each fetch of the store's view

Cause: a box logged when a version came into force and nothing of the stages before it, so that a late one could not be followed.

--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -134,6 +134,11 @@
                 }
                 self.failures = 0;
                 metrics::counter!("wingbridge_store_reads", "outcome" => "good").increment(1);
+                log::info!(
+                    revision = view.revision, with_config = view.config.is_some(),
+                    taken_ms = millis(began.elapsed());
+                    "view-read"
+                );
                 self.context.take_view(view, began, "store");
                 self.gossip.tell_mark().await;
             }
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -6,6 +6,7 @@
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use prost::Message;
 use wingbridge_wire::gossip::{TargetRecord, ViewMark, ViewReply, ViewRequest};
 use wingbridge_wire::{receive_message, send_message};
 
@@ -56,8 +57,16 @@
     }
     // Boxes that all heard of it at once don't ask the store at once.
     task::sleep(READING_SPREAD.mul_f64(rand::random::<f64>())).await;
+    let began = Instant::now();
     match context.port.read_config().await {
-        Ok(Some(config)) => context.take_config(config, "store"),
+        Ok(Some(config)) => {
+            log::info!(
+                revision = config.revision, bytes = config.text.len(),
+                taken_ms = millis(began.elapsed());
+                "configuration-read"
+            );
+            context.take_config(config, "store");
+        }
         Ok(None) => log::warn!(config_revision; "configuration-gone"),
         Err(error) => {
             log::warn!(reason:% = error, config_revision; "configuration-asked-of-peer");
@@ -72,6 +81,7 @@
     let config_revision = context.view().config_revision();
     let request = ViewRequest { config_revision, needs_config };
     let time = if needs_config { LARGE_FETCH_TIME } else { FETCH_TIME };
+    let began = Instant::now();
     let reply = match async_std::future::timeout(time, fetch_one(address, request)).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => {
@@ -86,6 +96,11 @@
     let mark = reply.mark?;
     let as_of = Instant::now().checked_sub(Duration::from_millis(mark.age_ms))?;
     let revision = reply.config_revision;
+    log::info!(
+        peer:% = host, revision = mark.revision, age_ms = mark.age_ms, bytes = reply.encoded_len(),
+        taken_ms = millis(began.elapsed());
+        "view-fetched"
+    );
     context.take_view(decode_view(reply, &mark), as_of, "peer");
     Some(revision)
 }
