Give up a call to the store for silence, not for its length

Cause: a call had 0.6 s, whatever it carries; a configuration of 700 KB takes 0.8 s and more on 10 Mbit/s, so it was begun anew without end.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod reader;
 pub mod server;
 
-pub use client::{HttpClient, HttpReply};
+pub use client::{CallLimits, HttpClient, HttpReply};
 pub use error::{ErrorKind, HttpError};
 pub use head::{BodyFraming, MessageLimits};
 pub use http_types::Method;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncRead, AsyncReadExt};
@@ -59,12 +60,20 @@
     buffer: Vec<u8>,
     /// Where reads go first; on the heap, since futures are moved about.
     chunk: Box<[u8]>,
+    /// How long the peer may send nothing; `None` where the caller bounds the time.
+    silence: Option<Duration>,
 }
 
 impl MessageReader {
     /// Reads from `stream`, which stays open for writing elsewhere.
     pub fn new(stream: TcpStream) -> MessageReader {
-        MessageReader { stream, buffer: Vec::new(), chunk: vec![0; READ_SIZE].into() }
+        let chunk = vec![0; READ_SIZE].into();
+        MessageReader { stream, buffer: Vec::new(), chunk, silence: None }
+    }
+
+    /// The same reader, which fails once the peer has sent nothing for `silence`.
+    pub fn with_silence(self, silence: Duration) -> MessageReader {
+        MessageReader { silence: Some(silence), ..self }
     }
 
     /// Waits for the first byte of the next message; false if the peer closed.
@@ -273,7 +282,17 @@
     /// Reads more. It can be dropped while it waits: what is read is either all in the
     /// buffer or still in the connection.
     async fn fill(&mut self) -> io::Result<usize> {
-        let count = self.stream.read(&mut self.chunk).await?;
+        let reading = self.stream.read(&mut self.chunk);
+        let count = match self.silence {
+            Some(silence) => match async_std::future::timeout(silence, reading).await {
+                Ok(count) => count?,
+                Err(_) => {
+                    let reason = format!("nothing came for {silence:?}");
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, reason));
+                }
+            },
+            None => reading.await?,
+        };
         self.buffer.extend_from_slice(&self.chunk[..count]);
         Ok(count)
     }
