--- /dev/null
+++ b/crates/gateway/src/config_duty.rs
@@ -0,0 +1,208 @@
+//! Keeps a large configuration fresh: by peers that have a newer one, else by the store.
+//!
+//! What is new in a configuration goes from box to box (see `config_shelf`). A box asks
+//! whoever said that it has a newer one; only if that brings nothing in time, or if nobody
+//! says anything, it reads the store.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::future::timeout;
+use async_std::task;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::change_budget::transfer_time;
+use crate::config_exchange::{ConfigFetch, fetch_config};
+use crate::context::{BoxContext, millis};
+use crate::gossip::GossipDuty;
+use crate::ports::{ConfigNews, StoreError};
+use crate::retry_pause::RetryPause;
+use crate::view::ConfigText;
+
+/// Configurations over this are not read with each listing of the targets, in bytes: at
+/// 10 Mbit/s this one takes 26 ms.
+const LARGE_CONFIG_BYTES: usize = 32 * 1024;
+/// Wait before a peer is asked again that sends to others, at least; twice that at most.
+const BUSY_PAUSE: Duration = Duration::from_millis(30);
+/// A box that reads for its data centre does so with its listing of targets; the duty by
+/// itself reads when that is this late.
+const READER_LAG: Duration = Duration::from_millis(150);
+/// Wait while there is nothing to do: a notice ends it.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+
+/// Whether a configuration is read apart from the targets.
+pub(crate) fn is_large(config: Option<&ConfigText>) -> bool {
+    config.is_some_and(|config| config.text.len() > LARGE_CONFIG_BYTES)
+}
+
+/// Reads the configuration from the store, one reading at a time.
+pub(crate) struct ConfigReader {
+    context: Arc<BoxContext>,
+    gossip: Arc<GossipDuty>,
+    reading: AtomicBool,
+}
+
+impl ConfigReader {
+    pub(crate) fn new(context: Arc<BoxContext>, gossip: Arc<GossipDuty>) -> Arc<ConfigReader> {
+        Arc::new(ConfigReader { context, gossip, reading: AtomicBool::new(false) })
+    }
+
+    /// Asks the store for a newer configuration and takes it. Does nothing while another
+    /// reading is under way. Returns whether the store answered.
+    pub(crate) async fn refresh(&self) -> bool {
+        if self.reading.swap(true, Ordering::Relaxed) {
+            return true;
+        }
+        let began = Instant::now();
+        let outcome = self.read(began).await;
+        self.reading.store(false, Ordering::Relaxed);
+        match outcome {
+            Ok(Some(config)) => {
+                let (revision, bytes) = (config.revision, config.text.len());
+                log::info!(revision, bytes, taken_ms = millis(began.elapsed()); "configuration-read");
+                self.context.take_config(config, Vec::new(), began, "store");
+                self.gossip.tell_mark().await;
+                true
+            }
+            Ok(None) => true,
+            Err(error) => {
+                let age_ms = self.context.config_age().map_or(0, millis);
+                log::warn!(reason:% = error, age_ms; "configuration-not-read");
+                false
+            }
+        }
+    }
+
+    /// A configuration that is not held yet; `None` if the store has none.
+    async fn read(&self, began: Instant) -> Result<Option<ConfigText>, StoreError> {
+        let port = &self.context.port;
+        let (held, after) = {
+            let known = self.context.view();
+            (known.config_revision(), known.news_from(began))
+        };
+        let Some(after) = after else {
+            return port.read_config().await;
+        };
+        let config = match port.config_news(after).await? {
+            ConfigNews::Unchanged => {
+                self.context.view().confirm_config(held, began);
+                return Ok(None);
+            }
+            ConfigNews::Changed(config) => Some(config),
+            ConfigNews::Forgotten => {
+                log::info!(after; "history-forgotten");
+                port.read_config().await?
+            }
+        };
+        if config.as_ref().is_some_and(|config| config.revision == held) {
+            self.context.view().confirm_config(held, began);
+            return Ok(None);
+        }
+        Ok(config)
+    }
+}
+
+/// The duty's state.
+pub(crate) struct ConfigDuty {
+    context: Arc<BoxContext>,
+    gossip: Arc<GossipDuty>,
+    reader: Arc<ConfigReader>,
+    random: SmallRng,
+    pause: RetryPause,
+}
+
+impl ConfigDuty {
+    pub(crate) fn new(
+        context: Arc<BoxContext>,
+        gossip: Arc<GossipDuty>,
+        reader: Arc<ConfigReader>,
+        seed: u64,
+    ) -> ConfigDuty {
+        let random = SmallRng::seed_from_u64(seed);
+        ConfigDuty { context, gossip, reader, random, pause: RetryPause::default() }
+    }
+
+    /// Works until the ring of notices closes.
+    pub(crate) async fn run(mut self, notices: Receiver<()>) {
+        loop {
+            let until_reading = self.until_reading();
+            if until_reading.is_some_and(|wait| wait.is_zero()) {
+                self.read().await;
+                continue;
+            }
+            match self.ask_holder().await {
+                // A holder that failed is asked no more, until it tells of itself again.
+                Some(ConfigFetch::Taken | ConfigFetch::Failed) => continue,
+                Some(ConfigFetch::Busy(_)) => {
+                    task::sleep(BUSY_PAUSE.mul_f64(1.0 + self.random.random::<f64>())).await;
+                    continue;
+                }
+                None => {}
+            }
+            let wait = until_reading.unwrap_or(IDLE_WAIT);
+            if let Ok(Err(_)) = timeout(wait, notices.recv()).await {
+                return;
+            }
+        }
+    }
+
+    /// Asks a box that has a newer configuration for it; `None` if there is nobody to ask.
+    async fn ask_holder(&mut self) -> Option<ConfigFetch> {
+        let far = self.context.config_age().is_none_or(|age| age >= self.context.budget.far_age());
+        let (host, revision) = {
+            let offer = self.context.offer();
+            let (_, revision) = offer.pending()?;
+            (offer.pick(far)?, revision)
+        };
+        let fetched = fetch_config(&self.context, host).await;
+        match &fetched {
+            ConfigFetch::Taken => self.gossip.tell_mark_to_some().await,
+            ConfigFetch::Busy(holders) => {
+                let held = self.context.view().config_revision();
+                let own = self.context.settings.host();
+                let mut offer = self.context.offer();
+                for holder in holders.iter().filter(|holder| **holder != own) {
+                    offer.note(*holder, true, revision, held);
+                }
+            }
+            ConfigFetch::Failed => self.context.offer().drop_holder(host),
+        }
+        Some(fetched)
+    }
+
+    /// Time until this box reads the store by itself; `None` if that is not its turn: small
+    /// configurations are read with the targets.
+    fn until_reading(&mut self) -> Option<Duration> {
+        let (age, bytes) = {
+            let known = self.context.view();
+            let config = known.view().config.as_ref();
+            if !is_large(config) {
+                return None;
+            }
+            (known.config_as_of()?.elapsed(), config.map_or(0, |config| config.text.len()))
+        };
+        let budget = self.context.budget;
+        let transfer = transfer_time(bytes, self.context.settings.link_mbps);
+        let rank = self.context.peers().reading_rank();
+        let due = budget.config_age(rank, self.random.random(), transfer) + READER_LAG;
+        let mut wait = due.saturating_sub(age).max(self.pause.left());
+        if let Some((heard, _)) = self.context.offer().pending() {
+            wait = wait.max(budget.peers_time().saturating_sub(heard.elapsed()));
+        }
+        Some(wait)
+    }
+
+    async fn read(&mut self) {
+        if self.reader.refresh().await {
+            self.pause.clear();
+            // Not the store's failure, if another reading is under way or the age is not less.
+            self.pause.rest(READER_LAG);
+            return;
+        }
+        self.pause.note_failure(self.random.random());
+        self.gossip.ask_far().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config_exchange.rs
@@ -0,0 +1,112 @@
+//! Configurations between boxes, as what is new in them.
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use prost::Message;
+use wingbridge_wire::gossip::{ConfigReply, ConfigRequest, ConfigStep, ExchangeQuestion};
+use wingbridge_wire::{ErrorKind, WireError, send_message};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::context::{BoxContext, millis};
+use crate::text_patch::apply_patch;
+use crate::view::ConfigText;
+use crate::view_exchange::ask_peer;
+
+/// What came of asking a peer for its configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ConfigFetch {
+    /// It is held now.
+    Taken,
+    /// The peer sends to as many others as it can; those have it.
+    Busy(Vec<IpAddr>),
+    /// The peer has none that is newer, or can't be reached, or sent nonsense.
+    Failed,
+}
+
+/// Fetches the configuration of the peer at `host`, and takes it.
+pub(crate) async fn fetch_config(context: &BoxContext, host: IpAddr) -> ConfigFetch {
+    let began = Instant::now();
+    let held = context.view().view().config.clone();
+    let revision = held.as_ref().map_or(0, |held| held.revision);
+    let question = ExchangeQuestion::Config(ConfigRequest { revision });
+    let time = context.budget.config_fetch_time();
+    let reply: ConfigReply = match ask_peer(context, host, question, time).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::warn!(peer:% = host, reason:% = error; "configuration-not-fetched");
+            return ConfigFetch::Failed;
+        }
+    };
+    if reply.busy {
+        let holders = reply.holders.iter().filter_map(|host| host.parse().ok());
+        return ConfigFetch::Busy(holders.collect());
+    }
+    let as_of = Instant::now().checked_sub(Duration::from_millis(reply.age_ms));
+    let (Some(as_of), false) = (as_of, reply.steps.is_empty()) else {
+        log::info!(peer:% = host, revision = reply.revision; "configuration-not-newer");
+        return ConfigFetch::Failed;
+    };
+    match follow_steps(held.as_ref(), &reply.steps) {
+        Ok(text) => {
+            log::info!(
+                peer:% = host, revision = text.revision, from = reply.steps[0].from,
+                bytes = reply.encoded_len(), text_bytes = text.text.len(),
+                taken_ms = millis(began.elapsed());
+                "configuration-fetched"
+            );
+            context.take_config(text, reply.steps, as_of, "peer");
+            ConfigFetch::Taken
+        }
+        Err(reason) => {
+            log::warn!(peer:% = host, reason; "configuration-not-fetched");
+            ConfigFetch::Failed
+        }
+    }
+}
+
+/// Sends a peer what it lacks of the configuration that is held.
+pub(crate) async fn serve_config(
+    stream: &TcpStream,
+    peer: IpAddr,
+    context: &BoxContext,
+    request: ConfigRequest,
+) -> Result<(), WireError> {
+    let age_ms = context.config_age().map_or(0, millis);
+    let shelf = context.shelf.reply(request, age_ms);
+    let late = |_| WireError::new(ErrorKind::Io, "the configuration was not read in time");
+    // As long as the peer waits for it: less would throw away what is nearly through.
+    let time = context.budget.config_fetch_time();
+    timeout(time, send_message(stream, &shelf.reply)).await.map_err(late)??;
+    if !shelf.reply.steps.is_empty() {
+        context.shelf.note_holder(peer, shelf.reply.revision);
+    }
+    Ok(())
+}
+
+fn follow_steps(
+    held: Option<&ConfigText>,
+    steps: &[ConfigStep],
+) -> Result<ConfigText, &'static str> {
+    let mut text: Vec<u8> = Vec::new();
+    let mut revision = 0;
+    if let Some(held) =
+        held.filter(|held| steps.first().is_some_and(|step| step.from == held.revision))
+    {
+        text.extend_from_slice(&held.text);
+        revision = held.revision;
+    }
+    for step in steps {
+        if step.from != revision || step.to <= revision {
+            return Err("its steps don't follow each other");
+        }
+        text = apply_patch(&text, &step.patch).map_err(|_| "a step does not fit its base")?;
+        if xxh3_64(&text) != step.hash {
+            return Err("a step makes another text than it should");
+        }
+        revision = step.to;
+    }
+    Ok(ConfigText { revision, text: text.into() })
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,17 +9,28 @@
 use wingbridge_decide::steer::record::SteerTarget;
 use wingbridge_decide::steer::split::WeightedSplit;
 use wingbridge_decide::steer::{SteerCore, SteerSetup, SuspicionChange};
+use wingbridge_wire::gossip::ConfigStep;
 
+use crate::change_budget::ChangeBudget;
+use crate::config_offer::ConfigOffer;
+use crate::config_shelf::ConfigShelf;
 use crate::gate::OpenGate;
 use crate::peers::PeerTable;
 use crate::policies::PolicySet;
-use crate::ports::{EnvironmentPort, HeaderNames};
+use crate::ports::{EnvironmentPort, HeaderNames, TargetListing};
 use crate::routes::RouteConfig;
 use crate::settings::GatewaySettings;
 use crate::sightings::SightingBuffer;
 use crate::stopping::StopState;
 use crate::view::{ConfigText, KnownView, StoreView, ViewChange};
 
+/// How duties hear of what others took.
+pub(crate) struct DutyNotices {
+    pub(crate) sightings: SightingBuffer,
+    pub(crate) view_changed: async_channel::Sender<()>,
+    pub(crate) config_offered: async_channel::Sender<()>,
+}
+
 /// What callers, targets, peers and the store have in common within a box.
 pub(crate) struct BoxContext {
     pub(crate) settings: GatewaySettings,
@@ -30,6 +41,13 @@
     pub(crate) peers: Mutex<PeerTable>,
     pub(crate) sightings: SightingBuffer,
     pub(crate) view_changed: async_channel::Sender<()>,
+    /// Tells that a peer has a configuration that this box lacks.
+    pub(crate) config_offered: async_channel::Sender<()>,
+    /// How the time of a change is spent.
+    pub(crate) budget: ChangeBudget,
+    /// The configuration as it is handed on.
+    pub(crate) shelf: ConfigShelf,
+    offer: Mutex<ConfigOffer>,
     /// Bytes of request bodies that are held now.
     pub(crate) held_bodies: AtomicUsize,
     started: Instant,
@@ -46,8 +64,7 @@
         port: Arc<dyn EnvironmentPort>,
         policies: PolicySet,
         stopping: StopState,
-        sightings: SightingBuffer,
-        view_changed: async_channel::Sender<()>,
+        notices: DutyNotices,
         seed: u64,
     ) -> Arc<BoxContext> {
         let core = SteerCore::new(SteerSetup {
@@ -64,13 +81,17 @@
         let peers = PeerTable::new(&settings, seed);
         Arc::new(BoxContext {
             headers: port.headers(),
+            budget: ChangeBudget::new(settings.change_time),
+            shelf: ConfigShelf::new(settings.link_mbps),
+            offer: Mutex::default(),
             settings,
             port,
             policies,
             stopping,
             peers: Mutex::new(peers),
-            sightings,
-            view_changed,
+            sightings: notices.sightings,
+            view_changed: notices.view_changed,
+            config_offered: notices.config_offered,
             held_bodies: AtomicUsize::new(0),
             started: Instant::now(),
             view: Mutex::default(),
@@ -106,11 +127,21 @@
         self.view().config().cloned()
     }
 
-    /// How old the view of the store is.
+    /// How old what is known of targets is.
     pub(crate) fn view_age(&self) -> Option<Duration> {
         self.view().as_of().map(|as_of| as_of.elapsed())
     }
 
+    /// How long ago this box last knew that its configuration is the newest.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        self.view().config_as_of().map(|as_of| as_of.elapsed())
+    }
+
+    /// Configurations that peers have and this box lacks.
+    pub(crate) fn offer(&self) -> MutexGuard<'_, ConfigOffer> {
+        lock(&self.offer)
+    }
+
     /// The next part of a weighted split.
     pub(crate) fn next_part(&self, weights: &[u32]) -> Option<usize> {
         lock(&self.split).next(weights)
@@ -118,10 +149,17 @@
 
     /// Whether the balancer should send callers.
     pub(crate) fn is_ready(&self) -> bool {
-        self.first_config.is_open() && !self.stopping.is_stopping()
+        self.first_config.is_open() && !self.stopping.is_stopping() && !self.is_behind()
+    }
+
+    /// Whether this box has known for the whole time of a change that peers work by a newer
+    /// configuration and could not get it: callers are better served by those peers.
+    pub(crate) fn is_behind(&self) -> bool {
+        let pending = self.offer().pending();
+        pending.is_some_and(|(heard, _)| heard.elapsed() >= self.budget.whole())
     }
 
-    /// Takes a view of the store, wherever it came from, and puts it in force.
+    /// Takes all that the store holds, and puts it in force.
     pub(crate) fn take_view(&self, view: StoreView, as_of: Instant, source: &str) {
         let revision = view.revision;
         let change = {
@@ -132,20 +170,54 @@
             }
             change
         };
+        self.settle_config(Vec::new());
         self.note_taken(&change, revision, as_of, source);
     }
 
-    /// Takes a configuration that was read apart from the rest of the view.
-    pub(crate) fn take_config(&self, config: ConfigText, source: &str) {
+    /// Takes a listing of targets and puts it in force.
+    pub(crate) fn take_listing(&self, listing: TargetListing, as_of: Instant, source: &str) {
+        let revision = listing.revision;
+        let change = {
+            let mut known = self.view();
+            let change = known.take_listing(listing, as_of);
+            if change.targets {
+                self.publish_targets(&known);
+            }
+            change
+        };
+        self.note_taken(&change, revision, as_of, source);
+    }
+
+    /// Takes a configuration that was the newest at `as_of`; `steps` are those by which a peer
+    /// sent it.
+    pub(crate) fn take_config(
+        &self,
+        config: ConfigText,
+        steps: Vec<ConfigStep>,
+        as_of: Instant,
+        source: &str,
+    ) {
         let revision = config.revision;
-        let (change, as_of) = {
+        let change = {
             let mut known = self.view();
             let change = known.take_config_alone(config, &*self.port);
-            (change, known.as_of().unwrap_or_else(Instant::now))
+            known.confirm_config(revision, as_of);
+            change
         };
+        self.settle_config(steps);
         self.note_taken(&change, revision, as_of, source);
     }
 
+    /// Hands on the configuration that is held now.
+    fn settle_config(&self, steps: Vec<ConfigStep>) {
+        let held = self.view().view().config.clone();
+        let Some(held) = held else {
+            return;
+        };
+        self.offer().settle(held.revision);
+        self.shelf.put(held, steps);
+    }
+
     fn note_taken(&self, change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
         if self.config().is_some() && self.first_config.open() {
             log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,8 +16,9 @@
 };
 
 use crate::context::{BoxContext, log_replaced, millis, note_suspicion};
+use crate::peers::PeerNote;
 use crate::sightings::Urgency;
-use crate::view_exchange::{fetch_view, view_mark};
+use crate::view_exchange::{fetch_targets, view_mark};
 
 /// Time between two beacons to the own data centre.
 const NEAR_PERIOD: Duration = Duration::from_secs(1);
@@ -37,6 +38,9 @@
 const DATAGRAM_BYTES: usize = 4096;
 /// Sightings in one datagram at most: they fit 1,400 bytes.
 const SIGHTINGS: usize = 40;
+/// Boxes that are told at once that this one has a configuration from a peer: most will have
+/// been told by the reader and wait for their turn there.
+const TOLD_OF_CONFIG: usize = 4;
 /// Wait after a failed read of the socket.
 const READ_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,7 +53,7 @@
 }
 
 impl GossipDuty {
-    /// A duty over `socket`; peers with a newer view are named to `fetching`.
+    /// A duty over `socket`; peers with newer targets are named to `fetching`.
     pub(crate) fn new(
         context: Arc<BoxContext>,
         socket: UdpSocket,
@@ -122,6 +126,12 @@
         self.send_beacon(&near, Beacon { mark: self.mark(), ..Beacon::default() }).await;
     }
 
+    /// Tells some boxes of the own data centre, so that they know one more whom to ask.
+    pub(crate) async fn tell_mark_to_some(&self) {
+        let some = self.context.peers().some_near(TOLD_OF_CONFIG);
+        self.send_beacon(&some, Beacon { mark: self.mark(), ..Beacon::default() }).await;
+    }
+
     /// Tells everybody that this box ends.
     pub(crate) async fn tell_leaving(&self) {
         let mut all = self.context.peers().near();
@@ -225,8 +235,16 @@
 
     async fn take(&self, from: IpAddr, datagram: Datagram) {
         let now = Instant::now();
-        let Datagram { box_id, data_centre, incarnation, body } = datagram;
-        let new = self.context.peers().note_alive(from, &box_id, &data_centre, incarnation, now);
+        let Datagram { box_id, data_centre, incarnation, body, link_mbps } = datagram;
+        let note = PeerNote {
+            host: from,
+            box_id: &box_id,
+            data_centre: &data_centre,
+            incarnation,
+            link_mbps,
+            heard: now,
+        };
+        let new = self.context.peers().note_alive(note);
         if new {
             log::info!(peer = box_id.as_str(), data_centre = data_centre.as_str(); "peer-found");
             self.note_boxes();
@@ -271,11 +289,21 @@
         }
     }
 
-    /// Takes a peer's word that the view is still right, or has the newer one fetched.
+    /// Takes a peer's word that what is known is still right, or has what is newer fetched.
     fn compare_view(&self, from: IpAddr, now: Instant, mark: ViewMark) {
-        let Some(as_of) = now.checked_sub(Duration::from_millis(mark.age_ms)) else {
+        let before = |age_ms| now.checked_sub(Duration::from_millis(age_ms));
+        let (Some(as_of), Some(config_as_of)) = (before(mark.age_ms), before(mark.config_age_ms))
+        else {
             return;
         };
+        let held = {
+            let mut known = self.context.view();
+            known.confirm_config(mark.config_revision, config_as_of);
+            known.config_revision()
+        };
+        if mark.config_revision > held {
+            self.note_offer(from, mark.config_revision, held);
+        }
         let mut known = self.context.view();
         let newer = known.as_of().is_none_or(|held| as_of > held);
         if mark.revision < known.revision() || !newer {
@@ -291,6 +319,15 @@
         let _ = self.fetching.try_send(from);
     }
 
+    fn note_offer(&self, from: IpAddr, revision: u64, held: u64) {
+        let is_near = self.context.peers().is_near(from);
+        if self.context.offer().note(from, is_near, revision, held) {
+            log::info!(peer:% = from, config_revision = revision, held; "configuration-heard-of");
+        }
+        // Full: a notice already waits.
+        let _ = self.context.config_offered.try_send(());
+    }
+
     fn take_sightings(&self, peer: u64, box_id: &str, sightings: &Sightings) {
         let now = self.context.now();
         let mut core = self.context.core();
@@ -339,6 +376,7 @@
             data_centre: settings.data_centre.clone(),
             incarnation: self.incarnation,
             body: Some(body),
+            link_mbps: settings.link_mbps,
         };
         let bytes = datagram.encode_to_vec();
         for host in hosts {
@@ -366,9 +404,10 @@
     u32::try_from(millis(time)).unwrap_or(u32::MAX)
 }
 
-/// Fetches views from the peers that are named, one at a time, until the ring closes.
-pub(crate) async fn fetch_views(context: Arc<BoxContext>, named: Receiver<IpAddr>) {
+/// Fetches listings of targets from the peers that are named, one at a time, until the ring
+/// closes. Configurations have a task of their own, so that no listing waits for one.
+pub(crate) async fn fetch_listings(context: Arc<BoxContext>, named: Receiver<IpAddr>) {
     while let Ok(host) = named.recv().await {
-        fetch_view(&context, host).await;
+        fetch_targets(&context, host).await;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,12 +3,18 @@
 //!
 //! What the store and the messages of the environment look like is not known here: an
 //! adapter implements [`ports::EnvironmentPort`] and hands in [`settings::GatewaySettings`].
-//! Duties: connections and requests are tasks of the I/O pool; [`store_duty`] keeps the
-//! view of the store fresh, alone or by peers; [`gossip`] tells peers what was seen.
+//! Duties: connections and requests are tasks of the I/O pool; [`store_duty`] keeps what is
+//! known of targets fresh, alone or by peers, and [`config_duty`] a large configuration;
+//! [`gossip`] tells peers what was seen. [`change_budget`] has the times of all of these.
 //! Decisions about targets are in `wingbridge_decide::steer`.
 
 mod answers;
 mod attempt;
+mod change_budget;
+mod config_duty;
+mod config_exchange;
+mod config_offer;
+mod config_shelf;
 mod context;
 mod gate;
 mod gossip;
@@ -19,6 +25,7 @@
 pub mod ports;
 mod request_log;
 mod requests;
+mod retry_pause;
 pub mod routes;
 mod routing;
 pub mod run;
@@ -26,6 +33,8 @@
 mod sightings;
 mod stopping;
 mod store_duty;
+mod target_news;
+pub mod text_patch;
 pub mod view;
 mod view_exchange;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,15 +29,29 @@
     pub(crate) data_centre: String,
     pub(crate) box_id: String,
     pub(crate) incarnation: u64,
+    /// What its link carries, in megabits a second; 0 if unknown.
+    pub(crate) link_mbps: u32,
     heard: Instant,
 }
 
+/// What a box says of itself, or another one of it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerNote<'a> {
+    pub(crate) host: IpAddr,
+    pub(crate) box_id: &'a str,
+    pub(crate) data_centre: &'a str,
+    pub(crate) incarnation: u64,
+    pub(crate) link_mbps: u32,
+    pub(crate) heard: Instant,
+}
+
 /// The table of known boxes, this one left out.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
     own_host: IpAddr,
     own_id: String,
     own_centre: String,
+    own_link_mbps: u32,
     peers: HashMap<IpAddr, PeerEntry>,
     random: SmallRng,
 }
@@ -48,28 +62,23 @@
             own_host: settings.host(),
             own_id: settings.box_id.clone(),
             own_centre: settings.data_centre.clone(),
+            own_link_mbps: settings.link_mbps,
             peers: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// Notes a sign of life; returns whether the box was unknown.
-    pub(crate) fn note_alive(
-        &mut self,
-        host: IpAddr,
-        box_id: &str,
-        data_centre: &str,
-        incarnation: u64,
-        heard: Instant,
-    ) -> bool {
+    pub(crate) fn note_alive(&mut self, note: PeerNote<'_>) -> bool {
+        let PeerNote { host, box_id, data_centre, incarnation, link_mbps, heard } = note;
         if host == self.own_host {
             return false;
         }
-        let known = self.peers.get_mut(&host);
-        if let Some(peer) = known
+        if let Some(peer) = self.peers.get_mut(&host)
             && peer.incarnation == incarnation
         {
             peer.heard = peer.heard.max(heard);
+            peer.link_mbps = link_mbps;
             return false;
         }
         let entry = PeerEntry {
@@ -77,6 +86,7 @@
             data_centre: data_centre.to_string(),
             box_id: box_id.to_string(),
             incarnation,
+            link_mbps,
             heard,
         };
         let known = self.peers.get(&host);
@@ -99,7 +109,14 @@
         let Some(heard) = now.checked_sub(age) else {
             return false;
         };
-        self.note_alive(host, &told.box_id, &told.data_centre, told.incarnation, heard)
+        self.note_alive(PeerNote {
+            host,
+            box_id: &told.box_id,
+            data_centre: &told.data_centre,
+            incarnation: told.incarnation,
+            link_mbps: told.link_mbps,
+            heard,
+        })
     }
 
     /// A box said that it ends.
@@ -149,12 +166,22 @@
     }
 
     /// This box's place among those of its data centre that read the store: 0 reads
-    /// for the others, the next one steps in when it hears nothing, and so on.
+    /// for the others, the next one steps in when it hears nothing, and so on. Boxes whose
+    /// links carry twice as much go first: at 10 Mbit/s a megabyte takes 1.1 s, at 200 0.05.
     pub(crate) fn reading_rank(&self) -> usize {
-        let weight = |box_id: &str| rendezvous_weight(&self.own_centre, box_id);
-        let own = weight(&self.own_id);
+        let weight = |link_mbps: u32, box_id: &str| {
+            (link_mbps.checked_ilog2(), rendezvous_weight(&self.own_centre, box_id))
+        };
+        let own = weight(self.own_link_mbps, &self.own_id);
         let near = self.peers.values().filter(|peer| peer.data_centre == self.own_centre);
-        near.filter(|peer| weight(&peer.box_id) > own).count()
+        near.filter(|peer| weight(peer.link_mbps, &peer.box_id) > own).count()
+    }
+
+    /// Some boxes of the own data centre, by chance, `most` at most.
+    pub(crate) fn some_near(&mut self, most: usize) -> Vec<IpAddr> {
+        let own = &self.own_centre;
+        let near = self.peers.values().filter(|peer| peer.data_centre == *own);
+        near.map(|peer| peer.host).choose_multiple(&mut self.random, most)
     }
 
     /// Whether the box at `host` is one of the own data centre.
@@ -169,6 +196,7 @@
             data_centre: peer.data_centre.clone(),
             box_id: peer.box_id.clone(),
             incarnation: peer.incarnation,
+            link_mbps: peer.link_mbps,
             age_ms: u32::try_from(millis(now.saturating_duration_since(peer.heard)))
                 .unwrap_or(u32::MAX),
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,8 +11,9 @@
 use wingbridge_process::metrics::render_metrics;
 use wingbridge_process::{Outcome, StopSignal};
 
-use crate::context::{BoxContext, millis};
-use crate::gossip::{GossipDuty, fetch_views};
+use crate::config_duty::{ConfigDuty, ConfigReader};
+use crate::context::{BoxContext, DutyNotices, millis};
+use crate::gossip::{GossipDuty, fetch_listings};
 use crate::intake::take_callers;
 use crate::policies::PolicySet;
 use crate::ports::EnvironmentPort;
@@ -20,7 +21,7 @@
 use crate::sightings::SightingBuffer;
 use crate::stopping::StopState;
 use crate::store_duty::StoreDuty;
-use crate::view_exchange::serve_views;
+use crate::view_exchange::serve_peers;
 
 /// The balancer needs this long after "not ready" to send no more callers: two questions,
 /// a second apart, and some.
@@ -59,6 +60,7 @@
     let socket = UdpSocket::bind(SocketAddr::new(settings.host(), settings.gossip_port)).await?;
     let (sightings, wishes) = SightingBuffer::new();
     let (view_changed, notices) = async_channel::bounded(1);
+    let (config_offered, offers) = async_channel::bounded(1);
     let (fetching, named) = async_channel::bounded(1);
     let stopping = StopState::new();
     log::info!(
@@ -70,18 +72,22 @@
         log::warn!(without:% = settings.mechanisms; "parts-of-the-pick-off");
     }
     let policies = PolicySet::compile()?;
-    let context =
-        BoxContext::new(settings, port, policies, stopping, sightings, view_changed, seed);
+    let duty_notices = DutyNotices { sightings, view_changed, config_offered };
+    let context = BoxContext::new(settings, port, policies, stopping, duty_notices, seed);
     let gossip = GossipDuty::new(Arc::clone(&context), socket, seed, fetching);
-    let store = StoreDuty::new(Arc::clone(&context), Arc::clone(&gossip), seed);
+    let reader = ConfigReader::new(Arc::clone(&context), Arc::clone(&gossip));
+    let store =
+        StoreDuty::new(Arc::clone(&context), Arc::clone(&gossip), Arc::clone(&reader), seed);
+    let config = ConfigDuty::new(Arc::clone(&context), Arc::clone(&gossip), reader, seed);
     let duties = [
         task::spawn(serve_readiness(readiness, Arc::clone(&context))),
-        task::spawn(serve_views(exchange, Arc::clone(&context))),
+        task::spawn(serve_peers(exchange, Arc::clone(&context))),
         task::spawn(Arc::clone(&gossip).receive()),
         task::spawn(Arc::clone(&gossip).beat()),
         task::spawn(Arc::clone(&gossip).tell(wishes)),
-        task::spawn(fetch_views(Arc::clone(&context), named)),
+        task::spawn(fetch_listings(Arc::clone(&context), named)),
         task::spawn(store.run(notices)),
+        task::spawn(config.run(offers)),
         task::spawn(note_reloads(reloads)),
         task::spawn(take_callers(callers, Arc::clone(&context))),
     ];
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,9 @@
     pub cross_cost: f64,
     /// Parts of the pick that are switched off, for measurements.
     pub mechanisms: MechanismSet,
+    /// What this box's link carries, in megabits a second; 0 if unknown. Boxes with more read
+    /// the store for those with less.
+    pub link_mbps: u32,
     /// Connections of callers at once.
     pub connections: usize,
     /// Bytes of request bodies that are held at once, in all requests together.
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -1,4 +1,4 @@
-//! Keeps the view of the store fresh: by peers where they read, else by own readings.
+//! Keeps what is known of targets fresh: by peers where they read, else by own readings.
 //!
 //! Each call to the store has a price, so in each data centre one box reads for all.
 //! There is no election. Boxes are ranked (see `peers`), and each reads by itself once
@@ -7,38 +7,24 @@
 //! away by the store is thus replaced within a few tenths of a second, and a box that is
 //! cut off from its peers reads for itself.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
+use async_std::future::timeout;
+use async_std::task;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::config_duty::{ConfigReader, is_large};
 use crate::context::{BoxContext, millis};
 use crate::gossip::GossipDuty;
-use crate::ports::{ConfigNews, StoreError};
-use crate::view::{ConfigText, StoreView};
+use crate::ports::StoreError;
+use crate::retry_pause::RetryPause;
 
-/// Age of the view at which the first box reads, as a share of the time by which a change
-/// must be in force: a reading may fail and be made by two more ranks in time.
-const READ_SHARE: f64 = 0.35;
-/// How much older the view may be at each further rank, as a share of the same.
-const RANK_SHARE: f64 = 0.08;
-/// Ranks that are told apart; all further ones read at the same age, with the spread below.
-const RANKS: usize = 4;
-/// News of the configuration is asked for from a revision that was known this long ago: a
-/// store may say nothing of changes for a second before it forgets its history.
-const NEWS_LAG: Duration = Duration::from_millis(1500);
-/// Configurations over this are not read with each listing of the targets, in bytes: at
-/// 10 Mbit/s this one takes 26 ms.
-pub(crate) const LARGE_CONFIG_BYTES: usize = 32 * 1024;
-/// Ages are spread by up to this share, so that boxes of a rank do not read in step.
-const SPREAD: f64 = 0.1;
-/// First wait after a failed reading; it doubles up to the longest.
-const RETRY_FIRST: Duration = Duration::from_millis(250);
-/// Longest wait after failed readings: half of what targets have to come back in.
-const RETRY_LONGEST: Duration = Duration::from_millis(1000);
+/// How long a listing that is there waits for the word that the configuration is unchanged,
+/// so that peers are told of both at once. The store answers in 4 ms.
+const CONFIG_WAIT: Duration = Duration::from_millis(50);
 /// A box that found no peers for this long looks for them in the store.
 const LONELY_AFTER: Duration = Duration::from_millis(1500);
 /// Time between two looks into the store for peers.
@@ -48,48 +34,31 @@
 /// Boxes in a note of contacts at most.
 const CONTACTS: usize = 8;
 
-/// Revisions that were known at moments of the last seconds.
-#[derive(Debug, Default)]
-struct RevisionTrail {
-    known: VecDeque<(Instant, u64)>,
-}
-
-impl RevisionTrail {
-    /// Notes the revision that is known now, and returns the newest one that was known
-    /// [`NEWS_LAG`] ago; `None` if there is none.
-    fn lagging(&mut self, now: Instant, revision: u64) -> Option<u64> {
-        self.known.push_back((now, revision));
-        let old = |entry: &(Instant, u64)| now.duration_since(entry.0) >= NEWS_LAG;
-        while self.known.len() > 1 && old(&self.known[1]) {
-            self.known.pop_front();
-        }
-        self.known.front().filter(|entry| old(entry)).map(|(_, revision)| *revision)
-    }
-}
-
 /// The duty's state.
 pub(crate) struct StoreDuty {
     context: Arc<BoxContext>,
     gossip: Arc<GossipDuty>,
+    config: Arc<ConfigReader>,
     random: SmallRng,
-    failures: u32,
-    /// No reading is made before: the last one failed.
-    not_before: Instant,
-    revisions: RevisionTrail,
+    pause: RetryPause,
     started: Instant,
     contacts_read: Option<Instant>,
     contacts_noted: Option<Instant>,
 }
 
 impl StoreDuty {
-    pub(crate) fn new(context: Arc<BoxContext>, gossip: Arc<GossipDuty>, seed: u64) -> StoreDuty {
+    pub(crate) fn new(
+        context: Arc<BoxContext>,
+        gossip: Arc<GossipDuty>,
+        config: Arc<ConfigReader>,
+        seed: u64,
+    ) -> StoreDuty {
         StoreDuty {
             context,
             gossip,
+            config,
             random: SmallRng::seed_from_u64(seed),
-            failures: 0,
-            not_before: Instant::now(),
-            revisions: RevisionTrail::default(),
+            pause: RetryPause::default(),
             started: Instant::now(),
             contacts_read: None,
             contacts_noted: None,
@@ -101,13 +70,12 @@
         loop {
             self.drop_lapsed();
             let due = self.reading_age();
-            let age = self.context.view_age();
-            let wait = age.map_or(Duration::ZERO, |age| due.saturating_sub(age));
-            let wait = wait.max(self.not_before.saturating_duration_since(Instant::now()));
+            let wait = self.age().map_or(Duration::ZERO, |age| due.saturating_sub(age));
+            let wait = wait.max(self.pause.left());
             if !wait.is_zero() {
-                // A notice means that a peer's view was taken, so the age is another one.
+                // A notice means that a peer's word was taken, so the age is another one.
                 let wait = self.until_lapse().map_or(wait, |lapse| lapse.min(wait));
-                match async_std::future::timeout(wait, notices.recv()).await {
+                match timeout(wait, notices.recv()).await {
                     Ok(Err(_)) => return,
                     Ok(Ok(())) | Err(_) => continue,
                 }
@@ -117,93 +85,71 @@
         }
     }
 
-    /// The age of the view at which this box reads.
+    /// How old that is which a reading would renew.
+    fn age(&self) -> Option<Duration> {
+        let known = self.context.view();
+        let large = is_large(known.view().config.as_ref());
+        let oldest = if large { known.as_of() } else { known.oldest() };
+        oldest.map(|oldest| oldest.elapsed())
+    }
+
+    /// The age at which this box reads.
     fn reading_age(&mut self) -> Duration {
-        let rank = self.context.peers().reading_rank().min(RANKS);
-        let share = READ_SHARE + RANK_SHARE * rank as f64;
-        let spread = if rank == 0 { 0.0 } else { SPREAD * self.random.random::<f64>() };
-        self.context.settings.change_time.mul_f64(share * (1.0 + spread))
+        let rank = self.context.peers().reading_rank();
+        self.context.budget.reading_age(rank, self.random.random())
     }
 
     async fn read(&mut self) {
         let began = Instant::now();
-        match self.read_view(began).await {
-            Ok(view) => {
-                if self.failures > 0 {
-                    log::info!(failures = self.failures, revision = view.revision; "store-regained");
+        match self.read_once(began).await {
+            Ok(()) => {
+                let revision = self.context.view().revision();
+                if self.pause.failures() > 0 {
+                    log::info!(failures = self.pause.failures(), revision; "store-regained");
                 }
-                self.failures = 0;
+                self.pause.clear();
                 metrics::counter!("wingbridge_store_reads", "outcome" => "good").increment(1);
-                log::info!(
-                    revision = view.revision, with_config = view.config.is_some(),
-                    taken_ms = millis(began.elapsed());
-                    "view-read"
-                );
-                self.context.take_view(view, began, "store");
                 self.gossip.tell_mark().await;
             }
             Err(error) => {
-                if self.failures == 0 {
+                if self.pause.failures() == 0 {
                     let age_ms = self.context.view_age().map_or(0, millis);
                     log::warn!(reason:% = error, view_age_ms = age_ms; "store-lost");
                 }
                 metrics::counter!("wingbridge_store_reads", "outcome" => "failed").increment(1);
-                self.failures = self.failures.saturating_add(1);
                 self.gossip.ask_far().await;
-                self.not_before = Instant::now() + self.retry_wait();
+                self.pause.note_failure(self.random.random());
             }
         }
     }
 
     /// Reads all in one call, or, where the configuration is large, lists the targets and
-    /// reads the configuration only if it was written.
-    async fn read_view(&mut self, began: Instant) -> Result<StoreView, StoreError> {
-        let (held, large, revision) = {
-            let known = self.context.view();
-            let text = known.view().config.as_ref().map(|config| config.text.len());
-            (
-                known.config_revision(),
-                text.is_some_and(|length| length > LARGE_CONFIG_BYTES),
-                known.revision(),
-            )
-        };
-        let after = self.revisions.lagging(began, revision);
+    /// has news of the configuration read beside that.
+    async fn read_once(&self, began: Instant) -> Result<(), StoreError> {
         let port = &self.context.port;
-        if !large {
-            return port.read_all().await;
+        if !is_large(self.context.view().view().config.as_ref()) {
+            let view = port.read_all().await?;
+            log::info!(
+                revision = view.revision, with_config = true, taken_ms = millis(began.elapsed());
+                "view-read"
+            );
+            self.context.take_view(view, began, "store");
+            return Ok(());
         }
-        let (listing, config) = futures::join!(port.read_targets(), self.read_config(held, after));
-        let (listing, config) = (listing?, config?);
-        Ok(StoreView {
-            revision: listing.revision,
-            config_revision: config.as_ref().map_or(held, |config| config.revision),
-            config,
-            targets: listing.targets,
-        })
-    }
-
-    async fn read_config(
-        &self,
-        held: u64,
-        after: Option<u64>,
-    ) -> Result<Option<ConfigText>, StoreError> {
-        let port = &self.context.port;
-        let Some(after) = after.filter(|_| held > 0) else {
-            return port.read_config().await;
-        };
-        match port.config_news(after).await? {
-            ConfigNews::Unchanged => Ok(None),
-            ConfigNews::Changed(config) => Ok(Some(config)),
-            ConfigNews::Forgotten => {
-                log::info!(after; "history-forgotten");
-                port.read_config().await
-            }
-        }
-    }
-
-    fn retry_wait(&mut self) -> Duration {
-        let doubled = RETRY_FIRST.saturating_mul(1 << self.failures.min(4).saturating_sub(1));
-        doubled.min(RETRY_LONGEST).mul_f64(0.7 + 0.6 * self.random.random::<f64>())
+        let reader = Arc::clone(&self.config);
+        let reading = task::spawn(async move { reader.refresh().await });
+        let listing = port.read_targets().await?;
+        log::info!(
+            revision = listing.revision, with_config = false, taken_ms = millis(began.elapsed());
+            "view-read"
+        );
+        // Targets don't wait for a configuration that takes long: they are in force from here
+        // on, and peers are told at once. Waiting made requests reach targets 3 s after these
+        // had said that they leave, by the requests' lines.
+        self.context.take_listing(listing, began, "store");
+        // Late: it goes on by itself, and is told when it is there.
+        let _ = timeout(CONFIG_WAIT, reading).await;
+        Ok(())
     }
 
     /// Looks for peers in the store if there are none, and leaves some there for others.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,14 +1,16 @@
 //! What a box knows of the store: configuration and targets, and how old that is.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wingbridge_decide::Name;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::ports::EnvironmentPort;
+use crate::ports::{EnvironmentPort, TargetListing};
 use crate::routes::RouteConfig;
+pub use crate::target_news::ListingDifference;
+use crate::target_news::TargetNews;
 
 /// A gap between two readings from which on the store counts as away: twice the time
 /// by which any box in doubt reads for itself (see `store_duty`).
@@ -16,6 +18,11 @@
 /// Targets that are missing after an outage have this long to come back. Source: the
 /// users' letter, "about two seconds".
 const RETURN_TIME: Duration = Duration::from_secs(2);
+/// News of the configuration is asked for from a revision that was known this long ago: a
+/// store may say nothing of changes for a second before it forgets its history.
+const NEWS_LAG: Duration = Duration::from_millis(1500);
+/// Time between two revisions that are remembered for that.
+const TRAIL_STEP: Duration = Duration::from_millis(100);
 
 /// A target as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +43,15 @@
     pub cold_time: Duration,
 }
 
+impl TargetEntry {
+    /// Whether all that matters to requests is the same: how long a target is still slow
+    /// changes with each of its heartbeats, and is no news.
+    pub(crate) fn is_same(&self, other: &TargetEntry) -> bool {
+        let cold_time = self.cold_time;
+        *self == TargetEntry { cold_time, ..other.clone() }
+    }
+}
+
 /// What the store held at one revision.
 #[derive(Debug, Clone, Default)]
 pub struct StoreView {
@@ -43,8 +59,7 @@
     pub revision: u64,
     /// The store's revision of the configuration; 0 if there is none.
     pub config_revision: u64,
-    /// The configuration as the store holds it; left out where the receiver has it, or
-    /// had better read it itself.
+    /// The configuration as the store holds it; left out where it was not read.
     pub config: Option<ConfigText>,
     /// All targets, in the order of their names.
     pub targets: Vec<TargetEntry>,
@@ -60,23 +75,25 @@
 }
 
 impl StoreView {
-    /// A hash over all that matters to requests, to see whether two views differ.
+    /// A hash over all that matters to requests of the targets, to see whether two views
+    /// differ in them. Never 0.
     pub fn digest(&self) -> u64 {
-        digest(self.config_revision, &self.targets)
+        listing_digest(&self.targets)
     }
 }
 
-fn digest(config_revision: u64, targets: &[TargetEntry]) -> u64 {
+/// A hash over a listing in the order of its names. Never 0, which stands for no listing.
+pub(crate) fn listing_digest(targets: &[TargetEntry]) -> u64 {
     let mut hash = Xxh3::new();
-    hash.update(&config_revision.to_le_bytes());
     for target in targets {
         for text in [&target.id, &target.address, &target.service, &target.data_centre] {
             hash.update(text.as_bytes());
             hash.update(&[0]);
         }
+        hash.update(&target.slots.to_le_bytes());
         hash.update(&[u8::from(target.draining)]);
     }
-    hash.digest()
+    hash.digest().max(1)
 }
 
 /// What changed when a view was taken.
@@ -94,13 +111,48 @@
     pub joined: Vec<Name>,
 }
 
+/// Revisions that were known at moments of the last seconds.
+#[derive(Debug, Default)]
+struct RevisionTrail {
+    known: VecDeque<(Instant, u64)>,
+}
+
+impl RevisionTrail {
+    fn note(&mut self, now: Instant, revision: u64) {
+        let last = self.known.back();
+        if last.is_some_and(|(at, _)| now.saturating_duration_since(*at) < TRAIL_STEP) {
+            return;
+        }
+        self.known.push_back((now, revision));
+        while self.known.len() > 1 && is_old(&self.known[1], now) {
+            self.known.pop_front();
+        }
+    }
+
+    /// The newest revision that was known [`NEWS_LAG`] ago; 0 if there is none.
+    fn lagging(&self, now: Instant) -> u64 {
+        let old = self.known.iter().rev().find(|entry| is_old(entry, now));
+        old.map_or(0, |(_, revision)| *revision)
+    }
+}
+
+fn is_old((at, _): &(Instant, u64), now: Instant) -> bool {
+    now.saturating_duration_since(*at) >= NEWS_LAG
+}
+
 /// The newest view, and what follows from the views before it.
+///
+/// Targets and configuration are two matters with an age each: a configuration that takes
+/// long on its way does not hold up what is known of targets.
 #[derive(Debug, Default)]
 pub struct KnownView {
     view: StoreView,
     digest: u64,
     as_of: Option<Instant>,
+    news: TargetNews,
+    trail: RevisionTrail,
     config: Option<Arc<RouteConfig>>,
+    config_as_of: Option<Instant>,
     /// Instances that were seen leaving: they never come back under their names. One that
     /// is merely gone may, since its entry lapses while it is cut from the store.
     left: HashSet<Name>,
@@ -120,11 +172,30 @@
         self.digest
     }
 
-    /// When the read that this view is of began; `None` before the first.
+    /// When the read that these targets are of began; `None` before the first.
     pub fn as_of(&self) -> Option<Instant> {
         self.as_of
     }
 
+    /// When the read began that showed that this is the newest configuration; `None` before
+    /// the first.
+    pub fn config_as_of(&self) -> Option<Instant> {
+        self.config_as_of
+    }
+
+    /// Since when this box could have missed a change of either kind; `None` before the first
+    /// reading.
+    pub fn oldest(&self) -> Option<Instant> {
+        Some(self.as_of?.min(self.config_as_of?))
+    }
+
+    /// The revision from which news of the configuration is to be asked for; `None` if the
+    /// configuration itself must be read.
+    pub fn news_from(&self, now: Instant) -> Option<u64> {
+        let held = self.view.config_revision;
+        (held > 0).then(|| self.trail.lagging(now).max(held))
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Option<&Arc<RouteConfig>> {
         self.config.as_ref()
@@ -140,11 +211,18 @@
         self.view.config_revision
     }
 
-    /// Notes that the view was still right at `as_of`, by a peer that holds the same.
+    /// Notes that the targets were still right at `as_of`, by a peer that holds the same.
     pub fn confirm(&mut self, revision: u64, as_of: Instant) {
         if revision >= self.view.revision {
-            self.view.revision = revision;
             self.note_time(as_of);
+            self.view.revision = revision;
+        }
+    }
+
+    /// Notes that at `as_of` no configuration was newer than the one of `revision`; 0 for none.
+    pub fn confirm_config(&mut self, revision: u64, as_of: Instant) {
+        if revision == self.view.config_revision {
+            self.config_as_of = self.config_as_of.max(Some(as_of));
         }
     }
 
@@ -159,21 +237,35 @@
         if view.revision < self.view.revision {
             return change;
         }
-        self.note_time(as_of);
-        let StoreView { revision, config, targets, .. } = view;
+        let StoreView { revision, config_revision, config, targets } = view;
         if let Some(text) = config {
             self.take_config(text, port, &mut change);
         }
-        self.take_targets(targets, as_of, &mut change);
-        self.view.revision = revision;
-        let digest = self.view.digest();
+        self.confirm_config(config_revision, as_of);
+        let listing = TargetListing { revision, targets };
+        let listed = self.take_listing(listing, as_of);
+        ViewChange { config: change.config, refused: change.refused, ..listed }
+    }
+
+    /// Takes a listing of targets, unless a newer one is known.
+    pub fn take_listing(&mut self, listing: TargetListing, as_of: Instant) -> ViewChange {
+        let mut change = ViewChange::default();
+        if listing.revision < self.view.revision {
+            return change;
+        }
+        self.note_time(as_of);
+        let digest = listing_digest(&listing.targets);
         change.targets = digest != self.digest;
+        if change.targets {
+            self.news.note(self.digest, &self.view.targets, &listing.targets);
+        }
+        self.take_targets(listing.targets, as_of, &mut change);
+        self.view.revision = listing.revision;
         self.digest = digest;
         change
     }
 
-    /// Takes a configuration that was read apart from the rest of the view, which may be
-    /// newer by now.
+    /// Takes a configuration that was read apart from the targets.
     pub fn take_config_alone(
         &mut self,
         text: ConfigText,
@@ -181,10 +273,15 @@
     ) -> ViewChange {
         let mut change = ViewChange::default();
         self.take_config(text, port, &mut change);
-        self.digest = self.view.digest();
         change
     }
 
+    /// What makes the listing of targets of the one with the hash `digest`; `None` if that
+    /// one is not known.
+    pub fn difference_to(&self, digest: u64) -> Option<ListingDifference> {
+        self.news.since(digest, &self.view.targets)
+    }
+
     /// When the next lapsed target is to be dropped, if there is one.
     pub fn next_lapse(&self) -> Option<Instant> {
         self.lapsed.values().map(|(_, until)| *until).min()
@@ -206,6 +303,7 @@
     }
 
     fn note_time(&mut self, as_of: Instant) {
+        self.trail.note(as_of, self.view.revision);
         match self.as_of {
             Some(before) if as_of <= before => {}
             Some(before) => {
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -1,42 +1,36 @@
-//! Views of the store between boxes: served to peers, and fetched from one.
+//! What is known of the store, between boxes: served to peers, and targets fetched from one.
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use prost::Message;
-use wingbridge_wire::gossip::{TargetRecord, ViewMark, ViewReply, ViewRequest};
-use wingbridge_wire::{receive_message, send_message};
+use wingbridge_decide::Name;
+use wingbridge_wire::gossip::{
+    ExchangeQuestion, ExchangeRequest, TargetRecord, TargetsReply, TargetsRequest, ViewMark,
+};
+use wingbridge_wire::{ErrorKind, WireError, receive_message, send_message};
 
+use crate::config_exchange::serve_config;
 use crate::context::{BoxContext, millis};
-use crate::store_duty::LARGE_CONFIG_BYTES;
-use crate::view::{ConfigText, KnownView, StoreView, TargetEntry};
+use crate::ports::TargetListing;
+use crate::view::{KnownView, ListingDifference, TargetEntry, listing_digest};
 
-/// Time for a whole fetch. A peer that takes longer is cut off or overloaded; the store
-/// or another peer is asked then.
-const FETCH_TIME: Duration = Duration::from_millis(500);
-/// The same for a configuration of any size: a megabyte takes 0.8 s at 10 Mbit/s.
-const LARGE_FETCH_TIME: Duration = Duration::from_secs(3);
-/// Readings of the store by boxes that heard of a large configuration are spread over this.
-const READING_SPREAD: Duration = Duration::from_millis(150);
+/// Time for a connection to a peer: within a data centre it takes a millisecond or two.
+const CONNECT_TIME: Duration = Duration::from_millis(200);
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves the view to peers, until the task is dropped.
-pub(crate) async fn serve_views(listener: TcpListener, context: Arc<BoxContext>) {
+/// Answers the questions of peers, until the task is dropped.
+pub(crate) async fn serve_peers(listener: TcpListener, context: Arc<BoxContext>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let context = Arc::clone(&context);
-                task::spawn(async move {
-                    let served =
-                        async_std::future::timeout(FETCH_TIME, serve_one(&stream, &context));
-                    if !matches!(served.await, Ok(Ok(()))) {
-                        log::debug!(peer:% = peer.ip(); "view-not-served");
-                    }
-                });
+                task::spawn(async move { serve_one(&stream, peer.ip(), &context).await });
             }
             Err(error) => {
                 log::warn!(reason:% = error; "exchange-accept-failed");
@@ -46,103 +40,114 @@
     }
 }
 
-/// Fetches the view of the peer at `host` and takes it. A configuration that is too large
-/// for the peer to send to everybody is read from the store, or sent if that fails.
-pub(crate) async fn fetch_view(context: &BoxContext, host: IpAddr) {
-    let Some(config_revision) = fetch_and_take(context, host, false).await else {
-        return;
-    };
-    if context.view().config_revision() >= config_revision {
-        return;
-    }
-    // Boxes that all heard of it at once don't ask the store at once.
-    task::sleep(READING_SPREAD.mul_f64(rand::random::<f64>())).await;
-    let began = Instant::now();
-    match context.port.read_config().await {
-        Ok(Some(config)) => {
-            log::info!(
-                revision = config.revision, bytes = config.text.len(),
-                taken_ms = millis(began.elapsed());
-                "configuration-read"
-            );
-            context.take_config(config, "store");
-        }
-        Ok(None) => log::warn!(config_revision; "configuration-gone"),
-        Err(error) => {
-            log::warn!(reason:% = error, config_revision; "configuration-asked-of-peer");
-            fetch_and_take(context, host, true).await;
+/// Fetches the targets that the peer at `host` knows, and takes them.
+pub(crate) async fn fetch_targets(context: &BoxContext, host: IpAddr) {
+    let digest = context.view().digest();
+    match ask_targets(context, host, digest).await {
+        Ok(FetchedTargets::Taken) => {}
+        // What is known has changed on the way: all of it is asked for then.
+        Ok(FetchedTargets::OtherBase) => {
+            if let Err(error) = ask_targets(context, host, 0).await {
+                log::warn!(peer:% = host, reason:% = error; "targets-not-fetched");
+            }
         }
+        Err(error) => log::warn!(peer:% = host, reason:% = error; "targets-not-fetched"),
     }
 }
 
-/// Returns the revision of the configuration that the peer holds.
-async fn fetch_and_take(context: &BoxContext, host: IpAddr, needs_config: bool) -> Option<u64> {
-    let address = SocketAddr::new(host, context.settings.exchange.port());
-    let config_revision = context.view().config_revision();
-    let request = ViewRequest { config_revision, needs_config };
-    let time = if needs_config { LARGE_FETCH_TIME } else { FETCH_TIME };
-    let began = Instant::now();
-    let reply = match async_std::future::timeout(time, fetch_one(address, request)).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(error)) => {
-            log::warn!(peer:% = host, reason:% = error; "view-not-fetched");
-            return None;
-        }
-        Err(_) => {
-            log::warn!(peer:% = host, reason = "timed out"; "view-not-fetched");
-            return None;
-        }
-    };
-    let mark = reply.mark?;
-    let as_of = Instant::now().checked_sub(Duration::from_millis(mark.age_ms))?;
-    let revision = reply.config_revision;
-    log::info!(
-        peer:% = host, revision = mark.revision, age_ms = mark.age_ms, bytes = reply.encoded_len(),
-        taken_ms = millis(began.elapsed());
-        "view-fetched"
-    );
-    context.take_view(decode_view(reply, &mark), as_of, "peer");
-    Some(revision)
-}
-
-/// How new the view is, for messages.
+/// How new what is known is, for messages.
 pub(crate) fn view_mark(known: &KnownView) -> Option<ViewMark> {
     let as_of = known.as_of()?;
+    let config_age = known.config_as_of().map(|as_of| as_of.elapsed());
     Some(ViewMark {
         revision: known.revision(),
         age_ms: millis(as_of.elapsed()),
         digest: known.digest(),
+        config_revision: known.config_revision(),
+        config_age_ms: config_age.map_or(0, millis),
     })
 }
 
-async fn serve_one(
-    stream: &TcpStream,
+/// Asks the peer at `host` one question, within `time`.
+pub(crate) async fn ask_peer<M: Message + Default>(
     context: &BoxContext,
-) -> Result<(), wingbridge_wire::WireError> {
-    let request: ViewRequest = receive_message(stream).await?;
-    let reply = encode_view(&context.view(), &request);
-    send_message(stream, &reply).await
+    host: IpAddr,
+    question: ExchangeQuestion,
+    time: Duration,
+) -> Result<M, WireError> {
+    let address = SocketAddr::new(host, context.settings.exchange.port());
+    let asking = async {
+        let late = |_| WireError::new(ErrorKind::Io, "no connection came up");
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await.map_err(late)??;
+        stream.set_nodelay(true)?;
+        send_message(&stream, &ExchangeRequest { question: Some(question) }).await?;
+        receive_message(&stream).await
+    };
+    let late = |_| WireError::new(ErrorKind::Io, format!("no reply within {time:?}"));
+    timeout(time, asking).await.map_err(late)?
 }
 
-async fn fetch_one(
-    address: SocketAddr,
-    request: ViewRequest,
-) -> Result<ViewReply, wingbridge_wire::WireError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    send_message(&stream, &request).await?;
-    receive_message(&stream).await
+enum FetchedTargets {
+    Taken,
+    /// The reply is the difference to a listing that this box does not hold any more.
+    OtherBase,
 }
 
-fn encode_view(known: &KnownView, request: &ViewRequest) -> ViewReply {
-    let view = known.view();
-    let config = view.config.as_ref().filter(|config| {
-        // Sending 400 KB to 30 peers takes a box with 10 Mbit/s some ten seconds.
-        let small = config.text.len() <= LARGE_CONFIG_BYTES;
-        config.revision > request.config_revision && (small || request.needs_config)
-    });
+async fn ask_targets(
+    context: &BoxContext,
+    host: IpAddr,
+    digest: u64,
+) -> Result<FetchedTargets, WireError> {
+    let began = Instant::now();
+    let question = ExchangeQuestion::Targets(TargetsRequest { digest });
+    let time = context.budget.fetch_time();
+    let reply: TargetsReply = ask_peer(context, host, question, time).await?;
+    let bytes = reply.encoded_len();
+    let Some(mark) = reply.mark else {
+        return Ok(FetchedTargets::Taken);
+    };
+    let age = Duration::from_millis(mark.age_ms);
+    let Some(as_of) = Instant::now().checked_sub(age) else {
+        return Ok(FetchedTargets::Taken);
+    };
+    let Some(targets) = decode_targets(context, reply, &mark, as_of) else {
+        return Ok(FetchedTargets::OtherBase);
+    };
+    log::info!(
+        peer:% = host, revision = mark.revision, age_ms = mark.age_ms, bytes,
+        taken_ms = millis(began.elapsed());
+        "targets-fetched"
+    );
+    context.take_listing(TargetListing { revision: mark.revision, targets }, as_of, "peer");
+    Ok(FetchedTargets::Taken)
+}
+
+async fn serve_one(stream: &TcpStream, peer: IpAddr, context: &BoxContext) {
+    let served = async {
+        let asked = timeout(context.budget.fetch_time(), receive_message(stream));
+        let late = |_| WireError::new(ErrorKind::Io, "no question came");
+        let request: ExchangeRequest = asked.await.map_err(late)??;
+        match request.question {
+            Some(ExchangeQuestion::Targets(request)) => {
+                let reply = encode_targets(&context.view(), request);
+                let sending = send_message(stream, &reply);
+                let late = |_| WireError::new(ErrorKind::Io, "the reply was not read");
+                timeout(context.budget.fetch_time(), sending).await.map_err(late)?
+            }
+            Some(ExchangeQuestion::Config(request)) => {
+                serve_config(stream, peer, context, request).await
+            }
+            None => Err(WireError::new(ErrorKind::Malformed, "a question of no known kind")),
+        }
+    };
+    if let Err(error) = served.await {
+        log::info!(peer:% = peer, reason:% = error; "peer-not-served");
+    }
+}
+
+fn encode_targets(known: &KnownView, request: TargetsRequest) -> TargetsReply {
     let age = known.as_of().map(|as_of| as_of.elapsed()).unwrap_or_default();
-    let target = |target: &TargetEntry| TargetRecord {
+    let record = |target: &TargetEntry| TargetRecord {
         id: target.id.to_string(),
         address: target.address.to_string(),
         service: target.service.to_string(),
@@ -151,15 +156,31 @@
         draining: target.draining,
         cold_ms: millis(target.cold_time.saturating_sub(age)),
     };
-    ViewReply {
-        mark: view_mark(known),
-        config: config.map(|config| config.text.to_vec()).unwrap_or_default(),
-        config_revision: view.config_revision,
-        targets: view.targets.iter().map(target).collect(),
+    let mark = view_mark(known);
+    match known.difference_to(request.digest) {
+        Some(ListingDifference { changed, gone }) => TargetsReply {
+            mark,
+            base: request.digest,
+            targets: changed.iter().map(record).collect(),
+            gone: gone.iter().map(Name::to_string).collect(),
+        },
+        None => TargetsReply {
+            mark,
+            base: 0,
+            targets: known.view().targets.iter().map(record).collect(),
+            gone: Vec::new(),
+        },
     }
 }
 
-fn decode_view(reply: ViewReply, mark: &ViewMark) -> StoreView {
+/// The listing that a reply makes of what is known; `None` if it is not the one that the peer
+/// has, by its hash.
+fn decode_targets(
+    context: &BoxContext,
+    reply: TargetsReply,
+    mark: &ViewMark,
+    as_of: Instant,
+) -> Option<Vec<TargetEntry>> {
     let target = |target: TargetRecord| TargetEntry {
         id: target.id.into(),
         address: target.address.into(),
@@ -169,13 +190,14 @@
         draining: target.draining,
         cold_time: Duration::from_millis(target.cold_ms),
     };
-    let config_revision = reply.config_revision;
-    let config = (!reply.config.is_empty())
-        .then(|| ConfigText { revision: config_revision, text: reply.config.into() });
-    StoreView {
-        revision: mark.revision,
-        config_revision,
-        config,
-        targets: reply.targets.into_iter().map(target).collect(),
+    let changed: Vec<TargetEntry> = reply.targets.into_iter().map(target).collect();
+    if reply.base == 0 {
+        return Some(changed);
     }
+    let known = context.view();
+    let older = known.as_of().map(|held| as_of.saturating_duration_since(held));
+    let gone = reply.gone.into_iter().map(Name::from).collect();
+    let difference = ListingDifference { changed, gone };
+    let targets = difference.apply(&known.view().targets, older.unwrap_or_default());
+    (listing_digest(&targets) == mark.digest).then_some(targets)
 }
--- a/crates/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/tests/harness/gateway.rs
@@ -125,6 +125,7 @@
         retry_window: Duration::ZERO,
         cross_cost: 0.01,
         mechanisms: Default::default(),
+        link_mbps: 0,
         connections: 100,
         held_body_bytes: 16 << 20,
         log_level: "off".into(),
--- a/crates/gateway/tests/large_configurations.rs
+++ b/crates/gateway/tests/large_configurations.rs
@@ -75,3 +75,29 @@
         eventually(name, || gateway.ask("GET", "/later/x").status == 200);
     }
 }
+
+/// A configuration of 400 KB sent by one box to all of its data centre took longer than a
+/// change may, where links carry 10 Mbit/s. Now boxes hand on what is new in it: the store
+/// sends it to no more than the first box, and to none for which it stays on its way.
+#[test]
+fn a_large_configuration_is_handed_on_by_boxes_that_have_it() {
+    let target = TargetStandin::start("t", "service", Script::Good);
+    let store = store_with(&[&target]);
+    let reader = BoxUnderTest::start(store.port(true), &[]);
+    reader.wait_ready();
+    let others: Vec<BoxUnderTest> = [store.stalling_port(), store.port(false)]
+        .into_iter()
+        .map(|port| BoxUnderTest::start(port, &[reader.host()]))
+        .collect();
+    for other in &others {
+        other.wait_ready();
+    }
+    for version in 2..=4 {
+        let name = format!("later-{version}");
+        store.put_config(config(version, vec![route(&name, "service", RouteKind::Repeatable)]));
+        for gateway in others.iter().chain([&reader]) {
+            let path = format!("/{name}/x");
+            eventually(&path, || gateway.ask("GET", &path).status == 200);
+        }
+    }
+}
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -276,27 +276,6 @@
     assert_eq!(ended.seen().len(), 1);
 }
 
-/// A configuration of 400 KB sent by one box to all of its data centre took longer than a
-/// change may: found on a grown site, where links carry 10 Mbit/s.
-#[test]
-fn a_large_configuration_is_read_by_each_box_or_sent_to_one_that_can_t() {
-    let target = TargetStandin::start("t", "service", Script::Good);
-    let store = store_with(&[&target]);
-    let reader = BoxUnderTest::start(store.port(true), &[]);
-    reader.wait_ready();
-    let other = BoxUnderTest::start(store.port(true), &[reader.host()]);
-    let cut_off = BoxUnderTest::start(store.port(false), &[reader.host()]);
-    other.wait_ready();
-    cut_off.wait_ready();
-    let before = store.config_reads();
-    store.set_padding(200_000);
-    store.put_config(config(2, vec![route("later", "service", RouteKind::Repeatable)]));
-    for (name, gateway) in [("reader", &reader), ("other", &other), ("cut off", &cut_off)] {
-        eventually(name, || gateway.ask("GET", "/later/x").status == 200);
-    }
-    assert!(store.config_reads() > before, "somebody read it for itself");
-}
-
 #[test]
 fn a_store_without_history_is_read_anew() {
     let target = TargetStandin::start("t", "service", Script::Good);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -20,6 +20,9 @@
     /// What is told.
     #[prost(oneof = "DatagramBody", tags = "4, 5")]
     pub body: Option<DatagramBody>,
+    /// What the sender's link carries, in megabits a second; 0 if unknown.
+    #[prost(uint32, tag = "6")]
+    pub link_mbps: u32,
 }
 
 /// What a datagram tells.
@@ -59,9 +62,15 @@
     /// Milliseconds since the read that gave it began.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
-    /// A hash over the view, to see whether another one differs.
+    /// A hash over the targets, to see whether others are known.
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
+    /// The store's revision of the configuration that the sender holds; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub config_revision: u64,
+    /// Milliseconds since the read that showed that no newer one was in the store.
+    #[prost(uint64, tag = "5")]
+    pub config_age_ms: u64,
 }
 
 /// A box that another one knows.
@@ -82,6 +91,9 @@
     /// Milliseconds since it was last heard of.
     #[prost(uint32, tag = "5")]
     pub age_ms: u32,
+    /// What its link carries, in megabits a second; 0 if unknown.
+    #[prost(uint32, tag = "6")]
+    pub link_mbps: u32,
 }
 
 /// What a box saw of targets since it last told.
@@ -156,33 +168,105 @@
     pub usual_ms: u32,
 }
 
-/// Asks a peer for its whole view of the store.
+/// What a box asks of a peer over a connection: one question, one reply.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct ViewRequest {
-    /// The store's revision of the configuration that the asker holds.
-    #[prost(uint64, tag = "1")]
-    pub config_revision: u64,
-    /// Whether the asker can't read the store, so that it needs a configuration of any size.
-    #[prost(bool, tag = "2")]
-    pub needs_config: bool,
+pub struct ExchangeRequest {
+    /// What is asked for.
+    #[prost(oneof = "ExchangeQuestion", tags = "1, 2")]
+    pub question: Option<ExchangeQuestion>,
+}
+
+/// A question to a peer.
+#[derive(Clone, Copy, PartialEq, Eq, Oneof)]
+pub enum ExchangeQuestion {
+    /// Which targets the store lists; answered by [`TargetsReply`].
+    #[prost(message, tag = "1")]
+    Targets(TargetsRequest),
+    /// Which configuration is in force; answered by [`ConfigReply`].
+    #[prost(message, tag = "2")]
+    Config(ConfigRequest),
 }
 
-/// A whole view of the store.
+/// Asks for the listing of targets.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TargetsRequest {
+    /// The hash over the targets that the asker knows; 0 to have all of them sent.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+}
+
+/// A listing of targets, or what became of the one that the asker knows.
 #[derive(Clone, PartialEq, Message)]
-pub struct ViewReply {
+pub struct TargetsReply {
     /// How new it is; absent if the peer has none.
     #[prost(message, optional, tag = "1")]
     pub mark: Option<ViewMark>,
-    /// The configuration as the store holds it; empty where the asker holds it, or had
-    /// better read a large one itself.
-    #[prost(bytes = "vec", tag = "2")]
-    pub config: Vec<u8>,
-    /// The store's revision of the configuration; 0 if there is none.
-    #[prost(uint64, tag = "3")]
-    pub config_revision: u64,
-    /// All targets.
-    #[prost(message, repeated, tag = "4")]
+    /// The hash over the targets to which the rest is the difference; 0 if these are all.
+    #[prost(fixed64, tag = "2")]
+    pub base: u64,
+    /// Targets that are new or different.
+    #[prost(message, repeated, tag = "3")]
     pub targets: Vec<TargetRecord>,
+    /// Names of targets that are gone.
+    #[prost(string, repeated, tag = "4")]
+    pub gone: Vec<String>,
+}
+
+/// Asks for a configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ConfigRequest {
+    /// The store's revision of the configuration that the asker holds; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+}
+
+/// A configuration, as steps from the one that the asker holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigReply {
+    /// The store's revision of the configuration that the peer holds; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Milliseconds since the read that showed that no newer one was in the store.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Whether the peer sends to as many others as it can already, so that there are no steps.
+    #[prost(bool, tag = "3")]
+    pub busy: bool,
+    /// Boxes to which the peer has sent this configuration, as texts.
+    #[prost(string, repeated, tag = "4")]
+    pub holders: Vec<String>,
+    /// To be taken one after the other. None if the peer holds nothing newer.
+    #[prost(message, repeated, tag = "5")]
+    pub steps: Vec<ConfigStep>,
+}
+
+/// What makes one configuration of another one.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ConfigStep {
+    /// The store's revision of the configuration before; 0 if that is the empty text.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// The store's revision of the configuration that it makes.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// A hash over the text that it makes.
+    #[prost(fixed64, tag = "3")]
+    pub hash: u64,
+    /// A compressed [`TextPatch`].
+    #[prost(bytes = "vec", tag = "4")]
+    pub patch: Vec<u8>,
+}
+
+/// A text as pieces of another one and what is new between them.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TextPatch {
+    /// Three numbers a piece: how many of the new bytes come next, and then where in the old
+    /// text how many bytes are taken from.
+    #[prost(uint32, repeated, tag = "1")]
+    pub pieces: Vec<u32>,
+    /// The new bytes, one piece after the other.
+    #[prost(bytes = "vec", tag = "2")]
+    pub new: Vec<u8>,
 }
 
 /// A target as the store lists it.
