Test differences, the exchange and the order of readers

Cause: the news from box to box had tests of its effect alone. Change: patches and listing differences under random texts and listings, spoiled patches, sizes of patches; raw questions to a box (whole, steps, busy, nonsense); who reads by room on the link; ages apart; a box that knows that it is behind leaves the balancer.

--- a/crates/gateway/src/target_news.rs
+++ b/crates/gateway/src/target_news.rs
@@ -73,7 +73,7 @@
 
 impl ListingDifference {
     /// The listing that this makes of `old`, which was read `older` before it.
-    pub(crate) fn apply(&self, old: &[TargetEntry], older: Duration) -> Vec<TargetEntry> {
+    pub fn apply(&self, old: &[TargetEntry], older: Duration) -> Vec<TargetEntry> {
         let replaced: HashSet<&Name> =
             self.changed.iter().map(|target| &target.id).chain(&self.gone).collect();
         let kept = old.iter().filter(|target| !replaced.contains(&target.id));
--- a/crates/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/tests/harness/gateway.rs
@@ -16,8 +16,10 @@
 /// Ports of a box; its address is its own.
 const CALLERS: u16 = 7001;
 const READINESS: u16 = 7002;
-const EXCHANGE: u16 = 7003;
-const GOSSIP: u16 = 7004;
+/// Where it answers its peers' questions.
+pub const EXCHANGE: u16 = 7003;
+/// Where it takes datagrams.
+pub const GOSSIP: u16 = 7004;
 
 /// A running box.
 pub struct BoxUnderTest {
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -20,7 +20,7 @@
 use wingbridge_gateway::routes::{CallerLimits, Route, RouteConfig, RouteKind};
 
 pub use caller::{CallerReply, CallerStandin};
-pub use gateway::BoxUnderTest;
+pub use gateway::{BoxUnderTest, EXCHANGE, GOSSIP};
 pub use store::StoreStandin;
 pub use target::{LONG, Script, TargetStandin, entry};
 
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -7,6 +7,8 @@
 use async_std::task;
 
 use futures::future::BoxFuture;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use wingbridge_gateway::ports::{
     ConfigNews, EnvironmentPort, HeaderNames, StoreError, StoreFault, TargetListing,
 };
@@ -19,6 +21,9 @@
 /// any test looks for something to happen.
 const STALL: Duration = Duration::from_secs(30);
 
+/// Makes the noise in configurations the same each time.
+const NOISE_SEED: u64 = 7;
+
 /// The store, as tests write it. Clones share it.
 #[derive(Clone, Default)]
 pub struct StoreStandin {
@@ -38,6 +43,8 @@
     forgetful: bool,
     /// Bytes that make the next configuration longer.
     padding: usize,
+    /// The same of bytes that are all different and stay the same.
+    noise: usize,
 }
 
 impl StoreStandin {
@@ -45,7 +52,9 @@
     pub fn put_config(&self, config: RouteConfig) {
         let mut state = lock(&self.state);
         state.view.revision += 1;
-        let text = format!("{}{}", config.version, " ".repeat(state.padding)).into_bytes();
+        let mut text = format!("{}{}\n", config.version, " ".repeat(state.padding)).into_bytes();
+        let mut random = SmallRng::seed_from_u64(NOISE_SEED);
+        text.extend((0..state.noise).map(|_| random.random::<u8>()));
         state.view.config_revision = state.view.revision;
         state.view.config = Some(ConfigText { revision: state.view.revision, text: text.into() });
         state.config = config;
@@ -68,6 +77,12 @@
         lock(&self.state).padding = bytes;
     }
 
+    /// Makes the configurations from now on longer by so many bytes that can't be compressed
+    /// and are the same in all of them.
+    pub fn set_noise(&self, bytes: usize) {
+        lock(&self.state).noise = bytes;
+    }
+
     /// Whether it forgets its history from now on.
     pub fn set_forgetful(&self, forgetful: bool) {
         lock(&self.state).forgetful = forgetful;
@@ -182,7 +197,8 @@
     fn decode_config(&self, text: &[u8]) -> Result<RouteConfig, String> {
         let config = lock(&self.store.state).config.clone();
         let held = config.version.to_string();
-        if held.as_bytes() == text.trim_ascii_end() {
+        let line = text.split(|byte| *byte == b'\n').next().unwrap_or_default();
+        if held.as_bytes() == line.trim_ascii_end() {
             Ok(config)
         } else {
             Err("an older configuration".into())
