Name what hands on configurations for what it does, and say when a box is behind

Change: ConfigSource, NewerConfig, ListingHistory; a reading is left to itself when a peer has a newer configuration; configuration-behind, heard_ms of a version and config_age_ms of a request are logged.

--- a/crates/gateway/src/config_duty.rs
+++ b/crates/gateway/src/config_duty.rs
@@ -1,9 +1,10 @@
 //! Keeps a large configuration fresh: by peers that have a newer one, else by the store.
 //!
-//! What is new in a configuration goes from box to box (see `config_shelf`). A box asks
+//! What is new in a configuration goes from box to box (see `config_source`). A box asks
 //! whoever said that it has a newer one; only if that brings nothing in time, or if nobody
 //! says anything, it reads the store.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::task;
+use futures::future::{Either, select};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -112,6 +114,8 @@
     reader: Arc<ConfigReader>,
     random: SmallRng,
     pause: RetryPause,
+    /// The newest configuration that this box has said to be behind of.
+    told_behind: u64,
 }
 
 impl ConfigDuty {
@@ -122,15 +126,17 @@
         seed: u64,
     ) -> ConfigDuty {
         let random = SmallRng::seed_from_u64(seed);
-        ConfigDuty { context, gossip, reader, random, pause: RetryPause::default() }
+        let pause = RetryPause::default();
+        ConfigDuty { context, gossip, reader, random, pause, told_behind: 0 }
     }
 
     /// Works until the ring of notices closes.
     pub(crate) async fn run(mut self, notices: Receiver<()>) {
         loop {
+            self.note_behind();
             let until_reading = self.until_reading();
             if until_reading.is_some_and(|wait| wait.is_zero()) {
-                self.read().await;
+                self.read(&notices).await;
                 continue;
             }
             match self.ask_holder().await {
@@ -153,9 +159,9 @@
     async fn ask_holder(&mut self) -> Option<ConfigFetch> {
         let far = self.context.config_age().is_none_or(|age| age >= self.context.budget.far_age());
         let (host, revision) = {
-            let offer = self.context.offer();
-            let (_, revision) = offer.pending()?;
-            (offer.pick(far)?, revision)
+            let newer = self.context.newer_config();
+            let (_, revision) = newer.pending()?;
+            (newer.pick(far)?, revision)
         };
         let fetched = fetch_config(&self.context, host).await;
         match &fetched {
@@ -163,12 +169,12 @@
             ConfigFetch::Busy(holders) => {
                 let held = self.context.view().config_revision();
                 let own = self.context.settings.host();
-                let mut offer = self.context.offer();
+                let mut newer = self.context.newer_config();
                 for holder in holders.iter().filter(|holder| **holder != own) {
-                    offer.note(*holder, true, revision, held);
+                    newer.note(*holder, true, revision, held);
                 }
             }
-            ConfigFetch::Failed => self.context.offer().drop_holder(host),
+            ConfigFetch::Failed => self.context.newer_config().drop_holder(host),
         }
         Some(fetched)
     }
@@ -189,20 +195,43 @@
         let rank = self.context.peers().reading_rank();
         let due = budget.config_age(rank, self.random.random(), transfer) + READER_LAG;
         let mut wait = due.saturating_sub(age).max(self.pause.left());
-        if let Some((heard, _)) = self.context.offer().pending() {
+        if let Some((heard, _)) = self.context.newer_config().pending() {
             wait = wait.max(budget.peers_time().saturating_sub(heard.elapsed()));
         }
         Some(wait)
     }
 
-    async fn read(&mut self) {
-        if self.reader.refresh().await {
-            self.pause.clear();
-            // Not the store's failure, if another reading is under way or the age is not less.
-            self.pause.rest(READER_LAG);
+    /// Reads the store, until it has answered or a peer has a newer configuration: what is new
+    /// in it is there sooner than all of it.
+    async fn read(&mut self, notices: &Receiver<()>) {
+        let reader = Arc::clone(&self.reader);
+        let reading = task::spawn(async move { reader.refresh().await });
+        match select(reading, pin!(notices.recv())).await {
+            Either::Left((false, _)) => {
+                self.pause.note_failure(self.random.random());
+                self.gossip.ask_far().await;
+            }
+            Either::Left((true, _)) | Either::Right(_) => {
+                self.pause.clear();
+                // Another reading may be under way, which has not made the age any less.
+                self.pause.rest(READER_LAG);
+            }
+        }
+    }
+
+    /// Says once that peers have worked by a newer configuration for all the time that a
+    /// change has.
+    fn note_behind(&mut self) {
+        if !self.context.is_behind() {
             return;
         }
-        self.pause.note_failure(self.random.random());
-        self.gossip.ask_far().await;
+        let pending = self.context.newer_config().pending();
+        let revision = pending.map_or(0, |(_, revision)| revision);
+        if revision > self.told_behind {
+            let age_ms = self.context.config_age().map_or(0, millis);
+            log::warn!(config_revision = revision, age_ms; "configuration-behind");
+            metrics::counter!("wingbridge_configurations_behind").increment(1);
+        }
+        self.told_behind = self.told_behind.max(revision);
     }
 }
--- a/crates/gateway/src/config_exchange.rs
+++ b/crates/gateway/src/config_exchange.rs
@@ -75,13 +75,13 @@
     request: ConfigRequest,
 ) -> Result<(), WireError> {
     let age_ms = context.config_age().map_or(0, millis);
-    let shelf = context.shelf.reply(request, age_ms);
+    let source = context.config_source.reply(request, age_ms);
     let late = |_| WireError::new(ErrorKind::Io, "the configuration was not read in time");
     // As long as the peer waits for it: less would throw away what is nearly through.
     let time = context.budget.config_fetch_time();
-    timeout(time, send_message(stream, &shelf.reply)).await.map_err(late)??;
-    if !shelf.reply.steps.is_empty() {
-        context.shelf.note_holder(peer, shelf.reply.revision);
+    timeout(time, send_message(stream, &source.reply)).await.map_err(late)??;
+    if !source.reply.steps.is_empty() {
+        context.config_source.note_holder(peer, source.reply.revision);
     }
     Ok(())
 }
--- a/crates/gateway/src/config_shelf.rs
+++ b/crates/gateway/src/config_source.rs
@@ -32,14 +32,14 @@
 
 /// The configuration as it is handed on.
 #[derive(Debug)]
-pub(crate) struct ConfigShelf {
-    state: Mutex<ShelfState>,
+pub(crate) struct ConfigSource {
+    state: Mutex<SourceState>,
     sending: AtomicUsize,
     sent_at_once: usize,
 }
 
 #[derive(Debug, Default)]
-struct ShelfState {
+struct SourceState {
     text: Option<ConfigText>,
     /// What led from earlier ones to this one, oldest first.
     steps: VecDeque<ConfigStep>,
@@ -50,12 +50,12 @@
 }
 
 /// A reply that counts as being sent until it is dropped.
-pub(crate) struct ShelfReply<'a> {
+pub(crate) struct SourceReply<'a> {
     pub(crate) reply: ConfigReply,
     sending: Option<&'a AtomicUsize>,
 }
 
-impl Drop for ShelfReply<'_> {
+impl Drop for SourceReply<'_> {
     fn drop(&mut self) {
         if let Some(sending) = self.sending {
             sending.fetch_sub(1, Ordering::Relaxed);
@@ -63,10 +63,10 @@
     }
 }
 
-impl ConfigShelf {
-    /// An empty shelf of a box with a link of `link_mbps`.
-    pub(crate) fn new(link_mbps: u32) -> ConfigShelf {
-        ConfigShelf {
+impl ConfigSource {
+    /// An source of a box with a link of `link_mbps`.
+    pub(crate) fn new(link_mbps: u32) -> ConfigSource {
+        ConfigSource {
             state: Mutex::default(),
             sending: AtomicUsize::new(0),
             sent_at_once: SENT_AT_ONCE + (link_mbps / MBPS_EACH) as usize,
@@ -90,6 +90,9 @@
         };
         let mut state = lock(&self.state);
         let joined = state.text.as_ref().map(|held| held.revision);
+        if joined >= Some(text.revision) {
+            return;
+        }
         if steps.first().map(|step| step.from) != joined {
             state.steps.clear();
         }
@@ -105,27 +108,27 @@
     }
 
     /// What to send to a peer that holds `request.revision`.
-    pub(crate) fn reply(&self, request: ConfigRequest, age_ms: u64) -> ShelfReply<'_> {
+    pub(crate) fn reply(&self, request: ConfigRequest, age_ms: u64) -> SourceReply<'_> {
         let mut state = lock(&self.state);
         let Some(text) = state.text.clone() else {
-            return ShelfReply { reply: ConfigReply::default(), sending: None };
+            return SourceReply { reply: ConfigReply::default(), sending: None };
         };
         let reply = ConfigReply { revision: text.revision, age_ms, ..ConfigReply::default() };
         if text.revision <= request.revision {
-            return ShelfReply { reply, sending: None };
+            return SourceReply { reply, sending: None };
         }
         let steps = state.steps_from(request.revision, &text);
         let bytes: usize = steps.iter().map(|step| step.patch.len()).sum();
         if bytes <= SMALL_REPLY {
-            return ShelfReply { reply: ConfigReply { steps, ..reply }, sending: None };
+            return SourceReply { reply: ConfigReply { steps, ..reply }, sending: None };
         }
         if self.sending.load(Ordering::Relaxed) >= self.sent_at_once {
             let holders = state.holders.iter().rev().map(IpAddr::to_string).collect();
             let reply = ConfigReply { busy: true, holders, ..reply };
-            return ShelfReply { reply, sending: None };
+            return SourceReply { reply, sending: None };
         }
         self.sending.fetch_add(1, Ordering::Relaxed);
-        ShelfReply { reply: ConfigReply { steps, ..reply }, sending: Some(&self.sending) }
+        SourceReply { reply: ConfigReply { steps, ..reply }, sending: Some(&self.sending) }
     }
 
     /// Notes that the box at `host` has the configuration of `revision` from here.
@@ -141,7 +144,7 @@
     }
 }
 
-impl ShelfState {
+impl SourceState {
     fn steps_from(&mut self, revision: u64, text: &ConfigText) -> Vec<ConfigStep> {
         let first = self.steps.iter().position(|step| step.from == revision);
         if let Some(first) = first.filter(|_| revision > 0) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,9 +12,9 @@
 use wingbridge_wire::gossip::ConfigStep;
 
 use crate::change_budget::ChangeBudget;
-use crate::config_offer::ConfigOffer;
-use crate::config_shelf::ConfigShelf;
+use crate::config_source::ConfigSource;
 use crate::gate::OpenGate;
+use crate::newer_config::NewerConfig;
 use crate::peers::PeerTable;
 use crate::policies::PolicySet;
 use crate::ports::{EnvironmentPort, HeaderNames, TargetListing};
@@ -28,7 +28,7 @@
 pub(crate) struct DutyNotices {
     pub(crate) sightings: SightingBuffer,
     pub(crate) view_changed: async_channel::Sender<()>,
-    pub(crate) config_offered: async_channel::Sender<()>,
+    pub(crate) newer_heard: async_channel::Sender<()>,
 }
 
 /// What callers, targets, peers and the store have in common within a box.
@@ -42,12 +42,12 @@
     pub(crate) sightings: SightingBuffer,
     pub(crate) view_changed: async_channel::Sender<()>,
     /// Tells that a peer has a configuration that this box lacks.
-    pub(crate) config_offered: async_channel::Sender<()>,
+    pub(crate) newer_heard: async_channel::Sender<()>,
     /// How the time of a change is spent.
     pub(crate) budget: ChangeBudget,
     /// The configuration as it is handed on.
-    pub(crate) shelf: ConfigShelf,
-    offer: Mutex<ConfigOffer>,
+    pub(crate) config_source: ConfigSource,
+    newer_config: Mutex<NewerConfig>,
     /// Bytes of request bodies that are held now.
     pub(crate) held_bodies: AtomicUsize,
     started: Instant,
@@ -82,8 +82,8 @@
         Arc::new(BoxContext {
             headers: port.headers(),
             budget: ChangeBudget::new(settings.change_time),
-            shelf: ConfigShelf::new(settings.link_mbps),
-            offer: Mutex::default(),
+            config_source: ConfigSource::new(settings.link_mbps),
+            newer_config: Mutex::default(),
             settings,
             port,
             policies,
@@ -91,7 +91,7 @@
             peers: Mutex::new(peers),
             sightings: notices.sightings,
             view_changed: notices.view_changed,
-            config_offered: notices.config_offered,
+            newer_heard: notices.newer_heard,
             held_bodies: AtomicUsize::new(0),
             started: Instant::now(),
             view: Mutex::default(),
@@ -138,8 +138,8 @@
     }
 
     /// Configurations that peers have and this box lacks.
-    pub(crate) fn offer(&self) -> MutexGuard<'_, ConfigOffer> {
-        lock(&self.offer)
+    pub(crate) fn newer_config(&self) -> MutexGuard<'_, NewerConfig> {
+        lock(&self.newer_config)
     }
 
     /// The next part of a weighted split.
@@ -155,7 +155,7 @@
     /// Whether this box has known for the whole time of a change that peers work by a newer
     /// configuration and could not get it: callers are better served by those peers.
     pub(crate) fn is_behind(&self) -> bool {
-        let pending = self.offer().pending();
+        let pending = self.newer_config().pending();
         pending.is_some_and(|(heard, _)| heard.elapsed() >= self.budget.whole())
     }
 
@@ -170,8 +170,8 @@
             }
             change
         };
-        self.settle_config(Vec::new());
-        self.note_taken(&change, revision, as_of, source);
+        let heard = self.settle_config(Vec::new());
+        self.note_taken(&change, &TakenFrom { revision, as_of, source, heard });
     }
 
     /// Takes a listing of targets and puts it in force.
@@ -185,7 +185,7 @@
             }
             change
         };
-        self.note_taken(&change, revision, as_of, source);
+        self.note_taken(&change, &TakenFrom { revision, as_of, source, heard: None });
     }
 
     /// Takes a configuration that was the newest at `as_of`; `steps` are those by which a peer
@@ -204,25 +204,30 @@
             known.confirm_config(revision, as_of);
             change
         };
-        self.settle_config(steps);
-        self.note_taken(&change, revision, as_of, source);
+        let heard = self.settle_config(steps);
+        self.note_taken(&change, &TakenFrom { revision, as_of, source, heard });
     }
 
-    /// Hands on the configuration that is held now.
-    fn settle_config(&self, steps: Vec<ConfigStep>) {
-        let held = self.view().view().config.clone();
-        let Some(held) = held else {
-            return;
+    /// Hands on the configuration that is held now. Returns since when this box had known that
+    /// there is a newer one.
+    fn settle_config(&self, steps: Vec<ConfigStep>) -> Option<Instant> {
+        let held = self.view().view().config.clone()?;
+        let heard = {
+            let mut newer = self.newer_config();
+            let heard = newer.pending().map(|(heard, _)| heard);
+            newer.settle(held.revision);
+            heard
         };
-        self.offer().settle(held.revision);
-        self.shelf.put(held, steps);
+        self.config_source.put(held, steps);
+        heard
     }
 
-    fn note_taken(&self, change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
+    fn note_taken(&self, change: &ViewChange, from: &TakenFrom<'_>) {
         if self.config().is_some() && self.first_config.open() {
-            log::info!(source, revision, age_ms = millis(as_of.elapsed()); "ready");
+            let age_ms = millis(from.as_of.elapsed());
+            log::info!(source = from.source, revision = from.revision, age_ms; "ready");
         }
-        note_change(change, revision, as_of, source);
+        note_change(change, from);
         // Full: a notice already waits.
         let _ = self.view_changed.try_send(());
     }
@@ -269,10 +274,21 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn note_change(change: &ViewChange, revision: u64, as_of: Instant, source: &str) {
+/// Where something that was taken came from, for the log.
+struct TakenFrom<'a> {
+    revision: u64,
+    as_of: Instant,
+    source: &'a str,
+    /// Since when this box had known of it by peers.
+    heard: Option<Instant>,
+}
+
+fn note_change(change: &ViewChange, from: &TakenFrom<'_>) {
+    let TakenFrom { revision, as_of, source, heard } = *from;
     let age_ms = millis(as_of.elapsed());
     if let Some(version) = change.config {
-        log::info!(version, revision, age_ms, source; "configuration-in-force");
+        let heard_ms = heard.map_or(0, |heard| millis(heard.elapsed()));
+        log::info!(version, revision, age_ms, heard_ms, source; "configuration-in-force");
     }
     if let Some(reason) = &change.refused {
         log::error!(revision, reason = reason.as_str(), source; "configuration-refused");
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -302,7 +302,7 @@
             known.config_revision()
         };
         if mark.config_revision > held {
-            self.note_offer(from, mark.config_revision, held);
+            self.note_newer(from, mark.config_revision, held);
         }
         let mut known = self.context.view();
         let newer = known.as_of().is_none_or(|held| as_of > held);
@@ -319,13 +319,13 @@
         let _ = self.fetching.try_send(from);
     }
 
-    fn note_offer(&self, from: IpAddr, revision: u64, held: u64) {
+    fn note_newer(&self, from: IpAddr, revision: u64, held: u64) {
         let is_near = self.context.peers().is_near(from);
-        if self.context.offer().note(from, is_near, revision, held) {
+        if self.context.newer_config().note(from, is_near, revision, held) {
             log::info!(peer:% = from, config_revision = revision, held; "configuration-heard-of");
         }
         // Full: a notice already waits.
-        let _ = self.context.config_offered.try_send(());
+        let _ = self.context.newer_heard.try_send(());
     }
 
     fn take_sightings(&self, peer: u64, box_id: &str, sightings: &Sightings) {
--- a/crates/gateway/src/target_news.rs
+++ b/crates/gateway/src/listing_history.rs
@@ -17,7 +17,7 @@
 
 /// The last changes of the listing, oldest first, each from where the one before ended.
 #[derive(Debug, Default)]
-pub(crate) struct TargetNews {
+pub(crate) struct ListingHistory {
     changes: VecDeque<ListingChange>,
 }
 
@@ -36,7 +36,7 @@
     pub gone: Vec<Name>,
 }
 
-impl TargetNews {
+impl ListingHistory {
     /// Notes that the listing with the hash `from` became `after`.
     pub(crate) fn note(&mut self, from: u64, before: &[TargetEntry], after: &[TargetEntry]) {
         let old: HashMap<&Name, &TargetEntry> =
--- a/crates/gateway/src/config_offer.rs
+++ b/crates/gateway/src/newer_config.rs
@@ -10,7 +10,7 @@
 
 /// The newest configuration that peers were heard to hold.
 #[derive(Debug, Default)]
-pub(crate) struct ConfigOffer {
+pub(crate) struct NewerConfig {
     revision: u64,
     /// When this box first heard that there is a newer one than its own.
     heard: Option<Instant>,
@@ -18,7 +18,7 @@
     far: Vec<IpAddr>,
 }
 
-impl ConfigOffer {
+impl NewerConfig {
     /// Notes that the box at `host` holds the configuration of `revision`, while this box
     /// holds that of `held`. Returns whether it is the first to say so.
     pub(crate) fn note(&mut self, host: IpAddr, is_near: bool, revision: u64, held: u64) -> bool {
@@ -28,7 +28,7 @@
         }
         let first = revision > self.revision;
         if first {
-            *self = ConfigOffer { revision, heard: self.heard, ..ConfigOffer::default() };
+            *self = NewerConfig { revision, heard: self.heard, ..NewerConfig::default() };
             self.heard.get_or_insert_with(Instant::now);
         }
         let holders = if is_near { &mut self.near } else { &mut self.far };
@@ -41,7 +41,7 @@
     /// Forgets what is no news for a box that holds the configuration of `held`.
     pub(crate) fn settle(&mut self, held: u64) {
         if self.revision <= held {
-            *self = ConfigOffer::default();
+            *self = NewerConfig::default();
         }
     }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -90,6 +90,7 @@
 ) {
     let outcome = answer.outcome.as_str();
     let view_age_ms = context.view_age().map_or(0, millis);
+    let config_age_ms = context.config_age().map_or(0, millis);
     let taken_ms = millis(since.elapsed());
     log::info!(
         request = id, path, route:% = trace.route, service:% = trace.service,
@@ -97,7 +98,7 @@
         target:% = trace.target, target_centre:% = trace.data_centre,
         risk:% = trace.risk, busy:% = trace.busy, tried:% = trace.tried,
         status = answer.status, outcome, why = answer.why,
-        view_age_ms, limit_ms = trace.limit_ms, taken_ms;
+        view_age_ms, config_age_ms, limit_ms = trace.limit_ms, taken_ms;
         "request"
     );
     let labels = [("service", trace.service), ("outcome", outcome.to_string())];
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -60,7 +60,7 @@
     let socket = UdpSocket::bind(SocketAddr::new(settings.host(), settings.gossip_port)).await?;
     let (sightings, wishes) = SightingBuffer::new();
     let (view_changed, notices) = async_channel::bounded(1);
-    let (config_offered, offers) = async_channel::bounded(1);
+    let (newer_heard, heard) = async_channel::bounded(1);
     let (fetching, named) = async_channel::bounded(1);
     let stopping = StopState::new();
     log::info!(
@@ -72,7 +72,7 @@
         log::warn!(without:% = settings.mechanisms; "parts-of-the-pick-off");
     }
     let policies = PolicySet::compile()?;
-    let duty_notices = DutyNotices { sightings, view_changed, config_offered };
+    let duty_notices = DutyNotices { sightings, view_changed, newer_heard };
     let context = BoxContext::new(settings, port, policies, stopping, duty_notices, seed);
     let gossip = GossipDuty::new(Arc::clone(&context), socket, seed, fetching);
     let reader = ConfigReader::new(Arc::clone(&context), Arc::clone(&gossip));
@@ -87,7 +87,7 @@
         task::spawn(Arc::clone(&gossip).tell(wishes)),
         task::spawn(fetch_listings(Arc::clone(&context), named)),
         task::spawn(store.run(notices)),
-        task::spawn(config.run(offers)),
+        task::spawn(config.run(heard)),
         task::spawn(note_reloads(reloads)),
         task::spawn(take_callers(callers, Arc::clone(&context))),
     ];
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,10 +7,10 @@
 use wingbridge_decide::Name;
 use xxhash_rust::xxh3::Xxh3;
 
+pub use crate::listing_history::ListingDifference;
+use crate::listing_history::ListingHistory;
 use crate::ports::{EnvironmentPort, TargetListing};
 use crate::routes::RouteConfig;
-pub use crate::target_news::ListingDifference;
-use crate::target_news::TargetNews;
 
 /// A gap between two readings from which on the store counts as away: twice the time
 /// by which any box in doubt reads for itself (see `store_duty`).
@@ -149,7 +149,7 @@
     view: StoreView,
     digest: u64,
     as_of: Option<Instant>,
-    news: TargetNews,
+    history: ListingHistory,
     trail: RevisionTrail,
     config: Option<Arc<RouteConfig>>,
     config_as_of: Option<Instant>,
@@ -257,7 +257,7 @@
         let digest = listing_digest(&listing.targets);
         change.targets = digest != self.digest;
         if change.targets {
-            self.news.note(self.digest, &self.view.targets, &listing.targets);
+            self.history.note(self.digest, &self.view.targets, &listing.targets);
         }
         self.take_targets(listing.targets, as_of, &mut change);
         self.view.revision = listing.revision;
@@ -279,7 +279,7 @@
     /// What makes the listing of targets of the one with the hash `digest`; `None` if that
     /// one is not known.
     pub fn difference_to(&self, digest: u64) -> Option<ListingDifference> {
-        self.news.since(digest, &self.view.targets)
+        self.history.since(digest, &self.view.targets)
     }
 
     /// When the next lapsed target is to be dropped, if there is one.
