Follow versions and leaving targets through all boxes in wingctl explain

Cause: logs had a line for each box and version, and nobody put them side by side; how old views were showed one request at a time. Change: explain prints for each version how many boxes have it, by the store or a peer, and when half and the last had it; the same for targets that left; and how many requests were decided by a view older than 1.5 s. One test more.

--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -2,13 +2,16 @@
 //!
 //! One line of a request tells its own story. Which story is the usual one, and so what
 //! to mend first, shows only in all of them: by service and way of ending, by what was
-//! believed of the target, and by where in a target's spell of failures they fell.
+//! believed of the target, and by where in a target's spell of failures they fell. Lines of
+//! configurations and targets tell how long a change took through all boxes, and requests how
+//! old what they were decided by was.
 
 mod calibration;
 mod losses;
 mod report;
 mod request_line;
 mod spells;
+mod spread;
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, stdin};
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -10,12 +10,15 @@
 use super::losses::{LossCount, LossRow, ServiceRow};
 use super::request_line::{LogLine, decode};
 use super::spells::{SpellCount, SpellReport};
+use super::spread::{LeavingReport, SpreadCount, VersionRow};
 use crate::output::table;
 
 /// Rows of losses that are shown to people; JSON has all.
 const LOSSES_SHOWN: usize = 20;
 /// Fewer requests say little of a belief; such rows are left out for people.
 const CALIBRATION_FROM: usize = 20;
+/// A view that is older than this is on the way to be older than a change may take.
+const OLD_VIEW_MS: u64 = 1500;
 
 /// What the lines of requests tell together.
 #[derive(Debug, Serialize)]
@@ -32,6 +35,12 @@
     pub spells: SpellReport,
     /// Whether beliefs were right.
     pub calibration: Vec<CalibrationRow>,
+    /// How long each configuration took through the boxes.
+    pub versions: Vec<VersionRow>,
+    /// The same for targets that left.
+    pub leaving: LeavingReport,
+    /// Requests that were decided by a view older than 1.5 s.
+    pub old_views: usize,
 }
 
 /// Reads the lines of all `readers`, each with its name.
@@ -59,6 +68,8 @@
     losses: LossCount,
     spells: SpellCount,
     calibration: Calibration,
+    spread: SpreadCount,
+    old_views: usize,
 }
 
 impl ReportSums {
@@ -73,6 +84,7 @@
             LogLine::Request(line) if !line.service.is_empty() => {
                 let data_centre = self.data_centres.get(box_name).map(String::as_str);
                 self.requests += 1;
+                self.old_views += usize::from(line.view_age_ms > OLD_VIEW_MS);
                 self.losses.note(&line, data_centre);
                 self.spells.note(&line);
                 self.calibration.note(&line);
@@ -80,6 +92,8 @@
             LogLine::Started(data_centre) => {
                 self.data_centres.insert(box_name.to_string(), data_centre);
             }
+            LogLine::InForce(line) => self.spread.note_in_force(box_name, line),
+            LogLine::Left(line) => self.spread.note_left(line),
             LogLine::Request(_) | LogLine::Other => {}
         }
         Ok(())
@@ -94,6 +108,9 @@
             losses,
             spells: self.spells.report(),
             calibration: self.calibration.rows(),
+            versions: self.spread.versions(),
+            leaving: self.spread.leaving(),
+            old_views: self.old_views,
         }
     }
 }
@@ -101,7 +118,7 @@
 impl LogReport {
     /// Tables for people.
     pub fn as_text(&self) -> String {
-        let spells = &self.spells;
+        let (spells, leaving) = (&self.spells, &self.leaving);
         [
             format!("{} requests", self.requests),
             self.service_table(),
@@ -114,6 +131,14 @@
             ),
             format!("beliefs, rows of {CALIBRATION_FROM} requests or more:"),
             self.calibration_table(),
+            "configurations, from the first box that had one in force:".to_string(),
+            self.version_table(),
+            format!(
+                "{} targets left: from the first box that knew to the last {} ms at the median, \
+                 {} ms for {}",
+                leaving.targets, leaving.median_ms, leaving.slowest_ms, leaving.slowest
+            ),
+            format!("{} requests on a view older than {OLD_VIEW_MS} ms", self.old_views),
         ]
         .join("\n\n")
     }
@@ -162,6 +187,24 @@
         table(&["service", "status", "attempts", "", "", "requests"], &rows)
     }
 
+    fn version_table(&self) -> String {
+        let row = |row: &VersionRow| {
+            vec![
+                row.version.to_string(),
+                row.boxes.to_string(),
+                row.from_store.to_string(),
+                row.median_ms.to_string(),
+                row.last_ms.to_string(),
+                row.last_box.clone(),
+                row.longest_known_ms.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = self.versions.iter().map(row).collect();
+        let headings =
+            ["version", "boxes", "by the store", "half ms", "last ms", "last box", "known of ms"];
+        table(&headings, &rows)
+    }
+
     fn calibration_table(&self) -> String {
         let row = |row: &CalibrationRow| {
             vec![
--- a/crates/ctl/src/explain/request_line.rs
+++ b/crates/ctl/src/explain/request_line.rs
@@ -4,6 +4,8 @@
 use eyre::{WrapErr, eyre};
 use serde::Deserialize;
 
+use super::spread::{InForceLine, LeftLine};
+
 /// How a request ended, for the count of losses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LineEnd {
@@ -35,6 +37,8 @@
     /// When it was read and when its answer was ready, in milliseconds.
     pub(super) started_ms: i64,
     pub(super) ended_ms: i64,
+    /// How old the box's view of the targets was then, in milliseconds; 0 if it is not told.
+    pub(super) view_age_ms: u64,
 }
 
 /// What a line of a log is, as far as it counts here.
@@ -42,6 +46,10 @@
     Request(Box<RequestLine>),
     /// A box's start, with its data centre.
     Started(String),
+    /// A configuration that came into force.
+    InForce(InForceLine),
+    /// A target that left.
+    Left(LeftLine),
     Other,
 }
 
@@ -72,6 +80,14 @@
     risk: String,
     #[serde(default)]
     taken_ms: String,
+    #[serde(default)]
+    view_age_ms: String,
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    heard_ms: String,
+    #[serde(default)]
+    source: String,
 }
 
 /// Decodes the JSON of one line.
@@ -83,15 +99,23 @@
     match raw.event.as_str() {
         "request" => Ok(LogLine::Request(Box::new(decode_request(raw)?))),
         "started" => Ok(LogLine::Started(raw.data_centre)),
+        "configuration-in-force" => Ok(LogLine::InForce(InForceLine {
+            version: number(&raw.version, "version")?,
+            at_ms: time_ms(&raw.time)?,
+            // Older boxes don't tell it.
+            known_ms: raw.heard_ms.parse().unwrap_or_default(),
+            from_store: raw.source == "store",
+        })),
+        "target-left" => {
+            Ok(LogLine::Left(LeftLine { at_ms: time_ms(&raw.time)?, target: raw.target }))
+        }
         _ => Ok(LogLine::Other),
     }
 }
 
 fn decode_request(raw: RawLine) -> eyre::Result<RequestLine> {
     let status = number(&raw.status, "status")?;
-    let ended = DateTime::parse_from_rfc3339(&raw.time)
-        .wrap_err_with(|| format!("its time is '{}'", raw.time))?;
-    let ended_ms = ended.timestamp_millis();
+    let ended_ms = time_ms(&raw.time)?;
     let (risk, trial) = match raw.risk.split_once(' ') {
         Some((risk, _)) => (risk, true),
         None => (raw.risk.as_str(), false),
@@ -105,12 +129,19 @@
         trial,
         started_ms: ended_ms - number::<i64>(&raw.taken_ms, "taken_ms")?,
         ended_ms,
+        view_age_ms: raw.view_age_ms.parse().unwrap_or_default(),
         service: raw.service,
         target: raw.target,
         target_centre: raw.target_centre,
     })
 }
 
+fn time_ms(time: &str) -> eyre::Result<i64> {
+    let time =
+        DateTime::parse_from_rfc3339(time).wrap_err_with(|| format!("its time is '{time}'"))?;
+    Ok(time.timestamp_millis())
+}
+
 fn end_of(status: u16, outcome: &str) -> LineEnd {
     match outcome {
         "answered" if status < 500 => LineEnd::Served,
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -141,3 +141,46 @@
     let report = explain("no JSON\n".to_string()).expect("passed over");
     assert_eq!((report.requests, report.other_lines), (0, 1));
 }
+
+/// One line of a box's log that says that a version came into force there.
+fn in_force(box_name: &str, version: u64, at_ms: u32, heard_ms: u32, source: &str) -> String {
+    format!(
+        "{box_name} {{\"event\":\"configuration-in-force\",\"time\":\"2026-01-01T00:00:{:02}.{:03}+00:00\",\
+         \"version\":\"{version}\",\"heard_ms\":\"{heard_ms}\",\"source\":\"{source}\"}}",
+        at_ms / 1000,
+        at_ms % 1000,
+    )
+}
+
+fn left(box_name: &str, target: &str, at_ms: u32) -> String {
+    format!(
+        "{box_name} {{\"event\":\"target-left\",\"time\":\"2026-01-01T00:00:{:02}.{:03}+00:00\",\
+         \"target\":\"{target}\"}}",
+        at_ms / 1000,
+        at_ms % 1000,
+    )
+}
+
+#[test]
+fn a_version_is_followed_through_the_boxes() {
+    let lines = [
+        in_force("b1", 7, 1_000, 0, "store"),
+        in_force("b2", 7, 1_200, 150, "peer"),
+        in_force("b3", 7, 3_900, 40, "peer"),
+        in_force("b1", 9, 5_000, 0, "store"),
+        left("b1", "t1", 2_000),
+        left("b2", "t1", 2_300),
+        left("b1", "t2", 6_000),
+    ];
+    let report = explain(lines.join("\n")).expect("sound lines");
+    let row = &report.versions[0];
+    assert_eq!((row.version, row.boxes, row.from_store), (7, 3, 1));
+    assert_eq!((row.median_ms, row.last_ms, row.longest_known_ms), (200, 2_900, 150));
+    assert_eq!(row.last_box, "b3");
+    assert_eq!((report.versions[1].boxes, report.versions[1].last_ms), (1, 0));
+    assert_eq!((report.leaving.targets, report.leaving.slowest_ms), (2, 300));
+    assert_eq!(report.leaving.slowest, "t1");
+    assert!(report.as_text().contains("b3"));
+    let error = explain(in_force("b1", 7, 0, 0, "store").replace("2026", "soon"));
+    assert!(format!("{:#}", error.expect_err("no time")).contains("line 1"));
+}
