Soak with large configurations, and boxes with unequal links

Cause: the soak's configuration had five routes, so what boxes hand on of a large one was never disturbed by kills, freezes and a failing store.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -16,6 +16,8 @@
 /// Time for a planned stop, as the users' platform gives it.
 pub const STOP_TIME: Duration = Duration::from_secs(6);
 /// Retries ahead of what was earned, of all boxes together. Smaller than the users', as
+/// What boxes are told of their links, in turn: those with more read the store for the others.
+const LINKS_MBPS: [u32; 3] = [200, 10, 10];
 /// the fleet is.
 pub const RETRY_SLACK: u32 = 20;
 /// Boxes that each box is told of at its start.
@@ -111,6 +113,7 @@
             format!("--store={}", self.store_path.address()),
             format!("--stop-time={}ms", STOP_TIME.as_millis()),
             format!("--retry-slack={RETRY_SLACK}"),
+            format!("--link-mbps={}", LINKS_MBPS[self.place.index % LINKS_MBPS.len()]),
         ];
         let child = Command::new(&setup.program)
             .args(arguments)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -51,7 +51,7 @@
     let run = std::process::id();
     let places: Vec<BoxPlace> =
         (0..settings.boxes).map(|index| BoxPlace::new(run, index)).collect();
-    let world = SoakWorld::start(settings.targets)?;
+    let world = SoakWorld::start(settings.targets, settings.routes)?;
     let setup = BoxSetup {
         program: settings.program.clone(),
         places: places.clone(),
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -24,6 +24,8 @@
     pub targets: usize,
     /// Callers at once.
     pub callers: usize,
+    /// Routes in each configuration beside those that callers use.
+    pub routes: usize,
     /// Faults a second, on average; they overlap.
     pub faults_per_s: f64,
     /// Where logs and time lines are kept.
@@ -45,6 +47,14 @@
         .arg(setting("boxes", "Boxes", "2 to 100, in two data centres.").default_value("5"))
         .arg(setting("targets", "Targets", "3 to 200, in three services.").default_value("9"))
         .arg(setting("callers", "Callers at once", "1 to 200.").default_value("12"))
+        .arg(
+            setting(
+                "routes",
+                "Routes in each configuration beside those that callers use",
+                "0 to 5000; 4000 make 0.7 MB, which boxes hand on as what is new in it.",
+            )
+            .default_value("0"),
+        )
         .arg(setting("faults", "Faults in ten seconds, on average", "1 to 100.").default_value("8"))
         .arg(
             setting("directory", "Where logs and time lines are kept", "A path; it is made if missing.")
@@ -70,6 +80,7 @@
         boxes: settings::number(matches, "boxes", 2..=100)? as usize,
         targets: settings::number(matches, "targets", 3..=200)? as usize,
         callers: settings::number(matches, "callers", 1..=200)? as usize,
+        routes: settings::number(matches, "routes", 0..=5000)? as usize,
         faults_per_s: settings::number(matches, "faults", 1..=100)? as f64 / 10.0,
         directory: PathBuf::from(raw_text(matches, "directory")),
     })
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -31,6 +31,8 @@
     slots: Vec<TargetSlot>,
     instances: u64,
     config: ConfigBoard,
+    /// Routes in each configuration beside those that callers use.
+    routes: usize,
     departures: Vec<(String, Instant)>,
 }
 
@@ -72,13 +74,14 @@
     ///
     /// # Errors
     /// No port is to be had.
-    pub fn start(targets: usize) -> std::io::Result<SoakWorld> {
+    pub fn start(targets: usize, routes: usize) -> std::io::Result<SoakWorld> {
         let mut world = SoakWorld {
             store: StoreStandin::start("127.0.0.1")?,
             arrivals: ArrivalLog::default(),
             slots: Vec::new(),
             instances: 0,
             config: ConfigBoard::default(),
+            routes,
             departures: Vec::new(),
         };
         for index in 0..targets {
@@ -97,7 +100,7 @@
     pub fn change_config(&self) {
         let mut config = lock(&self.config.state);
         let version = config.version + 1;
-        let acknowledged = self.store.put_config(&config_entry(version));
+        let acknowledged = self.store.put_config(&config_entry(version, self.routes));
         config.version = version;
         config.acknowledged.insert(version, acknowledged);
     }
@@ -207,7 +210,7 @@
     format!("/v{version}/x")
 }
 
-fn config_entry(version: u32) -> ConfigEntry {
+fn config_entry(version: u32, more: usize) -> ConfigEntry {
     let route = |name: &str, service: &str, mode: RouteMode| RouteEntry {
         name: name.to_string(),
         host: HOST.into(),
@@ -225,5 +228,8 @@
     for version in versions {
         routes.push(route(&format!("v{version}"), "reads", RouteMode::Repeatable));
     }
+    routes.extend(
+        (0..more).map(|number| route(&format!("more-{number}"), "reads", RouteMode::Repeatable)),
+    );
     ConfigEntry { version, routes }
 }
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -10,13 +10,27 @@
 struct KeptSeed {
     seed: u64,
     seconds: u64,
+    /// Routes beside those that callers use.
+    routes: usize,
     cause: &'static str,
 }
 
-const SEEDS: &[KeptSeed] =
-    &[KeptSeed { seed: 7, seconds: 8, cause: "the usual short run: no failure is known of it" }];
+const SEEDS: &[KeptSeed] = &[
+    KeptSeed {
+        seed: 7,
+        seconds: 8,
+        routes: 0,
+        cause: "the usual short run: no failure is known of it",
+    },
+    KeptSeed {
+        seed: 8,
+        seconds: 8,
+        routes: 4000,
+        cause: "large configurations, which boxes hand on: no failure is known of it",
+    },
+];
 
-fn settings(seconds: u64) -> SoakSettings {
+fn settings(seconds: u64, routes: usize) -> SoakSettings {
     SoakSettings {
         program: box_program(),
         first_seed: 0,
@@ -25,6 +39,7 @@
         boxes: 4,
         targets: 9,
         callers: 8,
+        routes,
         faults_per_s: 1.0,
         directory: std::env::temp_dir().join("wingbridge-soak"),
     }
@@ -43,7 +58,8 @@
 fn promises_hold_under_faults_of_known_seeds() {
     for kept in SEEDS {
         println!("seed {}: {}", kept.seed, kept.cause);
-        let report = run_seed(&settings(kept.seconds), kept.seed).expect("the run is carried out");
+        let report = run_seed(&settings(kept.seconds, kept.routes), kept.seed)
+            .expect("the run is carried out");
         assert!(report.violations.is_empty(), "{report:#?}");
         assert!(report.requests > 0 && report.served > 0 && report.probes > 0, "{report:#?}");
     }
