--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -64,7 +64,7 @@
 }
 
 impl ConfigSource {
-    /// An source of a box with a link of `link_mbps`.
+    /// What a box with a link of `link_mbps` hands on: nothing yet.
     pub(crate) fn new(link_mbps: u32) -> ConfigSource {
         ConfigSource {
             state: Mutex::default(),
