Split the emulator's events from its world, and give answers an enum

Change: event.rs (queue and what events are of), AnswerKind, a bool; two doc comments that told of the next field.

--- a/crates/bench/src/steer/report.rs
+++ b/crates/bench/src/steer/report.rs
@@ -39,7 +39,7 @@
     pub repeatable: KindSums,
     /// Requests that run once.
     pub once: KindSums,
-    /// Suspicions of targets that were in a spell, and of sound ones.
+    /// Suspicions of targets that were in a spell.
     pub right_suspicions: u64,
     /// Suspicions of sound targets.
     pub false_suspicions: u64,
@@ -115,10 +115,9 @@
         kind.in_goal += u64::from(served.is_some_and(|time| time <= goal));
     }
 
-    /// Counts a suspicion: of a target that has been in a spell for that long, or of a
-    /// sound one.
-    pub(super) fn note_suspicion(&mut self, in_spell: Option<Duration>) {
-        if in_spell.is_some() {
+    /// Counts a suspicion, of a target that is in a spell or of a sound one.
+    pub(super) fn note_suspicion(&mut self, in_spell: bool) {
+        if in_spell {
             self.right_suspicions += 1;
         } else {
             self.false_suspicions += 1;
--- a/crates/bench/src/steer/world.rs
+++ b/crates/bench/src/steer/world.rs
@@ -1,7 +1,6 @@
-//! The events of one emulated fleet, in the order of their times.
+//! One emulated fleet: what its boxes, targets and callers do at each event.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -16,6 +15,7 @@
 };
 use wingbridge_decide::{Name, TargetKey, TimePoint};
 
+use crate::steer::event::{AnswerKind, Attempt, Event, EventQueue, Message, Request};
 use crate::steer::fleet::{FleetPlan, ServicePlan};
 use crate::steer::report::FleetSums;
 use crate::steer::targets::{EmulatedTarget, WorkEnd};
@@ -35,49 +35,10 @@
 const RETRIES: RetryBounds =
     RetryBounds { share: 0.2, slack: 50.0, window: Duration::from_secs(10) };
 
-/// What happens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrival { service: usize },
-    Reached { attempt: usize },
-    Done { attempt: usize },
-    Answered { attempt: usize, how: u8 },
-    Overdue { attempt: usize },
-    HedgeDue { request: usize, attempt: usize },
-    TimeOver { request: usize },
-    LookAgain { request: usize },
-    Told { message: usize },
-}
-
-struct Attempt {
-    request: usize,
-    target: usize,
-    mark: AttemptMark,
-    open: bool,
-}
-
-struct Request {
-    service: usize,
-    gateway: usize,
-    since: TimePoint,
-    attempts: Vec<usize>,
-    over: bool,
-}
-
-struct Message {
-    to: usize,
-    from: u64,
-    key: TargetKey,
-    sample: PeerSample,
-    tallies: Vec<(usize, RetryTally)>,
-}
-
 struct World<'a> {
     plan: &'a FleetPlan,
     random: SmallRng,
-    now: TimePoint,
-    queue: BinaryHeap<Reverse<(TimePoint, u64, Event)>>,
-    queued: u64,
+    events: EventQueue,
     boxes: Vec<SteerCore>,
     targets: Vec<(usize, EmulatedTarget)>,
     keys: HashMap<TargetKey, usize>,
@@ -95,11 +56,7 @@
     for service in 0..plan.services.len() {
         world.schedule_arrival(service);
     }
-    while let Some(Reverse((at, _, event))) = world.queue.pop() {
-        if at >= end {
-            break;
-        }
-        world.now = at;
+    while let Some(event) = world.events.next(end) {
         world.handle(event);
     }
     world.sums
@@ -140,9 +97,7 @@
         World {
             plan,
             random,
-            now: TimePoint::default(),
-            queue: BinaryHeap::new(),
-            queued: 0,
+            events: EventQueue::default(),
             boxes: (0..all).map(make_box).collect(),
             keys: steered.iter().enumerate().map(key_of).collect(),
             names: (0..plan.services.len()).map(|service| format!("s{service}").into()).collect(),
@@ -154,15 +109,10 @@
         }
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
-        self.queued += 1;
-        self.queue.push(Reverse((self.now + after, self.queued, event)));
-    }
-
     fn schedule_arrival(&mut self, service: usize) {
         let rate = self.plan.services[service].rate;
         let gap = Exp::new(rate).map_or(1.0 / rate, |gap| gap.sample(&mut self.random));
-        self.schedule(Duration::from_secs_f64(gap), Event::Arrival { service });
+        self.events.schedule(Duration::from_secs_f64(gap), Event::Arrival { service });
     }
 
     fn handle(&mut self, event: Event) {
@@ -173,7 +123,7 @@
             }
             Event::Reached { attempt } => self.reach(attempt),
             Event::Done { attempt } => self.finish_work(attempt),
-            Event::Answered { attempt, how } => self.take_answer(attempt, how),
+            Event::Answered { attempt, kind } => self.take_answer(attempt, kind),
             Event::Overdue { attempt } => self.note_overdue(attempt),
             Event::HedgeDue { request, attempt } => self.hedge(request, attempt),
             Event::TimeOver { request } => self.end_request(request, None),
@@ -196,13 +146,13 @@
         self.requests.push(Request {
             service,
             gateway,
-            since: self.now,
+            since: self.events.now,
             attempts: Vec::new(),
             over: false,
         });
-        self.boxes[gateway].note_request(self.now, &self.names[service]);
+        self.boxes[gateway].note_request(self.events.now, &self.names[service]);
         let timeout = self.service_plan(service).timeout;
-        self.schedule(timeout, Event::TimeOver { request });
+        self.events.schedule(timeout, Event::TimeOver { request });
         self.send(request);
     }
 
@@ -210,7 +160,7 @@
     /// queues and it has time to spare.
     fn send(&mut self, request: usize) {
         match self.try_send(request) {
-            Err(NoPick::Crowded) => self.schedule(HOLD_STEP, Event::LookAgain { request }),
+            Err(NoPick::Crowded) => self.events.schedule(HOLD_STEP, Event::LookAgain { request }),
             Err(_) if self.open_attempts(request) == 0 => self.end_request(request, None),
             Ok(()) | Err(_) => {}
         }
@@ -232,11 +182,11 @@
             large: false,
             body_bytes: 0,
             goal: plan.goal,
-            left: plan.timeout.saturating_sub(self.now.since(since)),
+            left: plan.timeout.saturating_sub(self.events.now.since(since)),
             tried: &tried,
         };
-        let pick = self.boxes[gateway].pick(self.now, &asked)?;
-        let mark = self.boxes[gateway].begin(self.now, pick.key, name);
+        let pick = self.boxes[gateway].pick(self.events.now, &asked)?;
+        let mark = self.boxes[gateway].begin(self.events.now, pick.key, name);
         let target = self.keys[&pick.key];
         let attempt = self.attempts.len();
         self.attempts.push(Attempt { request, target, mark, open: true });
@@ -244,13 +194,13 @@
         let away = *pick.data_centre != *format!("c{}", gateway % self.plan.centres);
         self.sums.note_attempt(service, away, pick.trial);
         let way = if away { self.plan.between } else { NEAR };
-        self.schedule(way, Event::Reached { attempt });
+        self.events.schedule(way, Event::Reached { attempt });
         let overdue = self.boxes[gateway].overdue_after(&mark);
-        self.schedule(overdue, Event::Overdue { attempt });
+        self.events.schedule(overdue, Event::Overdue { attempt });
         if plan.repeatable
-            && let Some(after) = self.boxes[gateway].hedge_after(self.now, &mark)
+            && let Some(after) = self.boxes[gateway].hedge_after(self.events.now, &mark)
         {
-            self.schedule(after, Event::HedgeDue { request, attempt });
+            self.events.schedule(after, Event::HedgeDue { request, attempt });
         }
         self.tell(gateway, pick.key, None, &AttemptNews::default());
         Ok(())
@@ -269,7 +219,7 @@
         if self.targets[target].1.take(attempt) {
             self.begin_work(target);
         } else {
-            self.schedule(NEAR, Event::Answered { attempt, how: 2 });
+            self.events.schedule(NEAR, Event::Answered { attempt, kind: AnswerKind::Refusal });
         }
     }
 
@@ -277,14 +227,18 @@
         while let Some(attempt) = self.targets[target].1.begin_next() {
             let service = self.targets[target].0;
             let plan = &self.plan.services[service];
-            match self.targets[target].1.draw_end(self.now, plan, &mut self.random) {
+            match self.targets[target].1.draw_end(self.events.now, plan, &mut self.random) {
                 WorkEnd::Good(time) => {
-                    self.schedule(time, Event::Done { attempt });
-                    self.schedule(time + NEAR, Event::Answered { attempt, how: 0 });
+                    self.events.schedule(time, Event::Done { attempt });
+                    self.events
+                        .schedule(time + NEAR, Event::Answered { attempt, kind: AnswerKind::Good });
                 }
                 WorkEnd::Failed(time) => {
-                    self.schedule(time, Event::Done { attempt });
-                    self.schedule(time + NEAR, Event::Answered { attempt, how: 1 });
+                    self.events.schedule(time, Event::Done { attempt });
+                    self.events.schedule(
+                        time + NEAR,
+                        Event::Answered { attempt, kind: AnswerKind::Failure },
+                    );
                 }
                 WorkEnd::Stalled => {}
             }
@@ -297,24 +251,23 @@
         self.begin_work(target);
     }
 
-    /// An answer: good (0), a failure (1), or a refusal (2).
-    fn take_answer(&mut self, attempt: usize, how: u8) {
+    fn take_answer(&mut self, attempt: usize, kind: AnswerKind) {
         let Attempt { request, mark, open, .. } = self.attempts[attempt];
         if !open {
             return;
         }
-        let outcome = match how {
-            0 => SteerOutcome::Good(self.now.since(mark.started)),
-            1 => SteerOutcome::Failed,
-            _ => SteerOutcome::Shed,
+        let outcome = match kind {
+            AnswerKind::Good => SteerOutcome::Good(self.events.now.since(mark.started)),
+            AnswerKind::Failure => SteerOutcome::Failed,
+            AnswerKind::Refusal => SteerOutcome::Shed,
         };
         self.end_attempt(attempt, outcome);
-        if how == 0 {
-            self.end_request(request, Some(self.now.since(self.requests[request].since)));
+        if kind == AnswerKind::Good {
+            self.end_request(request, Some(self.events.now.since(self.requests[request].since)));
             return;
         }
         let Request { service, gateway, .. } = self.requests[request];
-        let ran = how == 1;
+        let ran = kind == AnswerKind::Failure;
         let plan = self.service_plan(service);
         let may = (plan.repeatable || !ran) && self.requests[request].attempts.len() < ATTEMPTS;
         if self.open_attempts(request) > 0 {
@@ -328,7 +281,7 @@
     }
 
     fn spend(&mut self, gateway: usize, service: usize, usage: RetryUse) -> bool {
-        let spent = self.boxes[gateway].spend_retry(self.now, &self.names[service], usage);
+        let spent = self.boxes[gateway].spend_retry(self.events.now, &self.names[service], usage);
         if spent {
             self.sums.note_retry(service);
         }
@@ -343,7 +296,7 @@
             return;
         }
         if !self.spend(gateway, service, RetryUse::Hedge) || self.try_send(request).is_err() {
-            self.schedule(LOOK_AGAIN, Event::HedgeDue { request, attempt });
+            self.events.schedule(LOOK_AGAIN, Event::HedgeDue { request, attempt });
         }
     }
 
@@ -353,7 +306,7 @@
             return;
         }
         let gateway = self.requests[request].gateway;
-        let news = self.boxes[gateway].note_overdue(self.now, &mark);
+        let news = self.boxes[gateway].note_overdue(self.events.now, &mark);
         self.note_suspect(&mark, &news);
         self.tell(gateway, mark.key, None, &news);
     }
@@ -364,9 +317,9 @@
         let Request { service, gateway, .. } = self.requests[request];
         let name = self.names[service].clone();
         let core = &mut self.boxes[gateway];
-        let news = core.end(self.now, &mark, &name, outcome, 400);
+        let news = core.end(self.events.now, &mark, &name, outcome, 400);
         if matches!(outcome, SteerOutcome::Good(_) | SteerOutcome::Failed | SteerOutcome::Shed) {
-            core.note_load(self.now, mark.key, self.targets[target].1.load());
+            core.note_load(self.events.now, mark.key, self.targets[target].1.load());
         }
         self.note_suspect(&mark, &news);
         self.tell(gateway, mark.key, Some(outcome), &news);
@@ -379,8 +332,8 @@
         }
         let (service, target) = &mut self.targets[self.keys[&mark.key]];
         let plan = &self.plan.services[*service];
-        let noticed = target.notice(self.now, plan, &mut self.random);
-        self.sums.note_suspicion(noticed.map(|(age, _)| age));
+        let noticed = target.notice(self.events.now, plan, &mut self.random);
+        self.sums.note_suspicion(noticed.is_some());
         if let Some((age, true)) = noticed {
             self.sums.note_noticed(age);
         }
@@ -409,7 +362,7 @@
         let far_sample =
             PeerSample { bad: sample.bad, overdue: sample.overdue, ..PeerSample::default() };
         let urgent = failed || news.stalled;
-        let tallies = self.boxes[gateway].untold_tallies(self.now);
+        let tallies = self.boxes[gateway].untold_tallies(self.events.now);
         let named = |(name, tally): (Name, RetryTally)| {
             Some((self.names.iter().position(|known| *known == name)?, tally))
         };
@@ -429,7 +382,7 @@
             let gathered = if urgent { Duration::ZERO } else { TELL_AFTER };
             let way = if near { NEAR } else { self.plan.between };
             self.messages.push(Some(message));
-            self.schedule(gathered + way, Event::Told { message: self.messages.len() - 1 });
+            self.events.schedule(gathered + way, Event::Told { message: self.messages.len() - 1 });
         }
     }
 
@@ -438,9 +391,9 @@
             return;
         };
         // Suspicions are counted where an attempt gave rise to them.
-        let _ = self.boxes[to].take_peer(self.now, from, key, &sample);
+        let _ = self.boxes[to].take_peer(self.events.now, from, key, &sample);
         for (service, tally) in tallies {
-            self.boxes[to].take_tally(self.now, from, &self.names[service], tally);
+            self.boxes[to].take_tally(self.events.now, from, &self.names[service], tally);
         }
     }
 
