Make two tests sure beside load, and test what a peer's nonsense does

Change: the first waits until both boxes have counted it; the second asks ConfigSource itself, by a table of links and lengths (as strict: how many at once, who is named, room when one is done), for which that module is public now. Two tests more: a difference or a step that makes something else.

--- a/crates/gateway/src/config_exchange.rs
+++ b/crates/gateway/src/config_exchange.rs
@@ -79,9 +79,9 @@
     let late = |_| WireError::new(ErrorKind::Io, "the configuration was not read in time");
     // As long as the peer waits for it: less would throw away what is nearly through.
     let time = context.budget.config_fetch_time();
-    timeout(time, send_message(stream, &source.reply)).await.map_err(late)??;
-    if !source.reply.steps.is_empty() {
-        context.config_source.note_holder(peer, source.reply.revision);
+    timeout(time, send_message(stream, source.message())).await.map_err(late)??;
+    if !source.message().steps.is_empty() {
+        context.config_source.note_holder(peer, source.message().revision);
     }
     Ok(())
 }
--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -32,7 +32,7 @@
 
 /// The configuration as it is handed on.
 #[derive(Debug)]
-pub(crate) struct ConfigSource {
+pub struct ConfigSource {
     state: Mutex<SourceState>,
     sending: AtomicUsize,
     sent_at_once: usize,
@@ -50,11 +50,19 @@
 }
 
 /// A reply that counts as being sent until it is dropped.
-pub(crate) struct SourceReply<'a> {
-    pub(crate) reply: ConfigReply,
+#[derive(Debug)]
+pub struct SourceReply<'a> {
+    reply: ConfigReply,
     sending: Option<&'a AtomicUsize>,
 }
 
+impl SourceReply<'_> {
+    /// The reply as it is sent.
+    pub fn message(&self) -> &ConfigReply {
+        &self.reply
+    }
+}
+
 impl Drop for SourceReply<'_> {
     fn drop(&mut self) {
         if let Some(sending) = self.sending {
@@ -65,7 +73,7 @@
 
 impl ConfigSource {
     /// What a box with a link of `link_mbps` hands on: nothing yet.
-    pub(crate) fn new(link_mbps: u32) -> ConfigSource {
+    pub fn new(link_mbps: u32) -> ConfigSource {
         ConfigSource {
             state: Mutex::default(),
             sending: AtomicUsize::new(0),
@@ -75,7 +83,7 @@
 
     /// Holds `text` from now on. `steps` are those by which it came here from the one before;
     /// without them they are made.
-    pub(crate) fn put(&self, text: ConfigText, steps: Vec<ConfigStep>) {
+    pub fn put(&self, text: ConfigText, steps: Vec<ConfigStep>) {
         let before = {
             let state = lock(&self.state);
             if state.text.as_ref().is_some_and(|held| held.revision >= text.revision) {
@@ -108,7 +116,7 @@
     }
 
     /// What to send to a peer that holds `request.revision`.
-    pub(crate) fn reply(&self, request: ConfigRequest, age_ms: u64) -> SourceReply<'_> {
+    pub fn reply(&self, request: ConfigRequest, age_ms: u64) -> SourceReply<'_> {
         let mut state = lock(&self.state);
         let Some(text) = state.text.clone() else {
             return SourceReply { reply: ConfigReply::default(), sending: None };
@@ -132,7 +140,7 @@
     }
 
     /// Notes that the box at `host` has the configuration of `revision` from here.
-    pub(crate) fn note_holder(&self, host: IpAddr, revision: u64) {
+    pub fn note_holder(&self, host: IpAddr, revision: u64) {
         let mut state = lock(&self.state);
         if state.text.as_ref().is_none_or(|text| text.revision != revision) {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 mod change_budget;
 mod config_duty;
 mod config_exchange;
-mod config_source;
+pub mod config_source;
 mod context;
 mod gate;
 mod gossip;
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -3,21 +3,27 @@
 mod harness;
 
 use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use harness::{
     BoxUnderTest, EXCHANGE, GOSSIP, Script, StoreStandin, TargetStandin, config, eventually,
     own_host, route,
 };
 use prost::Message;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use wingbridge_gateway::config_source::ConfigSource;
 use wingbridge_gateway::routes::RouteKind;
-use wingbridge_gateway::text_patch::apply_patch;
+use wingbridge_gateway::text_patch::{apply_patch, make_patch};
+use wingbridge_gateway::view::ConfigText;
 use wingbridge_wire::gossip::{
-    Beacon, ConfigReply, ConfigRequest, Datagram, DatagramBody, ExchangeQuestion, ExchangeRequest,
-    TargetsReply, TargetsRequest, ViewMark,
+    Beacon, ConfigReply, ConfigRequest, ConfigStep, Datagram, DatagramBody, ExchangeQuestion,
+    ExchangeRequest, TargetRecord, TargetsReply, TargetsRequest, ViewMark,
 };
 use wingbridge_wire::{WireError, receive_message, send_message};
 
@@ -74,34 +80,50 @@
     assert_eq!(ask_config(gateway.host(), second.revision).steps, []);
 }
 
+struct RoomCase {
+    name: &'static str,
+    link_mbps: u32,
+    bytes: usize,
+    /// Boxes that are sent it at once, of twenty that ask.
+    sent: usize,
+}
+
+const ROOM: &[RoomCase] = &[
+    RoomCase { name: "a narrow link", link_mbps: 10, bytes: 100_000, sent: 3 },
+    RoomCase { name: "an unknown one", link_mbps: 0, bytes: 100_000, sent: 3 },
+    RoomCase { name: "a wide one", link_mbps: 200, bytes: 100_000, sent: 16 },
+    RoomCase { name: "little to send", link_mbps: 10, bytes: 4_000, sent: 20 },
+];
+
 /// One box sent a configuration to all of its data centre at once, each of them too slowly.
 #[test]
 fn a_large_configuration_goes_to_a_few_at_a_time() {
-    let store = store();
-    // More than connections hold: who does not read keeps the sender busy.
-    store.set_noise(7_500_000);
-    store.put_config(config(2, vec![route("r", "service", RouteKind::Repeatable)]));
-    let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
-        // Long enough for the questions below.
-        settings.change_time = Duration::from_secs(60);
-    });
-    gateway.wait_ready();
-    let question = Some(ExchangeQuestion::Config(ConfigRequest { revision: 0 }));
-    let idle: Vec<TcpStream> = (0..3)
-        .map(|_| {
-            let stream = connect(gateway.host());
-            task::block_on(send_message(&stream, &ExchangeRequest { question })).expect("sent");
-            stream
-        })
-        .collect();
-    eventually("a fourth one is sent elsewhere", || ask_config(gateway.host(), 0).busy);
-    drop(idle);
-    let mut held = ConfigReply::default();
-    eventually("there is room again", || {
-        held = ask_config(gateway.host(), 0);
-        !held.busy
-    });
-    assert!(!held.steps.is_empty());
+    let mut random = SmallRng::seed_from_u64(3);
+    for case in ROOM {
+        let source = ConfigSource::new(case.link_mbps);
+        let text: Vec<u8> = (0..case.bytes).map(|_| random.random()).collect();
+        source.put(ConfigText { revision: 7, text: text.into() }, Vec::new());
+        let ask = || source.reply(ConfigRequest { revision: 0 }, 0);
+        let mut replies: Vec<_> = (0..20).map(|_| ask()).collect();
+        let busy = replies.iter().filter(|reply| reply.message().busy).count();
+        assert_eq!(20 - busy, case.sent, "{}", case.name);
+        assert!(
+            replies.iter().all(|reply| reply.message().busy == reply.message().steps.is_empty())
+        );
+        if busy == 0 {
+            continue;
+        }
+        let holder: IpAddr = "10.0.0.9".parse().expect("an address");
+        source.note_holder(holder, 7);
+        assert_eq!(ask().message().holders, ["10.0.0.9"], "{}", case.name);
+        replies.remove(0);
+        assert!(!ask().message().busy, "{}: one has been sent", case.name);
+        assert!(
+            ask().message().steps.len() == 1,
+            "{}: a reply that is dropped makes room",
+            case.name
+        );
+    }
 }
 
 #[test]
@@ -167,10 +189,29 @@
 fn a_box_that_knows_that_it_is_behind_is_not_ready() {
     let gateway = BoxUnderTest::start(store().port(true), &[]);
     gateway.wait_ready();
-    let host = own_host();
-    let socket = UdpSocket::bind(SocketAddr::new(host, GOSSIP)).expect("an address of its own");
-    let mark = ViewMark { revision: 0, age_ms: 0, digest: 0, config_revision: 9, config_age_ms: 0 };
-    let tell = |number: u64| {
+    let peer = PeerStandin::start(own_host());
+    let mark = ViewMark { config_revision: 9, ..ViewMark::default() };
+    eventually("it leaves the balancer", || {
+        peer.tell(&gateway, mark);
+        !gateway.is_ready()
+    });
+    assert_ne!(gateway.ask("GET", "/r/x").status, 404, "what still comes is served");
+}
+
+/// A peer that tells what a test wants and answers each question with the next reply of a list.
+struct PeerStandin {
+    host: IpAddr,
+    socket: UdpSocket,
+}
+
+impl PeerStandin {
+    fn start(host: IpAddr) -> PeerStandin {
+        let socket = UdpSocket::bind(SocketAddr::new(host, GOSSIP)).expect("an address of its own");
+        PeerStandin { host, socket }
+    }
+
+    /// Tells a box what this peer holds.
+    fn tell(&self, gateway: &BoxUnderTest, mark: ViewMark) {
         let datagram = Datagram {
             box_id: "peer".into(),
             data_centre: "centre".into(),
@@ -179,12 +220,92 @@
             link_mbps: 0,
         };
         let address = SocketAddr::new(gateway.host(), GOSSIP);
-        socket.send_to(&datagram.encode_to_vec(), address).expect("loopback");
-        number
+        self.socket.send_to(&datagram.encode_to_vec(), address).expect("loopback");
+    }
+
+    /// Answers all questions by `reply`, which is told each of them.
+    fn answer<M: Message + Default>(
+        &self,
+        mut reply: impl FnMut(ExchangeQuestion) -> M + Send + 'static,
+    ) {
+        let address = SocketAddr::new(self.host, EXCHANGE);
+        let listener = task::block_on(TcpListener::bind(address)).expect("an address of its own");
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let asked: Result<ExchangeRequest, WireError> = receive_message(&stream).await;
+                if let Ok(ExchangeRequest { question: Some(question) }) = asked {
+                    // A box that has gone needs no answer.
+                    let _ = send_message(&stream, &reply(question)).await;
+                }
+            }
+        });
+    }
+}
+
+/// A difference that does not make the listing that was told is not taken: all of it is asked for.
+#[test]
+fn a_difference_that_makes_something_else_is_not_taken() {
+    let [known, strange] =
+        ["known", "strange"].map(|id| TargetStandin::start(id, "service", Script::Good));
+    let store = store();
+    store.put_targets(vec![known.entry.clone()]);
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    gateway.wait_ready();
+    let peer = PeerStandin::start(own_host());
+    let mark = ViewMark { revision: u64::MAX, digest: 77, ..ViewMark::default() };
+    let whole_asked = Arc::new(AtomicBool::new(false));
+    let asked = Arc::clone(&whole_asked);
+    let record = TargetRecord {
+        id: "strange".into(),
+        address: strange.entry.address.to_string(),
+        service: "service".into(),
+        data_centre: "centre".into(),
+        slots: 1,
+        ..TargetRecord::default()
     };
-    eventually("it leaves the balancer", || {
-        tell(0);
-        !gateway.is_ready()
+    peer.answer(move |question| {
+        let digest = match question {
+            ExchangeQuestion::Targets(request) => request.digest,
+            ExchangeQuestion::Config(_) => 0,
+        };
+        asked.fetch_or(digest == 0, Ordering::Relaxed);
+        // Without a mark the whole listing is none: the box keeps what it has.
+        let told = (digest != 0).then_some(mark);
+        TargetsReply { mark: told, base: digest, targets: vec![record.clone()], gone: Vec::new() }
     });
-    assert_ne!(gateway.ask("GET", "/r/x").status, 404, "what still comes is served");
+    eventually("all of it is asked for", || {
+        peer.tell(&gateway, mark);
+        whole_asked.load(Ordering::Relaxed)
+    });
+    for _ in 0..20 {
+        assert_eq!(gateway.ask("GET", "/r/x").status, 200);
+    }
+    assert_eq!(strange.seen().len(), 0);
+}
+
+/// Steps that lead elsewhere, or that don't follow, change nothing.
+#[test]
+fn steps_that_make_something_else_are_not_taken() {
+    let gateway = BoxUnderTest::start(store().port(true), &[]);
+    gateway.wait_ready();
+    let peer = PeerStandin::start(own_host());
+    let answered = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&answered);
+    peer.answer(move |_| {
+        let number = count.fetch_add(1, Ordering::Relaxed);
+        let step = |from, hash| ConfigStep { from, to: 9, hash, patch: make_patch(b"", b"9") };
+        let steps = match number % 3 {
+            0 => vec![step(0, 1)],
+            1 => vec![step(5, 1)],
+            _ => vec![step(0, 1), step(3, 1)],
+        };
+        ConfigReply { revision: 9, steps, ..ConfigReply::default() }
+    });
+    let mark = ViewMark { config_revision: 9, ..ViewMark::default() };
+    eventually("each was sent", || {
+        peer.tell(&gateway, mark);
+        answered.load(Ordering::Relaxed) >= 3
+    });
+    assert_ne!(gateway.ask("GET", "/r/x").status, 404, "the configuration before is in force");
+    assert_eq!(ask_config(gateway.host(), 0).revision, 1);
 }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use wingbridge_gateway::routes::{CallerLimits, Route, RouteConfig, RouteKind};
+use wingbridge_process::metrics::render_metrics;
 
 pub use caller::{CallerReply, CallerStandin};
 pub use gateway::{BoxUnderTest, EXCHANGE, GOSSIP};
@@ -51,6 +52,14 @@
     panic!("this did not come about: {what}");
 }
 
+/// The count of a metric without labels, over all boxes of this process; 0 before the first.
+pub fn counted(name: &str) -> u64 {
+    let text = render_metrics();
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.find(|(known, _)| *known == name);
+    found.map_or(0, |(_, count)| count.parse().expect("a counter has a whole number"))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -11,6 +11,7 @@
 use wingbridge_gateway::routes::RouteKind;
 use wingbridge_gateway::view::{ConfigText, KnownView, StoreView};
 use wingbridge_process::Outcome;
+use wingbridge_process::metrics::start_metrics;
 
 fn store_with(targets: &[&TargetStandin]) -> StoreStandin {
     let store = StoreStandin::default();
@@ -253,17 +254,19 @@
 fn a_target_whose_address_another_has_gets_one_request_from_all_boxes() {
     let ended = TargetStandin::start("ended", "service", Script::Other);
     let good = TargetStandin::start("good", "service", Script::Good);
-    let store = store_with(&[&ended, &good]);
+    start_metrics();
+    let store = store_with(&[&good]);
     let first = BoxUnderTest::start(store.port(true), &[]);
     first.wait_ready();
     let second = BoxUnderTest::start(store.port(true), &[first.host()]);
     second.wait_ready();
+    // Listed once they know each other: a box that is not known is not told.
+    store.put_targets(vec![ended.entry.clone(), good.entry.clone()]);
     eventually("the address is tried", || {
         assert_eq!(first.ask("GET", "/r/x").status, 200);
         ended.seen().len() == 1
     });
-    // Long enough for the news to reach the other box.
-    thread::sleep(Duration::from_millis(500));
+    eventually("both boxes know", || harness::counted("wingbridge_targets_replaced") == 2);
     for _ in 0..60 {
         assert_eq!(first.ask("GET", "/r/x").status, 200);
         assert_eq!(second.ask("GET", "/r/x").status, 200);
