Count failures beside the successes of the same boxes

Cause: a box counted failures that other data centres told beside the successes of its own one alone. Ruled out: where plain picks go.

Change: a peer's sample says whether it is of the own data centre; what others tell goes into beliefs and not into the share of failures.

--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -146,28 +146,43 @@
         if let Some(open) = sample.open {
             record.note_peer_open(now, peer, open, &sample.telling);
         }
-        let counted = [
+        if sample.near {
+            self.note_told(now, sample);
+        }
+        let told = [
             (sample.good, BeliefSample::Good),
             (sample.bad, BeliefSample::Bad),
             (sample.overdue, BeliefSample::Stalled),
         ];
         let mut change = None;
-        for (count, kind) in counted {
+        for (count, kind) in told {
             // One message is one moment: more of the same says little more.
             for _ in 0..count.min(3) {
-                change = self.note_sample(now, key, kind).or(change);
+                change = self.note_belief(now, key, kind).or(change);
             }
         }
         change
     }
 
+    /// Takes an outcome of this box.
     fn note_sample(
         &mut self,
         now: TimePoint,
         key: TargetKey,
         sample: BeliefSample,
     ) -> Option<SuspicionChange> {
-        self.note_outcome(now, sample);
+        let failed = u32::from(sample != BeliefSample::Good);
+        self.count_ended(now, failed, 1);
+        self.note_belief(now, key, sample)
+    }
+
+    fn note_belief(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        sample: BeliefSample,
+    ) -> Option<SuspicionChange> {
+        self.habits.note_failure(sample);
         let record = self.records.get_mut(&key)?;
         record.note_sample(now, sample, &self.habits);
         record.note_suspicion(now)
@@ -246,14 +261,21 @@
         self.failed * fading / (self.ended * fading + LEAST_ENDED)
     }
 
-    /// Counts an outcome, of this box or a peer.
-    fn note_outcome(&mut self, now: TimePoint, sample: BeliefSample) {
+    /// Counts what a peer of the own data centre tells. Those of others tell of failures
+    /// alone: counted in, they made 4 in 100 that fail look like 11 with three data centres and
+    /// like 17 with five, so that calm was never seen and targets were tried as in an outage.
+    fn note_told(&mut self, now: TimePoint, sample: &PeerSample) {
+        let failed = sample.bad + sample.overdue;
+        if failed + sample.good > 0 {
+            self.count_ended(now, failed, failed + sample.good);
+        }
+    }
+
+    fn count_ended(&mut self, now: TimePoint, failed: u32, ended: u32) {
         let fading = self.fading(now);
-        let failed = if sample == BeliefSample::Good { 0.0 } else { 1.0 };
-        self.failed = self.failed * fading + failed;
-        self.ended = self.ended * fading + 1.0;
+        self.failed = self.failed * fading + f64::from(failed);
+        self.ended = self.ended * fading + f64::from(ended);
         self.ended_at = now;
-        self.habits.note_failure(sample);
     }
 
     fn fading(&self, now: TimePoint) -> f64 {
--- a/crates/decide/tests/trials.rs
+++ b/crates/decide/tests/trials.rs
@@ -3,7 +3,7 @@
 mod steering;
 
 use steering::{PICKS, SERVICE, at, bad, good, request, settled, shares, target};
-use wingbridge_decide::steer::SteerCore;
+use wingbridge_decide::steer::{PeerSample, SteerCore};
 use wingbridge_decide::{TargetKey, TimePoint};
 
 struct TrialCase {
@@ -144,3 +144,22 @@
     let counts = shares(&mut core, now, &["a", "b", "new"], false);
     assert!(counts[2] > 0, "{counts:?}");
 }
+
+/// Boxes of other data centres tell of failures alone. Counted beside the successes of the
+/// own one they ended the calm on days without an outage, and half of the orders that were
+/// lost on such a day were trials.
+#[test]
+fn failures_told_from_elsewhere_do_not_end_the_calm() {
+    let start = 20_000;
+    let mut core = settled(&[("a", "near"), ("b", "near"), ("elsewhere", "far")], at(start));
+    let now = at(start + 1_500);
+    for _ in 0..10 {
+        good(&mut core, now, "b", 3);
+        let told = PeerSample { bad: 1, ..PeerSample::default() };
+        core.take_peer(now, 2, TargetKey::of("elsewhere"), &told);
+    }
+    core.note_request(now, SERVICE);
+    let picks = (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target"));
+    let tried: Vec<_> = picks.filter(|pick| pick.trial).map(|pick| pick.id).collect();
+    assert!(tried.is_empty(), "{} trials, of {}", tried.len(), tried[0]);
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -44,6 +44,14 @@
 /// Wait after a failed read of the socket.
 const READ_PAUSE: Duration = Duration::from_millis(20);
 
+/// The box that told something.
+struct PeerSource<'a> {
+    incarnation: u64,
+    box_id: &'a str,
+    /// Whether it is of the own data centre.
+    near: bool,
+}
+
 /// Sends and takes datagrams.
 pub(crate) struct GossipDuty {
     context: Arc<BoxContext>,
@@ -252,7 +260,8 @@
         match body {
             Some(DatagramBody::Beacon(beacon)) => self.take_beacon(from, now, beacon).await,
             Some(DatagramBody::Sightings(sightings)) => {
-                self.take_sightings(incarnation, &box_id, &sightings)
+                let near = self.context.peers().is_near(from);
+                self.take_sightings(PeerSource { incarnation, box_id: &box_id, near }, &sightings)
             }
             None => {}
         }
@@ -328,7 +337,8 @@
         let _ = self.context.newer_heard.try_send(());
     }
 
-    fn take_sightings(&self, peer: u64, box_id: &str, sightings: &Sightings) {
+    fn take_sightings(&self, from: PeerSource<'_>, sightings: &Sightings) {
+        let PeerSource { incarnation: peer, box_id, near } = from;
         let now = self.context.now();
         let mut core = self.context.core();
         for seen in &sightings.targets {
@@ -336,6 +346,7 @@
                 log_replaced(&format!("{:016x}", seen.target), box_id);
             }
             let sample = PeerSample {
+                near,
                 good: seen.good,
                 bad: seen.bad,
                 overdue: seen.overdue,
