Hand on at once what came with the head of a long answer

Cause: the first read of a long body fed what had arrived with the head, and then waited for more before it returned, so that a caller got the beginning only with the next piece.

Change: read_body returns as soon as it has something.

No figure under load.

--- a/crates/http/src/raw/reader.rs
+++ b/crates/http/src/raw/reader.rs
@@ -79,9 +79,11 @@
         decoder: &mut BodyDecoder,
         body: &mut Vec<u8>,
     ) -> Result<bool, HttpError> {
+        let held = body.len();
         decoder.feed(&mut self.buffer, body)?;
-        if decoder.is_done() {
-            return Ok(true);
+        if decoder.is_done() || body.len() > held {
+            // What came with the head goes on at once, however late the rest is.
+            return Ok(decoder.is_done());
         }
         if self.fill().await? == 0 {
             decoder.end_of_input()?;
