See a caller that leaves while a long answer is passed on

Cause: between two writes nothing watched the caller's side, so that a target worked on for a caller that had left until its next byte, or for 10 s.

Change: each read of a long answer races the caller's hang-up; a counter of its own and a log line tell it.

Test: a_caller_that_leaves_within_a_long_answer_cancels_the_work, which failed before (the box did not see it within the test's 20 s) and passes in 2 s with the rest of its file. No figure under load.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -212,21 +212,33 @@
             if waiting.decoder.is_done() {
                 return !chunked || self.write(b"0\r\n\r\n").await;
             }
-            let read = waiting.reader.read_body(&mut waiting.decoder, &mut piece);
-            match async_std::future::timeout(WRITE_TIME, read).await {
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => {
-                    log::warn!(reason:% = error; "answer-broke-off");
-                    return false;
-                }
-                Err(_) => {
-                    log::warn!(reason = "it stood still"; "answer-broke-off");
-                    return false;
-                }
+            if !self.read_piece(&mut waiting, &mut piece).await {
+                return false;
             }
         }
     }
 
+    /// Reads more of a long answer; false if it ends there, or if the caller has left. Between
+    /// two writes nothing else would show that: the target worked on for up to
+    /// [`WRITE_TIME`] for nobody.
+    async fn read_piece(&mut self, waiting: &mut WaitingBody, piece: &mut Vec<u8>) -> bool {
+        let read = waiting.reader.read_body(&mut waiting.decoder, piece);
+        let read = std::pin::pin!(async_std::future::timeout(WRITE_TIME, read));
+        let closed = std::pin::pin!(self.reader.wait_closed(AHEAD_BYTES));
+        let reason = match select(read, closed).await {
+            Either::Left((Ok(Ok(_)), _)) => return true,
+            Either::Left((Ok(Err(error)), _)) => error.to_string(),
+            Either::Left((Err(_), _)) => "it stood still".to_string(),
+            Either::Right(_) => {
+                log::info!(within_answer = true; "caller-hung-up");
+                metrics::counter!("wingbridge_hang_ups_in_answers").increment(1);
+                return false;
+            }
+        };
+        log::warn!(reason; "answer-broke-off");
+        false
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> bool {
         for piece in bytes.chunks(PIECE_BYTES) {
             let written =
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -3,10 +3,11 @@
 mod harness;
 
 use harness::{
-    BoxUnderTest, CallerStandin, LONG, Script, StoreStandin, TargetStandin, config, eventually,
-    header, route,
+    BEGUN, BoxUnderTest, CallerStandin, LONG, Script, StoreStandin, TargetStandin, config, counted,
+    eventually, header, route,
 };
 use wingbridge_gateway::routes::RouteKind;
+use wingbridge_process::metrics::start_metrics;
 
 const REPEATABLE: RouteKind = RouteKind::Repeatable;
 const ONCE: RouteKind = RouteKind::AtMostOnce;
@@ -259,6 +260,21 @@
     eventually("its connection is closed", || target.hang_ups() == 1);
 }
 
+/// While a long answer was passed on the caller's side was not watched: the target worked on for
+/// 10 s for a caller that had left.
+#[test]
+fn a_caller_that_leaves_within_a_long_answer_cancels_the_work() {
+    const LEFT: &str = "wingbridge_hang_ups_in_answers";
+    start_metrics();
+    let (_store, target, gateway) = one_target(Script::LongHangs);
+    let mut caller = gateway.connect();
+    caller.send("GET", "/get/x", "", "");
+    caller.read_beginning(BEGUN);
+    drop(caller);
+    eventually("its connection is closed", || target.hang_ups() == 1);
+    eventually("the box saw that it left", || counted(LEFT) == 1);
+}
+
 /// A request of that kind that hangs at the only target, with a good one that joins then.
 fn hang_beside_a_good_target(kind: RouteKind) -> (CallerStandin, [TargetStandin; 2], BoxUnderTest) {
     let store = StoreStandin::default();
--- a/crates/gateway/tests/harness/caller.rs
+++ b/crates/gateway/tests/harness/caller.rs
@@ -45,6 +45,12 @@
         let _ = self.stream.write_all(bytes.as_bytes());
     }
 
+    /// Reads the beginning of an answer, some `bytes` of it at least.
+    pub fn read_beginning(&mut self, bytes: usize) {
+        let mut beginning = vec![0; bytes];
+        self.stream.read_exact(&mut beginning).expect("an answer begins");
+    }
+
     /// Reads an answer; `None` if the connection closes before one.
     pub fn read(&mut self) -> Option<CallerReply> {
         let (head, mut body) = read_message(&mut self.stream, false)?;
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -48,10 +48,14 @@
     LongCutShort,
     /// Answers with two megabytes.
     Long,
+    /// Begins an answer of two megabytes and works on the rest until its connection is closed.
+    LongHangs,
 }
 
 /// Bytes of a long answer.
 pub const LONG: usize = 2 << 20;
+/// Bytes of one that is begun and not finished.
+pub const BEGUN: usize = 1000;
 
 /// A target on a thread of its own.
 pub struct TargetStandin {
@@ -162,6 +166,14 @@
             *lock(hang_ups) += 1;
             return;
         }
+        Script::LongHangs => {
+            let begun = format!("{ok}Content-Length: {LONG}\r\n\r\n{}", "x".repeat(BEGUN));
+            // The box may have gone away, which counts as a hang-up as well.
+            let _ = stream.write_all(begun.as_bytes());
+            let _ = stream.read(&mut [0; 16]);
+            *lock(hang_ups) += 1;
+            return;
+        }
         Script::Gated => {
             while !gate.load(Ordering::Acquire) {
                 thread::sleep(LOOK_PAUSE);
