Read cut and joined lines in wingctl explain, and count by second

Cause: a collector's log has lines that are cut short and lines with two objects; explain ended at the first. So trials by service and second had to be counted by hand.

Change: what can't be read is counted, named with its number and passed over; each object of a line is read; a table of the seconds with the most losses, with trials, lost trials and targets asked.

--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -7,7 +7,9 @@
 //! old what they were decided by was.
 
 mod calibration;
+mod log_objects;
 mod losses;
+mod moments;
 mod report;
 mod request_line;
 mod spells;
@@ -30,7 +32,7 @@
 /// Reads the named files and prints what they tell.
 ///
 /// # Errors
-/// A file can't be read, a line is no request line though it should be, or there is none.
+/// A file can't be read, or no line of a request is in any of them.
 pub fn show(matches: &ArgMatches, json: bool) -> eyre::Result<Outcome> {
     let names = matches.get_many::<String>("files").into_iter().flatten();
     let mut readers: Vec<(String, Box<dyn BufRead>)> = Vec::new();
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 
 use super::calibration::{Calibration, CalibrationRow};
+use super::log_objects::{LogObject, log_objects};
 use super::losses::{LossCount, LossRow, ServiceRow};
+use super::moments::{MomentCount, MomentRow};
 use super::request_line::{LogLine, decode};
 use super::spells::{SpellCount, SpellReport};
 use super::spread::{LeavingReport, SpreadCount, VersionRow};
@@ -17,6 +19,10 @@
 const LOSSES_SHOWN: usize = 20;
 /// Fewer requests say little of a belief; such rows are left out for people.
 const CALIBRATION_FROM: usize = 20;
+/// Rows of seconds that are shown to people, those with the most losses; JSON has all.
+const MOMENTS_SHOWN: usize = 12;
+/// Lines that can't be read and are named; all are counted.
+const UNREAD_NAMED: usize = 8;
 /// A view that is older than this is on the way to be older than a change may take.
 const OLD_VIEW_MS: u64 = 1500;
 
@@ -27,6 +33,10 @@
     pub requests: usize,
     /// Lines without JSON, which were passed over.
     pub other_lines: usize,
+    /// Objects that can't be read, cut short mostly, which were passed over.
+    pub unread: usize,
+    /// The first of them.
+    pub unread_lines: Vec<UnreadLine>,
     /// What became of them, by service.
     pub services: Vec<ServiceRow>,
     /// Those that were not served, by how they ended.
@@ -35,6 +45,8 @@
     pub spells: SpellReport,
     /// Whether beliefs were right.
     pub calibration: Vec<CalibrationRow>,
+    /// What each service got in each second.
+    pub moments: Vec<MomentRow>,
     /// How long each configuration took through the boxes.
     pub versions: Vec<VersionRow>,
     /// The same for targets that left.
@@ -43,17 +55,27 @@
     pub old_views: usize,
 }
 
+/// A line of a log that can't be read.
+#[derive(Debug, Clone, Serialize)]
+pub struct UnreadLine {
+    /// Its file and number.
+    pub place: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// Reads the lines of all `readers`, each with its name.
 ///
 /// # Errors
-/// A line has JSON that is no log line; the error names reader and line.
+/// A reader fails; the error names it and the line. What is in a line is no error: a collector's
+/// log has lines that are cut short, and the others still tell what happened.
 pub fn explain_lines(readers: Vec<(String, Box<dyn BufRead>)>) -> eyre::Result<LogReport> {
     let mut sums = ReportSums::default();
     for (name, reader) in readers {
         for (number, line) in reader.lines().enumerate() {
             let place = || format!("{name}, line {}", number + 1);
             let line = line.wrap_err_with(place)?;
-            sums.take(&name, &line).wrap_err_with(place)?;
+            sums.take_line(&name, number + 1, &line);
         }
     }
     Ok(sums.report())
@@ -63,24 +85,35 @@
 struct ReportSums {
     requests: usize,
     other_lines: usize,
+    unread: usize,
+    unread_lines: Vec<UnreadLine>,
     /// The data centre of each box, by where its lines come from.
     data_centres: HashMap<String, String>,
     losses: LossCount,
     spells: SpellCount,
     calibration: Calibration,
+    moments: MomentCount,
     spread: SpreadCount,
     old_views: usize,
 }
 
 impl ReportSums {
-    fn take(&mut self, name: &str, line: &str) -> eyre::Result<()> {
-        let Some(start) = line.find('{') else {
-            self.other_lines += 1;
-            return Ok(());
-        };
-        // Collected logs have the box's name in front of the line's JSON.
-        let box_name = line[..start].split_whitespace().last().unwrap_or(name);
-        match decode(&line[start..])? {
+    fn take_line(&mut self, name: &str, number: usize, line: &str) {
+        let objects = log_objects(line);
+        self.other_lines += usize::from(objects.is_empty());
+        for object in &objects {
+            let Err(error) = self.take(name, object) else { continue };
+            self.unread += 1;
+            if self.unread_lines.len() < UNREAD_NAMED {
+                let place = format!("{name}, line {number}");
+                self.unread_lines.push(UnreadLine { place, reason: format!("{error:#}") });
+            }
+        }
+    }
+
+    fn take(&mut self, name: &str, object: &LogObject<'_>) -> eyre::Result<()> {
+        let box_name = object.named.unwrap_or(name);
+        match decode(object.text)? {
             LogLine::Request(line) if !line.service.is_empty() => {
                 let data_centre = self.data_centres.get(box_name).map(String::as_str);
                 self.requests += 1;
@@ -88,6 +121,7 @@
                 self.losses.note(&line, data_centre);
                 self.spells.note(&line);
                 self.calibration.note(&line);
+                self.moments.note(&line);
             }
             LogLine::Started(data_centre) => {
                 self.data_centres.insert(box_name.to_string(), data_centre);
@@ -104,10 +138,13 @@
         LogReport {
             requests: self.requests,
             other_lines: self.other_lines,
+            unread: self.unread,
+            unread_lines: self.unread_lines,
             services,
             losses,
             spells: self.spells.report(),
             calibration: self.calibration.rows(),
+            moments: self.moments.rows(),
             versions: self.spread.versions(),
             leaving: self.spread.leaving(),
             old_views: self.old_views,
@@ -121,6 +158,7 @@
         let (spells, leaving) = (&self.spells, &self.leaving);
         [
             format!("{} requests", self.requests),
+            self.unread_text(),
             self.service_table(),
             "not served, the most frequent first:".to_string(),
             self.loss_table(),
@@ -131,6 +169,8 @@
             ),
             format!("beliefs, rows of {CALIBRATION_FROM} requests or more:"),
             self.calibration_table(),
+            "seconds with the most losses:".to_string(),
+            self.moment_table(),
             "configurations, from the first box that had one in force:".to_string(),
             self.version_table(),
             format!(
@@ -143,6 +183,36 @@
         .join("\n\n")
     }
 
+    fn unread_text(&self) -> String {
+        let named = self.unread_lines.iter();
+        let named = named.map(|line| format!("\n  {}: {}", line.place, line.reason));
+        format!(
+            "{} lines or parts of lines can't be read{}",
+            self.unread,
+            named.collect::<String>()
+        )
+    }
+
+    fn moment_table(&self) -> String {
+        let mut worst: Vec<&MomentRow> = self.moments.iter().filter(|row| row.lost > 0).collect();
+        worst.sort_by_key(|row| std::cmp::Reverse(row.lost));
+        let row = |row: &&MomentRow| {
+            vec![
+                row.second.to_string(),
+                row.service.clone(),
+                row.requests.to_string(),
+                row.lost.to_string(),
+                row.trials.to_string(),
+                row.lost_trials.to_string(),
+                row.targets.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = worst.iter().take(MOMENTS_SHOWN).map(row).collect();
+        let headings =
+            ["second", "service", "requests", "lost", "trials", "lost trials", "targets asked"];
+        table(&headings, &rows)
+    }
+
     fn service_table(&self) -> String {
         let row = |row: &ServiceRow| {
             vec![
