State the ratio of a stall's likelihoods and the look-up of a target's pool once

Cause: the ratio stood in SpellHabits and ServiceTimes, the look-up in five places of SteerCore, and the times told by peers were noted beside note_multiple; two doc comments of the emulator said what the next field is.

Change: one function each.

--- a/crates/bench/src/steer/report.rs
+++ b/crates/bench/src/steer/report.rs
@@ -22,9 +22,9 @@
     pub served: u64,
     /// Served within their goal.
     pub in_goal: u64,
-    /// Attempts, and those beyond the first that drew on the budget.
+    /// Attempts of these and of requests before them that are not counted.
     pub attempts: u64,
-    /// Retries.
+    /// Attempts that drew on the retry budget.
     pub retries: u64,
     /// Attempts that left the data centre.
     pub crossed: u64,
--- a/crates/decide/src/steer/belief.rs
+++ b/crates/decide/src/steer/belief.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::steer::times::{OVERDUE_SHARE, STALLS_WHEN_SOUND};
+use crate::steer::times::{OVERDUE_SHARE, stall_ratio};
 use crate::time::TimePoint;
 
 /// Share of targets in a spell at any moment. Source: of 1,500 idle targets that were tried
@@ -73,9 +73,7 @@
     /// target: hardly at a service whose failures come back as errors, where what is open
     /// for long is mostly just slow.
     fn stalled_ratio(&self) -> f64 {
-        let in_spell = self.stalling() + (1.0 - self.stalling()) * OVERDUE_SHARE;
-        let sound = STALLS_WHEN_SOUND + (1.0 - STALLS_WHEN_SOUND) * OVERDUE_SHARE;
-        (in_spell / sound).max(1.0)
+        stall_ratio(OVERDUE_SHARE, self.stalling())
     }
 
     /// Counts a failure by its kind.
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -200,7 +200,7 @@
 
     /// An attempt of a request on `route` begins at a target.
     pub fn begin(&mut self, now: TimePoint, key: TargetKey, route: &Name) -> AttemptMark {
-        let pool = self.services.get(&key).and_then(|service| self.pools.get(service));
+        let pool = self.pool_of(key);
         let usual = pool.map_or(ASSUMED_TIME, TargetPool::usual_time);
         let mark = AttemptMark {
             key,
@@ -286,8 +286,7 @@
 
     /// Attempts of this box that are open at a target, and those whose age tells of it.
     pub fn open_at(&self, key: TargetKey) -> (u32, Vec<OpenAge>) {
-        let service = self.services.get(&key);
-        let pool = service.and_then(|service| self.pools.get(service));
+        let pool = self.pool_of(key);
         let open = |pool: &TargetPool| (pool[key].open.own(), pool[key].open.own_ages().collect());
         pool.map(open).unwrap_or_default()
     }
@@ -304,7 +303,7 @@
         if !self.setup.mechanisms.has(Mechanism::Hedges) {
             return None;
         }
-        let pool = self.pools.get(self.services.get(&mark.key)?)?;
+        let pool = self.pool_of(mark.key)?;
         let stalls = pool.risk(now, &pool[mark.key]) * pool.stalled_part();
         let stalls = stalls.clamp(LEAST_STALLS, MOST_STALLS);
         let sound = 1.0 - stalls;
@@ -316,15 +315,14 @@
     /// The time after its start at which no more than `share` of sound attempts like this
     /// one are still open.
     fn age_of_share(&self, mark: &AttemptMark, share: f64) -> Option<Duration> {
-        let pool = self.pools.get(self.services.get(&mark.key)?)?;
+        let pool = self.pool_of(mark.key)?;
         let wait = mark.due_from.since(mark.started);
         Some(wait + mark.usual.mul_f64(pool.age_of_share(share)))
     }
 
     /// Probability that the next attempt at a target fails, for status pages and tests.
     pub fn risk(&self, now: TimePoint, key: TargetKey) -> Option<f64> {
-        let service = self.services.get(&key)?;
-        let pool = self.pools.get(service)?;
+        let pool = self.pool_of(key)?;
         Some(pool.risk(now, &pool[key]))
     }
 
@@ -344,6 +342,10 @@
         self.ledgers.get_mut(service).expect("it was just put there")
     }
 
+    fn pool_of(&self, key: TargetKey) -> Option<&TargetPool> {
+        self.pools.get(self.services.get(&key)?)
+    }
+
     fn pool_mut(&mut self, key: TargetKey) -> Option<&mut TargetPool> {
         self.pools.get_mut(self.services.get(&key)?)
     }
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -150,15 +150,12 @@
         sample: &PeerSample,
     ) -> Option<SuspicionChange> {
         if let Some(multiple) = sample.multiple {
-            self.times.note(now, multiple);
+            self.note_multiple(now, key, multiple);
         }
         let record = self.get_mut(key)?;
         if let Some(held) = sample.held {
             record.note_load(now, held);
         }
-        if let Some(multiple) = sample.multiple {
-            record.note_time(multiple);
-        }
         if let Some(open) = sample.open {
             record.note_peer_open(now, peer, open, &sample.telling);
         }
--- a/crates/decide/src/steer/times.rs
+++ b/crates/decide/src/steer/times.rs
@@ -17,7 +17,7 @@
 /// The assumption counts as much as this many answers.
 const ASSUMED_ANSWERS: f64 = 20.0;
 /// Attempts at a sound target that never come back: lost packets and cut paths.
-pub(crate) const STALLS_WHEN_SOUND: f64 = 0.01;
+const STALLS_WHEN_SOUND: f64 = 0.01;
 /// An attempt is overdue when so few sound answers take longer.
 pub(crate) const OVERDUE_SHARE: f64 = 0.01;
 
@@ -52,10 +52,7 @@
     /// How many times likelier an attempt is open at that age in a spell, in which `stalling`
     /// of the requests stall, than at a sound target.
     pub fn stall_ratio(&self, multiple: f64, stalling: f64) -> f64 {
-        let late = self.share_above(multiple);
-        let in_spell = stalling + (1.0 - stalling) * late;
-        let sound = STALLS_WHEN_SOUND + (1.0 - STALLS_WHEN_SOUND) * late;
-        (in_spell / sound).max(1.0)
+        stall_ratio(self.share_above(multiple), stalling)
     }
 
     /// The age at which no more than `share` of sound answers are still missing.
@@ -77,6 +74,14 @@
     }
 }
 
+/// How many times likelier an attempt that `late` of the sound ones outlast is still open in a
+/// spell, in which `stalling` of the requests stall, than at a sound target.
+pub(crate) fn stall_ratio(late: f64, stalling: f64) -> f64 {
+    let in_spell = stalling + (1.0 - stalling) * late;
+    let sound = STALLS_WHEN_SOUND + (1.0 - STALLS_WHEN_SOUND) * late;
+    (in_spell / sound).max(1.0)
+}
+
 /// The sketch counts times; the usual one is a second to it.
 fn as_latency(multiple: f64) -> Duration {
     Duration::from_secs_f64(multiple.clamp(0.0, 1000.0))
