List fewer peers in a beacon the more boxes hear it, and look at the table of peers once

Cause: with 88 boxes in a data centre each takes in 88 beacons a second that list 12 peers each, and each beacon had the whole table listed twice to find who is new.

Change: beacons of one second list 432 peers together at most, as 36 boxes do with 12 each; who is new is told as it is taken in. The ranks of listeners are worked out once each.

Tests: those of the exchange and of life cycles pass.

--- a/crates/decide/src/steer/listeners.rs
+++ b/crates/decide/src/steer/listeners.rs
@@ -18,7 +18,7 @@
 pub fn listeners<'a, T>(own: &str, others: &'a [T], name: impl Fn(&T) -> &str) -> Vec<&'a T> {
     let mut ranked: Vec<&T> = others.iter().collect();
     if ranked.len() > LISTENERS {
-        ranked.sort_by_key(|other| std::cmp::Reverse(rendezvous_weight(own, name(other))));
+        ranked.sort_by_cached_key(|other| std::cmp::Reverse(rendezvous_weight(own, name(other))));
         ranked.truncate(LISTENERS);
     }
     ranked
--- a/crates/gateway/src/gossip/beacons.rs
+++ b/crates/gateway/src/gossip/beacons.rs
@@ -17,6 +17,9 @@
 /// Peers that such a beacon lists, and those that one within the data centre lists.
 const FAR_LISTED: usize = 6;
 const NEAR_LISTED: usize = 12;
+/// Peers that all beacons that a box takes in a second list together, at most: those of 36 boxes
+/// with 12 each. With 88 boxes that list 12 each, reading them took more than the beacons.
+const LISTED_A_SECOND: usize = 432;
 /// Time between two questions to seeds while no peer is known.
 const SEARCH_PERIOD: Duration = Duration::from_millis(250);
 /// A box that knows others, but none of its data centre, asks seeds as often for this long:
@@ -92,8 +95,9 @@
             let mut peers = self.context.peers();
             let gone = peers.drop_silent(now);
             let far = if round.is_multiple_of(FAR_EVERY) { peers.some_far() } else { None };
-            let listed = peers.listed(now, NEAR_LISTED);
-            (peers.near(), far, listed, gone)
+            let near = peers.near();
+            let listed = peers.listed(now, listed_by(near.len()));
+            (near, far, listed, gone)
         };
         for box_id in gone {
             log::info!(peer = box_id.as_str(); "peer-lost");
@@ -123,11 +127,9 @@
         }
         let found: Vec<IpAddr> = {
             let mut peers = self.context.peers();
-            let near = peers.near();
-            for told in &beacon.peers {
-                peers.note_told(now, told);
-            }
-            peers.near().into_iter().filter(|host| !near.contains(host)).collect()
+            let found = beacon.peers.iter().filter_map(|told| peers.note_told(now, told));
+            let found: Vec<IpAddr> = found.collect();
+            found.into_iter().filter(|host| peers.is_near(*host)).collect()
         };
         if !found.is_empty() {
             // They learn of this box by it.
@@ -194,3 +196,8 @@
         self.send(hosts, DatagramBody::Beacon(beacon)).await;
     }
 }
+
+/// Peers that a beacon to `near` boxes lists.
+fn listed_by(near: usize) -> usize {
+    (LISTED_A_SECOND / near.max(1)).clamp(2, NEAR_LISTED)
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -97,27 +97,24 @@
         self.peers.insert(host, entry).is_none()
     }
 
-    /// Takes what a peer told of another box; returns whether it was unknown.
-    pub(crate) fn note_told(&mut self, now: Instant, told: &PeerRecord) -> bool {
-        let Ok(host) = told.host.parse::<IpAddr>() else {
-            return false;
-        };
+    /// Takes what a peer told of another box; returns its host if it was unknown.
+    pub(crate) fn note_told(&mut self, now: Instant, told: &PeerRecord) -> Option<IpAddr> {
+        let host = told.host.parse::<IpAddr>().ok()?;
         let age = Duration::from_millis(u64::from(told.age_ms));
         let silence = self.silence(&told.data_centre);
         if age >= silence {
-            return false;
+            return None;
         }
-        let Some(heard) = now.checked_sub(age) else {
-            return false;
-        };
-        self.note_alive(PeerNote {
+        let heard = now.checked_sub(age)?;
+        let new = self.note_alive(PeerNote {
             host,
             box_id: &told.box_id,
             data_centre: &told.data_centre,
             incarnation: told.incarnation,
             link_mbps: told.link_mbps,
             heard,
-        })
+        });
+        new.then_some(host)
     }
 
     /// A box said that it ends.
