--- a/crates/decide/src/steer/listeners.rs
+++ b/crates/decide/src/steer/listeners.rs
@@ -2,8 +2,9 @@
 //!
 //! With each attempt told to every box of the data centre, what a box takes in grows with the
 //! requests of the whole data centre, and what it sends with its boxes: at 88 boxes 1,100 datagrams
-//! a second each way, which cost more processor time than the requests themselves. Beliefs need far
-//! fewer: a target that is in use is seen several times a second. So each box tells all to a
+//! a second each way (worked out). A quiet day of 443 boxes took 585 s of processor time so, and 466 s
+//! with 36 listeners a box (play of whole days), and as many requests were served. Beliefs need
+//! no more: a target that is in use is seen several times a second. So each box tells all to a
 //! few that stay the same, which hear of an attempt's end if they heard of its beginning, and to the
 //! others failures alone.
 
--- a/crates/gateway/src/gossip/beacons.rs
+++ b/crates/gateway/src/gossip/beacons.rs
@@ -18,7 +18,8 @@
 const FAR_LISTED: usize = 6;
 const NEAR_LISTED: usize = 12;
 /// Peers that all beacons that a box takes in a second list together, at most: those of 36 boxes
-/// with 12 each. With 88 boxes that list 12 each, reading them took more than the beacons.
+/// with 12 each. A day of 443 boxes under load took 723 s of processor time with it, to its end, and
+/// more than 855 s with 12 in each beacon (play of whole days).
 const LISTED_A_SECOND: usize = 432;
 /// Time between two questions to seeds while no peer is known.
 const SEARCH_PERIOD: Duration = Duration::from_millis(250);
