Tell who tells all by what it says to be open, and weigh waits by one scale

Cause: on a second reading. PeerSample.whole said what its field open says already: only a peer that tells all tells what it has open, and the gateway set the one from the other. LateScale held two of the three values that lateness took one by one.

Change: the field whole is gone; what depended on it stands beside what depends on open. Tests' fixtures that said whole say that nothing is open; no assertion changed. LateScale holds the goal as well and is made and used by the pool.

Checked: clippy of the workspace, the tests of decide and gateway.

--- a/crates/bench/src/steer/cost.rs
+++ b/crates/bench/src/steer/cost.rs
@@ -90,7 +90,6 @@
 
 fn tell(core: &mut SteerCore, now: TimePoint, number: usize) {
     let sample = PeerSample {
-        whole: true,
         good: 1,
         multiple: Some(1.0),
         held: Some(1),
--- a/crates/bench/src/steer/world.rs
+++ b/crates/bench/src/steer/world.rs
@@ -365,7 +365,6 @@
         let failed = outcome == Some(SteerOutcome::Failed);
         let held = self.targets[self.keys[&key]].1.load().held;
         let sample = PeerSample {
-            whole: true,
             good: u32::from(matches!(outcome, Some(SteerOutcome::Good(_)))),
             bad: u32::from(failed),
             overdue: u32::from(news.stalled),
--- a/crates/decide/src/steer/choose.rs
+++ b/crates/decide/src/steer/choose.rs
@@ -8,7 +8,7 @@
 use crate::names::TargetKey;
 use crate::steer::mechanism::Mechanism;
 use crate::steer::messages::{SteerRequest, SteerSetup};
-use crate::steer::pool::TargetPool;
+use crate::steer::pool::{LateScale, TargetPool};
 use crate::steer::record::TargetRecord;
 use crate::time::TimePoint;
 
@@ -44,15 +44,6 @@
     score: f64,
 }
 
-/// What a wait of one request is weighed by, the same at each target.
-#[derive(Clone, Copy)]
-struct LateScale {
-    /// The usual time of its route.
-    usual: Duration,
-    /// The share that is late without any wait.
-    anyway: f64,
-}
-
 /// The targets of a service that were not tried for the request, with their scores.
 pub(crate) fn candidates(
     now: TimePoint,
@@ -61,7 +52,7 @@
     usual: Duration,
     setup: &SteerSetup,
 ) -> Vec<Candidate> {
-    let scale = LateScale { usual, anyway: pool.late_anyway(request.goal, usual) };
+    let scale = pool.late_scale(request.goal, usual);
     let untried = pool.records().filter(|(key, _)| !request.tried.contains(key));
     let candidate = |(key, record): (TargetKey, &TargetRecord)| {
         let wait = if setup.mechanisms.has(Mechanism::LoadWait) {
@@ -69,7 +60,7 @@
         } else {
             Duration::ZERO
         };
-        let score = score(now, pool, record, wait, scale, request, setup);
+        let score = score(now, pool, record, wait, &scale, request, setup);
         Candidate { key, wait, score }
     };
     untried.map(candidate).collect()
@@ -99,7 +90,7 @@
     pool: &TargetPool,
     record: &TargetRecord,
     wait: Duration,
-    scale: LateScale,
+    scale: &LateScale,
     request: &SteerRequest<'_>,
     setup: &SteerSetup,
 ) -> f64 {
@@ -107,7 +98,7 @@
         return 0.0;
     }
     let loss = if request.repeatable { LOST_COST * REPEAT_SHARE } else { LOST_COST };
-    let late = pool.lateness(wait.mul_f64(WAIT_DOUBT), request.goal, scale.usual, scale.anyway);
+    let late = pool.lateness(wait.mul_f64(WAIT_DOUBT), scale);
     let full = if record.is_full(now) { FULL_COST } else { 0.0 };
     let cold = record.cold_time(now).as_secs_f64().min(1.0);
     let away = record.setup.data_centre != setup.data_centre;
--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -140,9 +140,6 @@
 /// What some boxes saw of one target since they last told.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct PeerSample {
-    /// Whether the peer tells this box all that it sees. Others tell of failures, and hardly
-    /// of successes.
-    pub whole: bool,
     /// Attempts that went well.
     pub good: u32,
     /// Attempts that failed.
@@ -154,7 +151,8 @@
     pub multiple: Option<f64>,
     /// What the target last said it holds.
     pub held: Option<u32>,
-    /// Attempts that the peer has open there now, if it told.
+    /// Attempts that the peer has open there now. `None` from one that does not tell this box
+    /// all that it sees, but of failures and hardly of successes.
     pub open: Option<u32>,
     /// Those of them whose age tells of the target.
     pub telling: Vec<OpenAge>,
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -37,6 +37,15 @@
 /// Answers over which the usual time and size of a service are averaged.
 const SETTLED: f64 = 50.0;
 
+/// What waits of one request are weighed by, the same at each target.
+pub(crate) struct LateScale {
+    goal: Duration,
+    /// The usual time of its route.
+    usual: Duration,
+    /// The share that is late without any wait.
+    anyway: f64,
+}
+
 /// The targets of one service.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -158,8 +167,6 @@
         }
         if let Some(open) = sample.open {
             record.note_peer_open(now, peer, open, &sample.telling);
-        }
-        if sample.whole {
             self.note_use(now);
             self.note_told(now, sample);
         }
@@ -291,7 +298,7 @@
         self.failed * fading / (self.ended * fading + LEAST_ENDED)
     }
 
-    /// Counts what a peer tells that tells all. Others tell of failures alone: counted in, they
+    /// Counts what a peer that tells all has told. Others tell of failures alone: counted in, they
     /// make 4 in 100 that fail look like 11 with three data centres and like 17 with five (worked
     /// out), so that calm is never seen and targets are tried as in an outage.
     fn note_told(&mut self, now: TimePoint, sample: &PeerSample) {
@@ -318,25 +325,24 @@
         self.times.age_of_share(share)
     }
 
-    /// The share of requests of that usual time that take longer than `goal`, wherever they go.
-    pub(crate) fn late_anyway(&self, goal: Duration, usual: Duration) -> f64 {
-        self.times.share_above(goal.as_secs_f64() / usual.as_secs_f64().max(0.001))
+    /// What waits of a request of that usual time are weighed by.
+    pub(crate) fn late_scale(&self, goal: Duration, usual: Duration) -> LateScale {
+        LateScale { goal, usual, anyway: self.share_later(goal, usual) }
     }
 
-    /// How much likelier than `anyway` a request of that usual time is late for its `goal`, by
-    /// a wait of `wait`. Most targets have none and need no look at the learned times: a choice
+    /// How much likelier a request is late for its goal by a wait of `wait`. Most targets have none and need no look at the learned times: a choice
     /// among 431 took 105 us with one at each of them and 47 us without (`wingbench steer --cost`).
-    pub(crate) fn lateness(
-        &self,
-        wait: Duration,
-        goal: Duration,
-        usual: Duration,
-        anyway: f64,
-    ) -> f64 {
+    pub(crate) fn lateness(&self, wait: Duration, scale: &LateScale) -> f64 {
+        let LateScale { goal, usual, anyway } = *scale;
         if wait >= goal {
             return 1.0;
         }
-        if wait.is_zero() { 0.0 } else { self.late_anyway(goal - wait, usual) - anyway }
+        if wait.is_zero() { 0.0 } else { self.share_later(goal - wait, usual) - anyway }
+    }
+
+    /// The share of requests of that usual time that take longer than `time`.
+    fn share_later(&self, time: Duration, usual: Duration) -> f64 {
+        self.times.share_above(time.as_secs_f64() / usual.as_secs_f64().max(0.001))
     }
 
     /// What an attempt that begins now is measured by: from when on it has a slot.
--- a/crates/decide/tests/stalls.rs
+++ b/crates/decide/tests/stalls.rs
@@ -30,7 +30,6 @@
 fn tell_open(core: &mut SteerCore, now: TimePoint, id: &str, count: u32, age: Duration) {
     let open = OpenAge { since: now.before(age), usual: USUAL };
     let sample = PeerSample {
-        whole: true,
         open: Some(count),
         telling: vec![open; count as usize],
         ..PeerSample::default()
@@ -72,7 +71,7 @@
     let now = at(20_200);
     tell_open(&mut core, now, "a", 2, USUAL * 4);
     assert!(core.risk(now, TargetKey::of("a")).expect("known") >= SUSPECT_FROM);
-    let answered = PeerSample { whole: true, good: 2, open: Some(0), ..PeerSample::default() };
+    let answered = PeerSample { good: 2, open: Some(0), ..PeerSample::default() };
     core.take_peer(now, 9, TargetKey::of("a"), &answered);
     assert!(core.risk(now, TargetKey::of("a")).expect("known") < SUSPECT_FROM);
 }
--- a/crates/decide/tests/steer.rs
+++ b/crates/decide/tests/steer.rs
@@ -109,7 +109,7 @@
     let now = at(20_000);
     let mut core = settled(&[("a", "near"), ("b", "near")], now);
     for peer in 1..=6 {
-        let open = PeerSample { whole: true, open: Some(1), ..PeerSample::default() };
+        let open = PeerSample { open: Some(1), ..PeerSample::default() };
         core.take_peer(now, peer, TargetKey::of("a"), &open);
     }
     let counts = shares(&mut core, now, &["a", "b"], false);
--- a/crates/decide/tests/steering/mod.rs
+++ b/crates/decide/tests/steering/mod.rs
@@ -74,8 +74,8 @@
 
 pub fn good(core: &mut SteerCore, now: TimePoint, id: &str, count: u32) {
     let sample = PeerSample {
-        whole: true,
         good: count.min(3),
+        open: Some(0),
         multiple: Some(1.0),
         ..PeerSample::default()
     };
@@ -85,7 +85,7 @@
 }
 
 pub fn bad(core: &mut SteerCore, now: TimePoint, id: &str) {
-    let sample = PeerSample { whole: true, bad: 1, ..PeerSample::default() };
+    let sample = PeerSample { bad: 1, open: Some(0), ..PeerSample::default() };
     core.take_peer(now, 1, TargetKey::of(id), &sample);
 }
 
--- a/crates/gateway/src/gossip/telling.rs
+++ b/crates/gateway/src/gossip/telling.rs
@@ -65,6 +65,7 @@
         let news = pending.iter().filter(|seen| seen.is_news).map(|seen| seen.sighting.clone());
         let news: Vec<Sighting> = news.collect();
         for part in news.chunks(SIGHTINGS) {
+            // Without what is open, by which a box knows that it is told all.
             let sightings = Sightings { targets: part.to_vec(), tallies: Vec::new() };
             self.send_sightings(&others, sightings).await;
         }
@@ -90,8 +91,6 @@
                 log_replaced(&format!("{:016x}", seen.target), box_id);
             }
             let sample = PeerSample {
-                // Who tells failures alone leaves out what it has open.
-                whole: seen.open_plus_one > 0,
                 good: seen.good,
                 bad: seen.bad,
                 overdue: seen.overdue,
