Name the box in each line of its log

Cause: logs that a collector has merged could not be told apart: wingctl explain took all lines for one box's and said that 65 in 100 requests left their data centre, where 2 in 100 did.

Change: each line of wingbridge-box has the field box.

--- a/crates/process/src/logs.rs
+++ b/crates/process/src/logs.rs
@@ -20,24 +20,26 @@
 }
 
 /// Starts logging at `level` to standard output through `ring`, which the caller closes at
-/// the end. The handle must be kept.
+/// the end. Each line names the box `box_id`, so that merged logs can be told apart. The handle must
+/// be kept.
 ///
 /// # Errors
 /// The level is unknown or logging has been started already.
-pub fn start_ring_logs(level: &str, ring: LogRing) -> eyre::Result<LoggerHandle> {
-    let writer = Box::new(RingWriter { ring });
+pub fn start_ring_logs(level: &str, ring: LogRing, box_id: &str) -> eyre::Result<LoggerHandle> {
+    let writer = Box::new(RingWriter { ring, box_id: box_id.to_string() });
     Ok(Logger::try_with_str(level)?.log_to_writer(writer).start()?)
 }
 
 /// Hands formatted lines to the ring.
 struct RingWriter {
     ring: LogRing,
+    box_id: String,
 }
 
 impl LogWriter for RingWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
         let mut line = Vec::with_capacity(512);
-        json_line(&mut line, now, record)?;
+        write_line(&mut line, now, record, Some(&self.box_id))?;
         self.ring.put(line);
         Ok(())
     }
@@ -51,8 +53,20 @@
     out: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
+) -> Result<(), std::io::Error> {
+    write_line(out, now, record, None)
+}
+
+fn write_line(
+    out: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+    box_id: Option<&str>,
 ) -> Result<(), std::io::Error> {
     let mut fields = FieldReader::default();
+    if let Some(box_id) = box_id {
+        fields.put("box", box_id);
+    }
     fields.put("time", &now.format_rfc3339());
     fields.put("level", &record.level().to_string().to_lowercase());
     fields.put("module", record.module_path().unwrap_or_default());
