Tell boxes apart in merged logs by the name in their lines

Change: a line that names its box counts as that box's.

Measured: by the new test, three requests of two boxes in one file: 1 left its data centre, as it did. The code before was not run on it.

--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -10,7 +10,7 @@
 use super::log_objects::{LogObject, log_objects};
 use super::losses::{LossCount, LossRow, ServiceRow};
 use super::moments::{MomentCount, MomentRow};
-use super::request_line::{LogLine, decode};
+use super::request_line::{BoxLine, LogLine, decode};
 use super::spells::{SpellCount, SpellReport};
 use super::spread::{LeavingReport, SpreadCount, VersionRow};
 use crate::output::table;
@@ -112,8 +112,11 @@
     }
 
     fn take(&mut self, name: &str, object: &LogObject<'_>) -> eyre::Result<()> {
-        let box_name = object.named.unwrap_or(name);
-        match decode(object.text)? {
+        let BoxLine { box_name, line } = decode(object.text)?;
+        // A line that names its box is that box's, wherever a collector has put it.
+        let told = Some(box_name.as_str()).filter(|told| !told.is_empty());
+        let box_name = told.or(object.named).unwrap_or(name);
+        match line {
             LogLine::Request(line) if !line.service.is_empty() => {
                 let data_centre = self.data_centres.get(box_name).map(String::as_str);
                 self.requests += 1;
--- a/crates/ctl/src/explain/request_line.rs
+++ b/crates/ctl/src/explain/request_line.rs
@@ -41,6 +41,13 @@
     pub(super) view_age_ms: u64,
 }
 
+/// A line of a log, and the box whose it is, if the line tells.
+pub(super) struct BoxLine {
+    /// Empty in logs of boxes that did not tell.
+    pub(super) box_name: String,
+    pub(super) line: LogLine,
+}
+
 /// What a line of a log is, as far as it counts here.
 pub(super) enum LogLine {
     Request(Box<RequestLine>),
@@ -56,6 +63,8 @@
 /// The fields as they stand in the log: each value is a text.
 #[derive(Deserialize)]
 struct RawLine {
+    #[serde(default, rename = "box")]
+    box_name: String,
     #[serde(default)]
     event: String,
     #[serde(default)]
@@ -94,8 +103,13 @@
 ///
 /// # Errors
 /// It is no JSON object, or a request's field is missing or is no number.
-pub(super) fn decode(json: &str) -> eyre::Result<LogLine> {
-    let raw: RawLine = serde_json::from_str(json).wrap_err("it is no JSON object of a log")?;
+pub(super) fn decode(json: &str) -> eyre::Result<BoxLine> {
+    let mut raw: RawLine = serde_json::from_str(json).wrap_err("it is no JSON object of a log")?;
+    let box_name = std::mem::take(&mut raw.box_name);
+    Ok(BoxLine { box_name, line: decode_line(raw)? })
+}
+
+fn decode_line(raw: RawLine) -> eyre::Result<LogLine> {
     match raw.event.as_str() {
         "request" => Ok(LogLine::Request(Box::new(decode_request(raw)?))),
         "started" => Ok(LogLine::Started(raw.data_centre)),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -59,6 +59,18 @@
     explain(lines.join("\n")).expect("sound lines")
 }
 
+#[test]
+fn merged_logs_are_told_apart_by_the_boxes_that_their_lines_name() {
+    let started = |name: &str, centre: &str| {
+        format!(r#"{{"event":"started","box":"{name}","data_centre":"{centre}"}}"#)
+    };
+    let request = |name: &str| FINE.text().replacen('{', &format!(r#"{{"box":"{name}","#), 1);
+    let merged =
+        [started("b1", "near"), started("b2", "far"), request("b1"), request("b2"), request("b2")];
+    let report = explain(merged.join("\n")).expect("sound lines");
+    assert_eq!(report.services[0].crossed, 1, "all targets are far, and one box is near");
+}
+
 #[test]
 fn requests_are_counted_by_how_they_ended() {
     let report = report(&[
