Take callers once the targets are known, not the configuration alone

Cause: a box that has just started may have the configuration from a peer before the targets. It was ready, and told each caller that no target takes its request. Ruled out: targets that left, quotas (their lines say so).

Change: a box is ready, and requests no longer wait, once it has both.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -61,8 +61,9 @@
     view: Mutex<KnownView>,
     core: Mutex<SteerCore>,
     split: Mutex<WeightedSplit>,
-    /// Opens with the first configuration.
-    pub(crate) first_config: OpenGate,
+    /// Opens once a configuration and the targets are known: with the configuration alone a box
+    /// that has just started turned each caller away.
+    pub(crate) first_view: OpenGate,
 }
 
 impl BoxContext {
@@ -105,7 +106,7 @@
             view: Mutex::default(),
             core: Mutex::new(core),
             split: Mutex::new(WeightedSplit::new(seed as f64 / u64::MAX as f64)),
-            first_config: OpenGate::default(),
+            first_view: OpenGate::default(),
         })
     }
 
@@ -157,7 +158,7 @@
 
     /// Whether the balancer should send callers.
     pub(crate) fn is_ready(&self) -> bool {
-        self.first_config.is_open() && !self.stopping.is_stopping() && !self.is_behind()
+        self.first_view.is_open() && !self.stopping.is_stopping() && !self.is_behind()
     }
 
     /// Whether this box has known for the whole time of a change that peers work by a newer
@@ -231,7 +232,8 @@
     }
 
     fn note_taken(&self, change: &ViewChange, from: &TakenFrom<'_>) {
-        if self.config().is_some() && self.first_config.open() {
+        let knows_all = self.config().is_some() && self.view_age().is_some();
+        if knows_all && self.first_view.open() {
             let age_ms = millis(from.as_of.elapsed());
             log::info!(source = from.source, revision = from.revision, age_ms; "ready");
         }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -21,7 +21,7 @@
 /// Time kept back from the caller's deadline for the answer's way to it.
 const WAY_BACK: Duration = Duration::from_millis(40);
 
-/// A request waits at most this long for a box's first configuration.
+/// A request waits at most this long for a box's first configuration and targets.
 const CONFIG_WAIT: Duration = Duration::from_secs(1);
 /// The same as a share of the time that its caller has: what is left must be enough for
 /// the request itself.
@@ -68,7 +68,7 @@
     let key = take_key(context, &mut request.start);
     let id = request_id(context, &request).unwrap_or_else(|| "-".to_string());
     let path = request.start.path().to_string();
-    await_config(context, &request).await;
+    await_view(context, &request).await;
     let (answer, trace) = match plan_by_newest(context, &request, key).await {
         Err(refusal) => (refusal.answer, refusal.trace),
         Ok(plan) => carry_out(context, request, plan).await,
@@ -77,16 +77,16 @@
     answer
 }
 
-/// Waits for the first configuration, as long as a caller had better wait for it: a box
-/// that has just started knows one some 50 ms later.
-async fn await_config(context: &BoxContext, request: &CallerRequest) {
-    if context.config().is_some() {
+/// Waits for the first configuration and targets, as long as a caller had better wait for them: a
+/// box that has just started knows them some 50 ms later.
+async fn await_view(context: &BoxContext, request: &CallerRequest) {
+    if context.first_view.is_open() {
         return;
     }
     let told = told_time(context, request).map_or(CONFIG_WAIT, |time| time.mul_f64(CONFIG_SHARE));
-    let known = context.first_config.wait_open();
+    let known = context.first_view.wait_open();
     if async_std::future::timeout(CONFIG_WAIT.min(told), known).await.is_err() {
-        log::debug!("configuration-awaited-in-vain");
+        log::debug!("view-awaited-in-vain");
     }
 }
 
