Say once how silence is told and how boxes of the emulator tell all others

Cause: on a second reading. drop_silent worked out a peer's silence beside silence() and went through the table three times; two ways of the quota emulator had the same telling and the same bytes twice; the floor on boxes stood four times in CreditBook. A result that nobody read, and two methods that nobody called, were public.

Change: each is one piece now. No decision changes.

--- a/crates/bench/src/quota/ways.rs
+++ b/crates/bench/src/quota/ways.rs
@@ -127,11 +127,22 @@
     }
 }
 
+/// What boxes that tell all others were told last, by box, and when.
+type ToldByPeers = HashMap<usize, (f64, TimePoint)>;
+
+/// The same `amount` for each box of a table but the one with the number `own`.
+fn tell_others(ranks: &[usize], own: usize, amount: f64) -> Vec<(usize, f64)> {
+    ranks.iter().filter(|other| **other != own).map(|other| (*other, amount)).collect()
+}
+
+/// Bytes of an amount that is told, without packet headers.
+const TOLD_BYTES: usize = 50;
+
 /// A box that tells all others what it admitted within the window.
 pub(crate) struct SumsBox {
     boxes: usize,
     own: Vec<(TimePoint, f64)>,
-    peers: HashMap<usize, (f64, TimePoint)>,
+    peers: ToldByPeers,
     told: TimePoint,
     untold: bool,
     number: usize,
@@ -178,7 +189,7 @@
         }
         (self.told, self.untold) = (now, false);
         let sum = self.own_sum(now);
-        ranks.iter().filter(|other| **other != self.number).map(|other| (*other, sum)).collect()
+        tell_others(ranks, self.number, sum)
     }
 
     fn take(
@@ -194,7 +205,7 @@
     }
 
     fn bytes(_: &f64) -> usize {
-        50
+        TOLD_BYTES
     }
 }
 
@@ -204,7 +215,7 @@
     boxes: usize,
     asked: f64,
     seen: TimePoint,
-    peers: HashMap<usize, (f64, TimePoint)>,
+    peers: ToldByPeers,
     bucket: CreditBucket,
     told: TimePoint,
 }
@@ -256,8 +267,7 @@
         }
         self.told = now;
         self.fade(now);
-        let asked = self.asked;
-        ranks.iter().filter(|other| **other != self.number).map(|other| (*other, asked)).collect()
+        tell_others(ranks, self.number, self.asked)
     }
 
     fn take(
@@ -273,6 +283,6 @@
     }
 
     fn bytes(_: &f64) -> usize {
-        50
+        TOLD_BYTES
     }
 }
--- a/crates/decide/src/quota/credit.rs
+++ b/crates/decide/src/quota/credit.rs
@@ -134,7 +134,7 @@
 
     /// A request of the customer came; whether it may go on.
     pub fn take(&mut self, now: TimePoint, customer: &Name, limit: QuotaLimit) -> Admission {
-        let boxes = self.boxes.max(LEAST_BOXES);
+        let boxes = self.counted_boxes();
         let account = self.account(now, customer, limit);
         account.note_request(now);
         account.admit(now, boxes)
@@ -142,7 +142,7 @@
 
     /// The same for a request that has waited.
     pub fn take_again(&mut self, now: TimePoint, customer: &Name, limit: QuotaLimit) -> Admission {
-        let boxes = self.boxes.max(LEAST_BOXES);
+        let boxes = self.counted_boxes();
         self.account(now, customer, limit).admit(now, boxes)
     }
 
@@ -169,7 +169,7 @@
 
     /// Asks that are to be sent now.
     pub fn due_asks(&mut self, now: TimePoint) -> Vec<DueAsk> {
-        let boxes = self.boxes.max(LEAST_BOXES);
+        let boxes = self.counted_boxes();
         let mut due = Vec::new();
         for (customer, account) in &mut self.accounts {
             account.give_up_late(now);
@@ -185,13 +185,15 @@
 
     /// When to look again for asks that are due or late; `None` while nothing is open.
     pub fn next_due(&self, now: TimePoint) -> Option<TimePoint> {
-        let boxes = self.boxes.max(LEAST_BOXES);
+        let boxes = self.counted_boxes();
         self.accounts.values().filter_map(|account| account.next_due(now, boxes)).min()
     }
 
-    /// Takes a keeper's answer; returns whether it was waited for.
-    pub fn take_grant(&mut self, now: TimePoint, customer: &Name, grant: &QuotaGrant) -> bool {
-        self.accounts.get_mut(customer).is_some_and(|account| account.take_grant(now, grant))
+    /// Takes a keeper's answer, if it is waited for.
+    pub fn take_grant(&mut self, now: TimePoint, customer: &Name, grant: &QuotaGrant) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.take_grant(now, grant);
+        }
     }
 
     /// Whether the box reaches no keeper of that customer.
@@ -204,6 +206,10 @@
         self.accounts.retain(|_, account| now.since(account.seen) < REST_TIME);
     }
 
+    fn counted_boxes(&self) -> usize {
+        self.boxes.max(LEAST_BOXES)
+    }
+
     fn account(
         &mut self,
         now: TimePoint,
@@ -381,9 +387,9 @@
         (place, QuotaAsk { number, owed, unused, wish, share, is_told })
     }
 
-    fn take_grant(&mut self, now: TimePoint, grant: &QuotaGrant) -> bool {
+    fn take_grant(&mut self, now: TimePoint, grant: &QuotaGrant) {
         let Some(open) = self.outstanding.take_if(|open| open.number == grant.number) else {
-            return false;
+            return;
         };
         // What it spent alone was held back for it, and is not told.
         self.failed = 0;
@@ -397,6 +403,5 @@
         if grant.granted < open.wish {
             self.closed_until = now + grant.wait;
         }
-        true
     }
 }
--- a/crates/decide/src/quota/keeper.rs
+++ b/crates/decide/src/quota/keeper.rs
@@ -183,16 +183,6 @@
     pub fn forget_resting(&mut self, now: TimePoint) {
         self.customers.retain(|_, kept| now.since(kept.faded) < REST_TIME);
     }
-
-    /// How many customers it keeps.
-    pub fn len(&self) -> usize {
-        self.customers.len()
-    }
-
-    /// Whether it keeps none.
-    pub fn is_empty(&self) -> bool {
-        self.customers.is_empty()
-    }
 }
 
 impl KeptQuota {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -126,8 +126,7 @@
     pub(crate) fn note_told(&mut self, now: Instant, told: &PeerRecord) -> Option<IpAddr> {
         let host = told.host.parse::<IpAddr>().ok()?;
         let age = Duration::from_millis(u64::from(told.age_ms));
-        let silence = self.silence(&told.data_centre);
-        if age >= silence {
+        if age >= silence(&self.own_centre, &told.data_centre) {
             return None;
         }
         let heard = now.checked_sub(age)?;
@@ -149,22 +148,16 @@
 
     /// Forgets boxes that were silent for too long; returns their names.
     pub(crate) fn drop_silent(&mut self, now: Instant) -> Vec<String> {
-        let own = self.own_centre.clone();
-        let silent = |peer: &PeerEntry| {
-            let limit = if peer.data_centre == own { NEAR_SILENCE } else { FAR_SILENCE };
-            now.saturating_duration_since(peer.heard) >= limit
+        let own = self.own_centre.as_str();
+        let is_silent = |peer: &PeerEntry| {
+            now.saturating_duration_since(peer.heard) >= silence(own, &peer.data_centre)
         };
-        let near = self.peers.values().filter(|peer| silent(peer) && peer.data_centre == own);
+        let gone = self.peers.extract_if(|_, peer| is_silent(peer)).map(|(_, peer)| peer);
+        let gone: Vec<PeerEntry> = gone.collect();
+        let near = gone.iter().filter(|peer| peer.data_centre == own);
         self.lost.extend(near.map(|peer| (peer.host, now)));
         self.lost.retain(|_, noticed| now.saturating_duration_since(*noticed) < LOST_TIME);
-        let gone: Vec<String> = self
-            .peers
-            .values()
-            .filter(|peer| silent(peer))
-            .map(|peer| peer.box_id.clone())
-            .collect();
-        self.peers.retain(|_, peer| !silent(peer));
-        gone
+        gone.into_iter().map(|peer| peer.box_id).collect()
     }
 
     /// Boxes of the own data centre.
@@ -283,8 +276,9 @@
     fn near_peers(&self) -> impl Iterator<Item = &PeerEntry> {
         self.peers.values().filter(|peer| peer.data_centre == self.own_centre)
     }
+}
 
-    fn silence(&self, data_centre: &str) -> Duration {
-        if data_centre == self.own_centre { NEAR_SILENCE } else { FAR_SILENCE }
-    }
+/// After how long without a sign of life a box of `data_centre` is taken as gone, in `own`.
+fn silence(own: &str, data_centre: &str) -> Duration {
+    if data_centre == own { NEAR_SILENCE } else { FAR_SILENCE }
 }
