Tell in logs, metrics and explain what targets say of themselves

Cause: no line told that an answer said that its target leaves, or for how long it wants nothing, so the hypotheses could not be told apart. Change: the heads of answers are read for both (steer/notice.rs, notices.rs) and kept beside the target; no choice looks at it yet. Lines target-leaves, target-rests and sent-after-notice (with its counter, which should stand at 0), left_out in request lines, gauges of targets that leave and rest, and a table of targets left alone in wingctl explain. httpdate reads dates. Conclusion: sight only; routing is unchanged.

--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -4,10 +4,12 @@
 //! to mend first, shows only in all of them: by service and way of ending, by what was
 //! believed of the target, and by where in a target's spell of failures they fell. Lines of
 //! configurations and targets tell how long a change took through all boxes, and requests how
-//! old what they were decided by was. Requests under which targets ended are named one by one.
+//! old what they were decided by was. Requests under which targets ended are named one by one,
+//! and targets that wanted nothing with what kept them out of the choice.
 
 mod calibration;
 mod deadly;
+mod left_alone;
 mod log_objects;
 mod losses;
 mod moments;
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -8,6 +8,7 @@
 
 use super::calibration::{Calibration, CalibrationRow};
 use super::deadly::{DeadlyCount, DeadlyRow};
+use super::left_alone::{AloneCause, AloneCount, AloneLine, AloneRow};
 use super::log_objects::{LogObject, log_objects};
 use super::losses::{LossCount, LossRow, ServiceRow};
 use super::moments::{MomentCount, MomentRow};
@@ -24,6 +25,8 @@
 const MOMENTS_SHOWN: usize = 12;
 /// Requests under which targets ended that are shown to people; JSON has all.
 const DEADLY_SHOWN: usize = 12;
+/// Targets that were left alone that are shown to people; JSON has all.
+const ALONE_SHOWN: usize = 20;
 /// Lines that can't be read and are named; all are counted.
 const UNREAD_NAMED: usize = 8;
 /// A view that is older than this is on the way to be older than a change may take.
@@ -58,6 +61,8 @@
     pub old_views: usize,
     /// Requests under which targets ended.
     pub deadly: Vec<DeadlyRow>,
+    /// Targets that were left alone for some of the time, and why.
+    pub left_alone: Vec<AloneRow>,
 }
 
 /// A line of a log that can't be read.
@@ -101,6 +106,7 @@
     spread: SpreadCount,
     old_views: usize,
     deadly: DeadlyCount,
+    left_alone: AloneCount,
 }
 
 impl ReportSums {
@@ -132,13 +138,20 @@
                 self.calibration.note(&line);
                 self.moments.note(&line);
                 self.deadly.note_request(box_name, &line);
+                self.left_alone.note_request(&line);
             }
             LogLine::Ended(line) => self.deadly.note_ended(line),
             LogLine::Started(data_centre) => {
                 self.data_centres.insert(box_name.to_string(), data_centre);
             }
             LogLine::InForce(line) => self.spread.note_in_force(box_name, line),
-            LogLine::Left(line) => self.spread.note_left(line),
+            LogLine::Left(line) => {
+                let (target, at_ms) = (line.target.clone(), line.at_ms);
+                let alone = AloneLine { target, at_ms, cause: AloneCause::Left };
+                self.left_alone.note(box_name, &alone);
+                self.spread.note_left(line);
+            }
+            LogLine::Alone(line) => self.left_alone.note(box_name, &line),
             LogLine::Request(_) | LogLine::Other => {}
         }
         Ok(())
@@ -160,6 +173,7 @@
             leaving: self.spread.leaving(),
             old_views: self.old_views,
             deadly: self.deadly.rows(),
+            left_alone: self.left_alone.rows(),
         }
     }
 }
@@ -193,6 +207,8 @@
             format!("{} requests on a view older than {OLD_VIEW_MS} ms", self.old_views),
             "requests under which targets ended, again and again:".to_string(),
             self.deadly_table(),
+            "targets that were left alone, and the boxes that knew why:".to_string(),
+            self.alone_table(),
         ]
         .join("\n\n")
     }
@@ -289,6 +305,36 @@
         table(&headings, &rows)
     }
 
+    fn alone_table(&self) -> String {
+        let row = |row: &AloneRow| {
+            let counts = [
+                row.requests,
+                row.leaves_at,
+                row.rests,
+                row.rests_at,
+                row.replaced_at,
+                row.left_at,
+                row.withheld,
+                row.sent_after,
+            ];
+            let counts = counts.iter().map(usize::to_string);
+            std::iter::once(row.target.clone()).chain(counts).collect()
+        };
+        let rows: Vec<Vec<String>> = self.left_alone.iter().take(ALONE_SHOWN).map(row).collect();
+        let headings = [
+            "target",
+            "requests",
+            "leaves, by",
+            "rests",
+            "by",
+            "replaced, by",
+            "left the list, by",
+            "withheld",
+            "sent after",
+        ];
+        table(&headings, &rows)
+    }
+
     fn version_table(&self) -> String {
         let row = |row: &VersionRow| {
             vec![
--- a/crates/ctl/src/explain/request_line.rs
+++ b/crates/ctl/src/explain/request_line.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use super::deadly::EndedLine;
+use super::left_alone::{AloneCause, AloneLine};
 use super::spread::{InForceLine, LeftLine};
 
 /// What a request's line says of an attempt under which its target ended.
@@ -71,6 +72,8 @@
     Left(LeftLine),
     /// A target that ended while it had a request.
     Ended(EndedLine),
+    /// Why a target is left alone, or that it was not.
+    Alone(AloneLine),
     Other,
 }
 
@@ -121,6 +124,8 @@
     targets_ended: String,
     #[serde(default)]
     tried: String,
+    #[serde(default)]
+    rest_ms: String,
 }
 
 /// Decodes the JSON of one line.
@@ -150,10 +155,23 @@
         "target-ended" => {
             Ok(LogLine::Ended(EndedLine { fingerprint: raw.fingerprint, target: raw.target }))
         }
+        "target-leaves" => alone(raw, AloneCause::Leaves),
+        "target-rests" => {
+            let rest_ms = number(&raw.rest_ms, "rest_ms")?;
+            alone(raw, AloneCause::Rests(rest_ms))
+        }
+        "target-replaced" => alone(raw, AloneCause::Replaced),
+        "sent-after-notice" => alone(raw, AloneCause::SentAfter),
+        "send-withheld" => alone(raw, AloneCause::Withheld),
         _ => Ok(LogLine::Other),
     }
 }
 
+fn alone(raw: RawLine, cause: AloneCause) -> eyre::Result<LogLine> {
+    let at_ms = time_ms(&raw.time)?;
+    Ok(LogLine::Alone(AloneLine { target: raw.target, at_ms, cause }))
+}
+
 fn decode_request(raw: RawLine) -> eyre::Result<RequestLine> {
     let status = number(&raw.status, "status")?;
     let ended_ms = time_ms(&raw.time)?;
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -280,3 +280,51 @@
     assert_eq!((row.targets, row.tries, row.refused, row.boxes), (3, 3, 1, 3));
     assert!(report.as_text().contains("/orders/f1"));
 }
+
+/// A line of a box on a target that is left alone.
+struct AloneCase {
+    box_name: &'static str,
+    event: &'static str,
+    target: &'static str,
+    second: u32,
+}
+
+impl AloneCase {
+    fn text(&self) -> String {
+        format!(
+            "{{\"box\":\"{}\",\"event\":\"{}\",\"target\":\"{}\",\"rest_ms\":\"3000\",\
+             \"time\":\"2026-01-01T00:00:{:02}.000+00:00\"}}",
+            self.box_name, self.event, self.target, self.second,
+        )
+    }
+}
+
+const ALONE: &[AloneCase] = &[
+    AloneCase { box_name: "b1", event: "target-leaves", target: "t2", second: 5 },
+    AloneCase { box_name: "b2", event: "target-leaves", target: "t2", second: 4 },
+    AloneCase { box_name: "b2", event: "target-leaves", target: "t2", second: 4 },
+    AloneCase { box_name: "b1", event: "sent-after-notice", target: "t2", second: 6 },
+    AloneCase { box_name: "b1", event: "target-rests", target: "t3", second: 6 },
+    AloneCase { box_name: "b1", event: "target-rests", target: "t3", second: 9 },
+    AloneCase { box_name: "b1", event: "send-withheld", target: "t3", second: 9 },
+    AloneCase { box_name: "b1", event: "target-left", target: "t4", second: 9 },
+    AloneCase { box_name: "b1", event: "target-replaced", target: "t5", second: 9 },
+];
+
+#[test]
+fn a_target_that_got_nothing_is_named_with_what_kept_it_out() {
+    let mut lines: Vec<String> = ALONE.iter().map(AloneCase::text).collect();
+    lines.push(FINE.text());
+    lines.push(LineCase { target: "t2", ..FINE }.text());
+    let report = explain(lines.join("\n")).expect("sound lines");
+    let rows = &report.left_alone;
+    let names: Vec<&str> = rows.iter().map(|row| row.target.as_str()).collect();
+    assert_eq!(names[..2], ["t2", "t3"], "sent to against its word, then the longest rest");
+    assert_eq!(names.len(), 4, "t1 is not left alone");
+    let leaving = &rows[0];
+    assert_eq!((leaving.requests, leaving.leaves_at, leaving.sent_after), (1, 2, 1));
+    assert_eq!(leaving.leaves_ms % 60_000, 4_000, "the first box");
+    assert_eq!((rows[1].rests, rows[1].rests_at, rows[1].rest_ms), (2, 1, 6_000));
+    assert_eq!(rows[1].withheld, 1);
+    assert!(report.as_text().contains("left alone"));
+}
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -16,6 +16,8 @@
 pub mod mechanism;
 pub mod messages;
 pub mod news;
+pub mod notice;
+mod notices;
 mod open;
 mod pool;
 pub mod record;
@@ -46,6 +48,7 @@
     AttemptNews, LoadReport, NoPick, PeerSample, RetryUse, SteerOutcome, SteerPick, SteerRequest,
     SteerSetup, SuspicionChange,
 };
+pub use notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
 pub use open::{AttemptMark, OpenAge};
 pub use record::SUSPECT_FROM;
 
--- /dev/null
+++ b/crates/decide/src/steer/notices.rs
@@ -0,0 +1,62 @@
+//! The core's part of notices: taking them, and telling what they keep out.
+
+use std::time::Duration;
+
+use crate::names::TargetKey;
+use crate::steer::SteerCore;
+use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
+use crate::steer::record::TargetRecord;
+use crate::time::TimePoint;
+
+impl SteerCore {
+    /// Takes what a target's answer to this box says of it.
+    pub fn note_notice(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        notice: &TargetNotice,
+    ) -> NoticeChange {
+        let record = self.record_mut(key);
+        record.map(|record| record.notices.take(now, notice)).unwrap_or_default()
+    }
+
+    /// Why a target wants nothing at `now`, by its own word; `None` if it does, or is not known.
+    pub fn notice_bar(&self, now: TimePoint, key: TargetKey) -> Option<NoticeBar> {
+        self.pool_of(key)?[key].notices.bar(now)
+    }
+
+    /// What is left out of each choice among the targets of `service`.
+    pub fn left_out(&self, now: TimePoint, service: &str) -> LeftOut {
+        let pool = self.pools.get(service);
+        let records = pool.into_iter().flat_map(|pool| pool.all_records());
+        count(now, records)
+    }
+
+    /// The same over all services.
+    pub fn all_left_out(&self, now: TimePoint) -> LeftOut {
+        count(now, self.pools.values().flat_map(|pool| pool.all_records()))
+    }
+
+    /// Counts `time`, which the clock did not, into what is left of rests.
+    pub fn grow_older(&mut self, time: Duration) {
+        for pool in self.pools.values_mut() {
+            pool.all_records_mut().for_each(|record| record.notices.grow_older(time));
+        }
+    }
+}
+
+fn count<'a>(now: TimePoint, records: impl Iterator<Item = &'a TargetRecord>) -> LeftOut {
+    let mut out = LeftOut::default();
+    for record in records {
+        if record.is_replaced() {
+            out.replaced += 1;
+            continue;
+        }
+        match record.notices.bar(now) {
+            Some(NoticeBar::Leaving(_)) => out.leaving += 1,
+            Some(NoticeBar::Resting { .. }) => out.resting += 1,
+            None => {}
+        }
+    }
+    out
+}
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -231,6 +231,16 @@
         records.map(|(key, record)| (*key, record))
     }
 
+    /// All targets, also those that get nothing now.
+    pub(crate) fn all_records(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.records.values()
+    }
+
+    /// The same, to be changed.
+    pub(crate) fn all_records_mut(&mut self) -> impl Iterator<Item = &mut TargetRecord> {
+        self.records.values_mut()
+    }
+
     /// The usual time of a request.
     pub(crate) fn usual_time(&self) -> Duration {
         self.usual.get().map_or(ASSUMED_TIME, Duration::from_secs_f64)
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -5,6 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, SpellHabits, TargetBelief};
 use crate::steer::messages::{SteerOutcome, SuspicionChange};
+use crate::steer::notice::NoticeState;
 use crate::steer::open::{AttemptMark, OpenAge, OpenAttempts};
 use crate::time::TimePoint;
 
@@ -70,6 +71,8 @@
     fresh: bool,
     /// Another instance answers at its address: it has ended, whatever the store says.
     replaced: bool,
+    /// What it has said of itself.
+    pub(crate) notices: NoticeState,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     /// What this box and its peers have open here.
@@ -90,6 +93,7 @@
             suspect: false,
             fresh: !at_start,
             replaced: false,
+            notices: NoticeState::default(),
             path_failed_at: None,
             full_at: None,
             open: OpenAttempts::default(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use wingbridge_http::raw::{AnswerStart, BodyDecoder, BodyLength, HeaderList, RawReader};
 
 use crate::answers::{AnswerBody, WaitingBody};
+use crate::notices::NoticeLink;
 use crate::ports::HeaderNames;
 
 /// Time to connect. Between data centres a round trip takes some 3 ms; a connection that
@@ -75,7 +76,6 @@
 }
 
 /// Where an attempt goes.
-#[derive(Debug)]
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) address: &'a str,
     /// The instance that is meant.
@@ -85,6 +85,8 @@
     /// When the request must be answered.
     pub(crate) until: Instant,
     pub(crate) names: &'a HeaderNames,
+    /// What the target has said of itself, and says by this.
+    pub(crate) notices: NoticeLink<'a>,
 }
 
 /// Makes the attempt. Dropping the future closes the connection, which cancels the work.
@@ -105,11 +107,12 @@
     if left.is_zero() {
         return AttemptEnd::NotConnected("no time was left");
     }
+    plan.notices.note_sending();
     let bytes = encode(request, plan, left);
     let mut reader = RawReader::new(stream.clone());
     let answer = {
         let write = std::pin::pin!(stream.write_all(&bytes));
-        let read = std::pin::pin!(read_answer(&mut reader, request));
+        let read = std::pin::pin!(read_answer(&mut reader, request, &plan.notices));
         match select(write, read).await {
             Either::Left((Ok(()), read)) => read.await,
             // The target may have answered before it stopped reading.
@@ -138,8 +141,10 @@
 async fn read_answer(
     reader: &mut RawReader<TcpStream>,
     request: &OutgoingRequest,
+    notices: &NoticeLink<'_>,
 ) -> Result<(AnswerStart, HeldBody), HttpError> {
     let start = reader.answer_start(&request.method, HEAD_BYTES).await?;
+    notices.take(&start);
     let mut decoder = BodyDecoder::new(start.length);
     let mut body = Vec::new();
     let too_long = matches!(start.length, BodyLength::Known(length) if length > HELD_BYTES as u64);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -134,6 +134,7 @@
         let mut view = lock(&self.view);
         if let Some(time) = self.suspension.newly(self.port.suspended()) {
             view.grow_older(time);
+            self.core().grow_older(time);
             log::warn!(suspended_ms = millis(time); "was-suspended");
         }
         view
--- a/crates/gateway/src/gossip/beacons.rs
+++ b/crates/gateway/src/gossip/beacons.rs
@@ -8,6 +8,7 @@
 use wingbridge_wire::gossip::{Beacon, DatagramBody, ViewMark};
 
 use super::GossipDuty;
+use crate::notices::show_left_out;
 use crate::view_exchange::view_mark;
 
 /// Time between two beacons to the own data centre.
@@ -40,6 +41,7 @@
         loop {
             // One box of another data centre is no use for what boxes of one share, and it
             // may be all that is heard at first: the search goes on for a while.
+            show_left_out(&self.context);
             let alone = self.context.peers().near().is_empty();
             let lonely = self.context.peers().boxes() == 1;
             if lonely || (alone && started.elapsed() < NEAR_SEARCH_TIME) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod listing_history;
 mod lives;
 mod newer_config;
+mod notices;
 mod open_attempt;
 mod peers;
 mod policies;
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,112 @@
+//! What targets say of themselves in the heads of their answers: read, taken into the core, and
+//! told in the log.
+//!
+//! A head counts as soon as it is there. What becomes of the answer behind it (long, cut short, for
+//! nobody any more) changes nothing of what its target has said.
+
+use std::time::{Duration, SystemTime};
+
+use wingbridge_decide::TargetKey;
+use wingbridge_decide::steer::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
+use wingbridge_http::raw::AnswerStart;
+
+use crate::context::{BoxContext, millis};
+use crate::ports::HeaderNames;
+
+/// What a target's answer says where it leaves.
+const LEAVES: &str = "1";
+/// What was on its way when a target asked for rest arrives within this. Source: the users' pages.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+
+/// One attempt's view of what its target has said.
+pub(crate) struct NoticeLink<'a> {
+    pub(crate) context: &'a BoxContext,
+    pub(crate) key: TargetKey,
+    pub(crate) target: &'a str,
+    /// The caller's id of the request, if it has one.
+    pub(crate) request: Option<&'a str>,
+}
+
+impl NoticeLink<'_> {
+    /// Takes what the head of an answer says of the target.
+    pub(crate) fn take(&self, start: &AnswerStart) {
+        let notice = read_notice(start, &self.context.headers, self.request);
+        if notice == TargetNotice::default() {
+            return;
+        }
+        let now = self.context.now();
+        let change = self.context.core().note_notice(now, self.key, &notice);
+        self.log(start.status, &change);
+    }
+
+    /// Counts a request that goes to a target which has said that it wants none.
+    pub(crate) fn note_sending(&self) {
+        let now = self.context.now();
+        let (notice, since) = match self.context.core().notice_bar(now, self.key) {
+            Some(NoticeBar::Leaving(since)) => ("leaves", since),
+            Some(NoticeBar::Resting { since, .. }) => ("rests", since),
+            None => return,
+        };
+        if since < ON_THE_WAY {
+            return;
+        }
+        let (target, request, since_ms) = (self.target, self.request_id(), millis(since));
+        log::warn!(target, request, notice, since_ms; "sent-after-notice");
+        metrics::counter!("wingbridge_sent_after_notice", "notice" => notice).increment(1);
+    }
+
+    fn request_id(&self) -> &str {
+        self.request.unwrap_or("-")
+    }
+
+    fn log(&self, status: u16, change: &NoticeChange) {
+        let (target, request) = (self.target, self.request_id());
+        if change.leaves {
+            log::info!(target, request, status, by = "own"; "target-leaves");
+        }
+        if let Some(rest) = change.rest {
+            log::info!(target, request, status, rest_ms = millis(rest); "target-rests");
+        }
+    }
+}
+
+/// Sets the gauges of targets that want nothing now.
+pub(crate) fn show_left_out(context: &BoxContext) {
+    let LeftOut { leaving, resting, .. } = context.core().all_left_out(context.now());
+    metrics::gauge!("wingbridge_targets_leaving").set(leaving as f64);
+    metrics::gauge!("wingbridge_targets_resting").set(resting as f64);
+}
+
+/// What an answer to the request with the id `request` says of the target that was asked.
+fn read_notice(start: &AnswerStart, names: &HeaderNames, request: Option<&str>) -> TargetNotice {
+    // Another instance's word, or in an answer to another request nobody knows whose.
+    let returned = start.headers.text(&names.request_id);
+    let is_others = request.is_some() && returned.is_some() && returned != request;
+    if start.status == 421 || is_others {
+        return TargetNotice::default();
+    }
+    let is_success = (200..300).contains(&start.status);
+    if is_success && !start.headers.has(&names.proof) {
+        return TargetNotice::default();
+    }
+    let mut leaving = start.headers.texts(&names.leaving);
+    let rests = matches!(start.status, 429 | 503);
+    let rest = if rests { read_rest(start, names, SystemTime::now()) } else { None };
+    TargetNotice { leaves: leaving.any(|text| text == LEAVES), rest }
+}
+
+/// The longest time for which an answer asks to be left alone, of those that can be read: seconds,
+/// whole or not, or a date, which counts from that of the answer if it tells one.
+fn read_rest(start: &AnswerStart, names: &HeaderNames, now: SystemTime) -> Option<Duration> {
+    let told = start.headers.text("date").and_then(|text| httpdate::parse_http_date(text).ok());
+    let from = told.unwrap_or(now);
+    let read = |text: &str| match text.parse::<f64>() {
+        // Too many to count; not a number and less than none are no times.
+        Ok(seconds) if seconds > 0.0 => {
+            Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        }
+        Ok(_) => None,
+        Err(_) => httpdate::parse_http_date(text).ok()?.duration_since(from).ok(),
+    };
+    start.headers.texts(&names.retry_after).filter_map(read).max()
+}
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt::{AttemptEnd, AttemptPlan, OutgoingRequest, attempt};
 use crate::context::{BoxContext, SeenBy, note_suspicion};
+use crate::notices::NoticeLink;
 use crate::sightings::SeenOutcome;
 
 /// Tells the core that an attempt is over, also when its future is dropped.
@@ -87,6 +88,12 @@
             customer: self.customer.as_deref(),
             until,
             names: &context.headers,
+            notices: NoticeLink {
+                context,
+                key: self.pick.key,
+                target: &self.pick.id,
+                request: request.request_id.as_deref(),
+            },
         };
         let mut work = std::pin::pin!(attempt(request, &plan));
         let left = until.saturating_duration_since(Instant::now());
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -136,6 +136,9 @@
     pub customer_key: String,
     /// The name of the customer whose request it is, towards the target.
     pub customer: String,
-    /// Seconds after which a refused caller may come back.
+    /// A target's word in each of its answers that it leaves: "1".
+    pub leaving: String,
+    /// Seconds, or a date, after which a refused caller may come back, and a box to a target that
+    /// turned it away.
     pub retry_after: String,
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,7 @@
 
 use wingbridge_decide::Fingerprint;
 use wingbridge_decide::crashes::CrashVerdict;
-use wingbridge_decide::steer::SteerPick;
+use wingbridge_decide::steer::{LeftOut, SteerPick};
 
 use crate::answers::CallerAnswer;
 use crate::context::{BoxContext, millis};
@@ -33,6 +33,8 @@
     /// Time until a second attempt was made beside an open one, in milliseconds, or why there
     /// was none; empty if none was due.
     hedged_ms: String,
+    /// Targets of its service that wanted nothing when one was chosen last, by their own word; empty if there were none.
+    left_out: String,
     target: String,
     data_centre: String,
     risk: String,
@@ -78,6 +80,14 @@
         self.note_target(pick);
     }
 
+    /// Notes which targets could not be chosen.
+    pub(crate) fn note_left_out(&mut self, out: &LeftOut) {
+        let LeftOut { leaving, resting, replaced } = out;
+        if *out != LeftOut::default() {
+            self.left_out = format!("leaving {leaving}, resting {resting}, replaced {replaced}");
+        }
+    }
+
     /// Notes that a second attempt was made beside an open one.
     pub(crate) fn note_hedge(&mut self, after: Duration) {
         self.hedged_ms = millis(after).to_string();
@@ -126,7 +136,7 @@
         request = id, path, fingerprint:% = trace.fingerprint, route:% = trace.route, service:% = trace.service,
         customer:% = trace.customer, key:% = trace.key, config_version = trace.config_version,
         held_ms = trace.held_ms, attempts = trace.attempts, hedged_ms:% = trace.hedged_ms,
-        target:% = trace.target, target_centre:% = trace.data_centre,
+        left_out:% = trace.left_out, target:% = trace.target, target_centre:% = trace.data_centre,
         risk:% = trace.risk, busy:% = trace.busy, tried:% = trace.tried,
         targets_ended = trace.targets_ended,
         status = answer.status, outcome, why = answer.why,
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -203,7 +203,13 @@
             left,
             tried: &self.tried,
         };
-        self.context.core().pick(self.context.now(), &request)
+        let now = self.context.now();
+        let mut core = self.context.core();
+        let pick = core.pick(now, &request);
+        let out = core.left_out(now, &self.plan.service);
+        drop(core);
+        self.trace.note_left_out(&out);
+        pick
     }
 
     /// One attempt, and others beside it while it is open for too long. The first answer
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -242,6 +242,7 @@
             load: "X-Load".into(),
             customer_key: "X-Key".into(),
             customer: "X-Customer".into(),
+            leaving: "X-Leaving".into(),
             retry_after: "Retry-After".into(),
         })
     }
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -56,6 +56,12 @@
         std::str::from_utf8(&field.value).ok().map(str::trim)
     }
 
+    /// All values of `name` that are text, in their order.
+    pub fn texts<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let lines = self.fields.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
+        lines.filter_map(|field| std::str::from_utf8(&field.value).ok()).map(str::trim)
+    }
+
     /// Whether there is a line named `name`.
     pub fn has(&self, name: &str) -> bool {
         self.fields.iter().any(|field| field.name.eq_ignore_ascii_case(name))
@@ -94,9 +100,10 @@
     }
 
     fn tokens<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
-        let lines = self.fields.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
-        let texts = lines.filter_map(|field| std::str::from_utf8(&field.value).ok());
-        texts.flat_map(|text| text.split(',')).map(str::trim).filter(|token| !token.is_empty())
+        self.texts(name)
+            .flat_map(|text| text.split(','))
+            .map(str::trim)
+            .filter(|token| !token.is_empty())
     }
 
     /// Whether the sender closes the connection after this message.
