--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -415,6 +415,9 @@
         }
         let context = &self.context;
         let spent = context.core().spend_retry(context.now(), &self.plan.service, RetryUse::Repeat);
+        if spent {
+            metrics::counter!("wingbridge_retries").increment(1);
+        }
         (!spent).then_some("the retry budget is used up")
     }
 
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -24,6 +24,10 @@
     Fails,
     /// Refuses and says that it ran nothing.
     Sheds,
+    /// Refuses for too many requests, and says that it ran nothing.
+    TooMany,
+    /// Refuses, and doesn't say whether it ran.
+    Busy,
     /// Is another instance than the one that was meant.
     Other,
     /// Runs it and closes within the body.
@@ -71,6 +75,7 @@
 pub struct TargetStandin {
     pub entry: TargetEntry,
     script: Arc<Mutex<Script>>,
+    said: Arc<Mutex<String>>,
     seen: Arc<Mutex<Vec<String>>>,
     hang_ups: Arc<Mutex<usize>>,
     gate: Arc<AtomicBool>,
@@ -83,8 +88,9 @@
         let address = listener.local_addr().expect("bound").to_string();
         let script = Arc::new(Mutex::new(script));
         let (seen, hang_ups) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(0)));
+        let said = Arc::new(Mutex::new(String::new()));
         let gate = Arc::new(AtomicBool::new(false));
-        let opened = Arc::clone(&gate);
+        let (says, opened) = (Arc::clone(&said), Arc::clone(&gate));
         let (followed, noted, counted) =
             (Arc::clone(&script), Arc::clone(&seen), Arc::clone(&hang_ups));
         thread::spawn(move || {
@@ -102,11 +108,11 @@
                 }
                 open.extend(stream.try_clone());
                 let (noted, counted) = (Arc::clone(&noted), Arc::clone(&counted));
-                let opened = Arc::clone(&opened);
-                thread::spawn(move || serve(stream, script, &noted, &counted, &opened));
+                let (said, opened) = (lock(&says).clone(), Arc::clone(&opened));
+                thread::spawn(move || serve(stream, script, &said, &noted, &counted, &opened));
             }
         });
-        TargetStandin { entry: entry(id, service, &address), script, seen, hang_ups, gate }
+        TargetStandin { entry: entry(id, service, &address), script, said, seen, hang_ups, gate }
     }
 
     /// The requests that came, head and body.
@@ -124,6 +130,11 @@
         self.gate.store(true, Ordering::Release);
     }
 
+    /// Has those header lines in each answer from the next request on; each ends its line.
+    pub fn say(&self, lines: &str) {
+        *lock(&self.said) = lines.to_string();
+    }
+
     /// Follows another script from the next request on.
     pub fn follow(&self, script: Script) {
         *lock(&self.script) = script;
@@ -185,6 +196,7 @@
 fn serve(
     mut stream: TcpStream,
     script: Script,
+    said: &str,
     seen: &Mutex<Vec<String>>,
     hang_ups: &Mutex<usize>,
     gate: &AtomicBool,
@@ -194,7 +206,7 @@
     };
     let id = header(&head, "x-id").unwrap_or_default().to_string();
     lock(seen).push(format!("{head}\r\n\r\n{body}"));
-    let ok = format!("HTTP/1.1 200 Fine\r\nX-Id: {id}\r\nX-Proof: p\r\nX-Kept: k\r\n");
+    let ok = format!("HTTP/1.1 200 Fine\r\nX-Id: {id}\r\nX-Proof: p\r\nX-Kept: k\r\n{said}");
     let answer = match script {
         Script::Good | Script::EndsByDeadly | Script::EndsByDeadlyLate | Script::Early => {
             format!("{ok}Content-Length: 5\r\n\r\nhello")
@@ -202,20 +214,32 @@
         Script::Chunked => format!("{ok}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
         Script::UntilClose => format!("{ok}\r\nhello"),
         Script::Fails => format!(
-            "HTTP/1.1 500 Broken\r\nX-Id: {id}\r\nX-Proof: p\r\nContent-Length: 3\r\n\r\nbad"
+            "HTTP/1.1 500 Broken\r\nX-Id: {id}\r\nX-Proof: p\r\n{said}Content-Length: 3\r\n\r\nbad"
         ),
         Script::Sheds => {
-            format!("HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\n{said}Content-Length: 0\r\n\r\n"
+            )
         }
+        Script::TooMany => {
+            format!(
+                "HTTP/1.1 429 Many\r\nX-Id: {id}\r\nX-Not-Run: 1\r\n{said}Content-Length: 0\r\n\r\n"
+            )
+        }
+        Script::Busy => format!(
+            "HTTP/1.1 503 Busy\r\nX-Id: {id}\r\nX-Proof: p\r\n{said}Content-Length: 0\r\n\r\n"
+        ),
         // It ran nothing, and says that as well.
         Script::Other => {
-            format!("HTTP/1.1 421 Other\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 421 Other\r\nX-Id: {id}\r\nX-Not-Run: 1\r\n{said}Content-Length: 0\r\n\r\n"
+            )
         }
         Script::CutShort => format!("{ok}Content-Length: 50\r\n\r\nhello"),
         // A target that ends never comes here.
         Script::Silent | Script::Ends => String::new(),
         Script::NoProof => {
-            format!("HTTP/1.1 200 Fine\r\nX-Id: {id}\r\nContent-Length: 5\r\n\r\nhello")
+            format!("HTTP/1.1 200 Fine\r\nX-Id: {id}\r\n{said}Content-Length: 5\r\n\r\nhello")
         }
         Script::WrongId => ok.replace(&id, "another") + "Content-Length: 5\r\n\r\nhello",
         Script::Encoded => format!("{ok}Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"),
@@ -247,7 +271,9 @@
             while !gate.load(Ordering::Acquire) {
                 thread::sleep(LOOK_PAUSE);
             }
-            format!("HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\n{said}Content-Length: 0\r\n\r\n"
+            )
         }
         Script::Long | Script::LongCutShort => {
             let length = if script == Script::Long { LONG } else { LONG - 10 };
