Leave targets alone that have said that they leave, or want rest

Change: a target that has given notice is in no draw (choices, trials, second attempts, retries, held requests), and a last look before the request is written withholds what was chosen before. A notice belongs to a life, and outlives listings (parted.rs). Peers are told of leaving, not of rest. All at rest: refused at once, with the time until the first is back. A retry that has nowhere to go is not taken from the budget.

--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -88,6 +88,9 @@
 pub enum NoPick {
     /// The service has no target that takes work, or each was tried.
     NoTarget,
+    /// All targets of the service have said that they want nothing: the first of them for this
+    /// long yet.
+    Resting(Duration),
     /// Each target is so full that the request can't be answered in time.
     Overloaded,
     /// Requests queue at each target, and this one has time to spare: it had better look
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -19,6 +19,7 @@
 pub mod notice;
 mod notices;
 mod open;
+mod parted;
 mod pool;
 pub mod record;
 mod routes;
@@ -37,6 +38,7 @@
 use crate::steer::ledger::{RetryBounds, RetryLedger, RetryTally};
 use crate::steer::listeners::heard_boxes;
 use crate::steer::mechanism::Mechanism;
+use crate::steer::parted::PartedNotices;
 use crate::steer::pool::{ASSUMED_TIME, TargetPool};
 use crate::steer::record::{SteerTarget, TargetRecord};
 use crate::steer::routes::RouteTable;
@@ -77,6 +79,7 @@
     setup: SteerSetup,
     pools: HashMap<Name, TargetPool>,
     services: HashMap<TargetKey, Name>,
+    parted: PartedNotices,
     ledgers: HashMap<Name, RetryLedger>,
     routes: RouteTable,
     near_boxes: usize,
@@ -96,6 +99,7 @@
             setup,
             pools: HashMap::new(),
             services: HashMap::new(),
+            parted: PartedNotices::default(),
             ledgers: HashMap::new(),
             routes: RouteTable::default(),
             near_boxes: 1,
@@ -118,12 +122,15 @@
             let service = target.service.clone();
             let record = match known.remove(&key) {
                 Some(record) => record.with_setup(target),
-                None => TargetRecord::new(target, now, first),
+                None => TargetRecord::new(target, now, first, self.parted.restore(key)),
             };
             self.services.insert(key, service.clone());
             let pool = self.pools.entry(service);
             pool.or_insert_with(|| TargetPool::new(mechanisms)).insert(key, record);
         }
+        for (key, record) in known {
+            self.parted.keep(now, key, record.notices);
+        }
         self.pools.retain(|_, pool| !pool.is_empty());
     }
 
@@ -194,9 +201,11 @@
         }
         let usual = self.routes.usual_time(request.route).unwrap_or(pool.usual_time());
         let candidates = candidates(now, pool, request, usual, &self.setup);
+        if candidates.is_empty() {
+            return Err(pool.time_to_first(now).map_or(NoPick::NoTarget, NoPick::Resting));
+        }
         if candidates.iter().all(|candidate| candidate.wait >= request.left) {
-            let none = candidates.is_empty();
-            return Err(if none { NoPick::NoTarget } else { NoPick::Overloaded });
+            return Err(NoPick::Overloaded);
         }
         let Some(chosen) = draw(&candidates, &mut self.random) else {
             return Err(NoPick::NoTarget);
--- a/crates/decide/src/steer/notice.rs
+++ b/crates/decide/src/steer/notice.rs
@@ -93,6 +93,11 @@
         Some(NoticeBar::Resting { since: now.since(rest.since), left: rest.until.since(now) })
     }
 
+    /// Whether it has said nothing so far.
+    pub(crate) fn is_silent(&self) -> bool {
+        *self == NoticeState::default()
+    }
+
     /// Ends rests sooner by `time`, which the clock did not count.
     pub(crate) fn grow_older(&mut self, time: Duration) {
         if let Some(rest) = &mut self.rest {
--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::names::TargetKey;
+use crate::names::{Name, TargetKey};
 use crate::steer::SteerCore;
 use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
 use crate::steer::record::TargetRecord;
@@ -16,8 +16,26 @@
         key: TargetKey,
         notice: &TargetNotice,
     ) -> NoticeChange {
-        let record = self.record_mut(key);
-        record.map(|record| record.notices.take(now, notice)).unwrap_or_default()
+        match self.record_mut(key) {
+            Some(record) => record.notices.take(now, notice),
+            None => self.parted.take(now, key, notice),
+        }
+    }
+
+    /// Takes a peer's word that a target has said that it leaves; returns whether that is new.
+    pub fn note_leaving(&mut self, now: TimePoint, key: TargetKey) -> bool {
+        self.note_notice(now, key, &TargetNotice { leaves: true, rest: None }).leaves
+    }
+
+    /// A target's name, if it is listed.
+    pub fn target_name(&self, key: TargetKey) -> Option<&Name> {
+        Some(&self.pool_of(key)?[key].setup.id)
+    }
+
+    /// Whether a target could be chosen for a request of `service` beside those that were tried.
+    pub fn has_choice(&self, now: TimePoint, service: &str, tried: &[TargetKey]) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.in_draw(now).any(|(key, _)| !tried.contains(&key)))
     }
 
     /// Why a target wants nothing at `now`, by its own word; `None` if it does, or is not known.
@@ -42,6 +60,7 @@
         for pool in self.pools.values_mut() {
             pool.all_records_mut().for_each(|record| record.notices.grow_older(time));
         }
+        self.parted.grow_older(time);
     }
 }
 
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -11,6 +11,7 @@
 use crate::steer::messages::{
     AttemptNews, PeerSample, SteerOutcome, SteerRequest, SuspicionChange,
 };
+use crate::steer::notice::NoticeBar;
 use crate::steer::open::{AttemptMark, OpenAge};
 use crate::steer::record::TargetRecord;
 use crate::steer::times::ServiceTimes;
@@ -225,12 +226,31 @@
         self.records.is_empty()
     }
 
-    /// All targets that can be reached under their addresses.
-    pub(crate) fn records(&self) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
-        let records = self.records.iter().filter(|(_, record)| !record.is_replaced());
+    /// All targets that can be chosen now.
+    pub(crate) fn in_draw(
+        &self,
+        now: TimePoint,
+    ) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
+        let records = self.records.iter().filter(move |(_, record)| record.is_in_draw(now));
         records.map(|(key, record)| (*key, record))
     }
 
+    /// Time until the first target wants requests again, if all of them have said that they don't and
+    /// one of them only for a while.
+    pub(crate) fn time_to_first(&self, now: TimePoint) -> Option<Duration> {
+        let present = self.records.values().filter(|record| !record.is_replaced());
+        let mut first = None;
+        for record in present {
+            match record.notices.bar(now)? {
+                NoticeBar::Leaving(_) => {}
+                NoticeBar::Resting { left, .. } => {
+                    first = Some(first.map_or(left, |known: Duration| known.min(left)));
+                }
+            }
+        }
+        first
+    }
+
     /// All targets, also those that get nothing now.
     pub(crate) fn all_records(&self) -> impl Iterator<Item = &TargetRecord> {
         self.records.values()
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -84,7 +84,13 @@
 }
 
 impl TargetRecord {
-    pub(crate) fn new(setup: SteerTarget, now: TimePoint, at_start: bool) -> TargetRecord {
+    /// A record of a target that is listed now, and has said `notices` before.
+    pub(crate) fn new(
+        setup: SteerTarget,
+        now: TimePoint,
+        at_start: bool,
+        notices: NoticeState,
+    ) -> TargetRecord {
         TargetRecord {
             setup,
             belief: TargetBelief::new(now, at_start),
@@ -93,7 +99,7 @@
             suspect: false,
             fresh: !at_start,
             replaced: false,
-            notices: NoticeState::default(),
+            notices,
             path_failed_at: None,
             full_at: None,
             open: OpenAttempts::default(),
@@ -126,6 +132,15 @@
         self.replaced
     }
 
+    /// Whether it can be chosen at all: it is there, and has not said that it wants nothing.
+    ///
+    /// Each way to a target goes through this, trials, retries and second attempts too. With a
+    /// refusal as a price alone three resting targets were sent 31 to 53 requests a second, all
+    /// refused, of some 60 (counts of the targets over six seconds).
+    pub(crate) fn is_in_draw(&self, now: TimePoint) -> bool {
+        !self.replaced && self.notices.bar(now).is_none()
+    }
+
     /// Another instance has its address; returns whether that is new.
     pub(crate) fn note_replaced(&mut self) -> bool {
         !std::mem::replace(&mut self.replaced, true)
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -14,6 +14,9 @@
 
 /// The return of callers that are beyond their quota is spread over this part of the time.
 const QUOTA_SPREAD: f64 = 0.5;
+/// The same for callers of a service whose targets rest: less, since each moment longer is one in
+/// which the first target would serve them.
+const REST_SPREAD: f64 = 0.25;
 
 /// What a caller learns from the status, for logs and metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,6 +104,18 @@
         answer
     }
 
+    /// A refusal of something that no target takes for `wait` yet. Nothing ran.
+    pub(crate) fn not_run_before(
+        retry_after: &str,
+        wait: Duration,
+        why: &'static str,
+    ) -> CallerAnswer {
+        let mut answer = CallerAnswer::own(503, CallerOutcome::NotRun, why);
+        let wait = spread(wait.max(RETRY_AFTER_LEAST), REST_SPREAD);
+        answer.headers.push(retry_after, format!("{:.2}", wait.as_secs_f64()));
+        answer
+    }
+
     /// A refusal of something that its customer's quota has no room for, `wait` before there may
     /// be some. Nothing ran. A caller that is gone by then is told no time.
     pub(crate) fn beyond_quota(
@@ -110,7 +125,7 @@
         why: &'static str,
     ) -> CallerAnswer {
         let mut answer = CallerAnswer::own(429, CallerOutcome::NotRun, why);
-        let wait = wait.mul_f64(1.0 + QUOTA_SPREAD * rand::rng().random::<f64>());
+        let wait = spread(wait, QUOTA_SPREAD);
         if wait < left {
             answer.headers.push(retry_after, format!("{:.2}", wait.as_secs_f64()));
         }
@@ -149,6 +164,11 @@
     }
 }
 
+/// `wait` and up to that `part` of it more, so that callers don't all come back at once.
+fn spread(wait: Duration, part: f64) -> Duration {
+    wait.mul_f64(1.0 + part * rand::rng().random::<f64>())
+}
+
 fn write_length(bytes: &mut Vec<u8>, length: u64) {
     write_field(bytes, "Content-Length", length.to_string().as_bytes());
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -67,6 +67,8 @@
     Refused(Option<LoadReport>),
     /// Another instance listens there, and ran nothing of it.
     WrongTarget,
+    /// No byte of it was sent: the target has said meanwhile that it wants nothing.
+    Withheld,
     /// No byte of it was sent.
     NotConnected(&'static str),
     /// Bytes were sent and no answer that can be used came back.
@@ -107,7 +109,11 @@
     if left.is_zero() {
         return AttemptEnd::NotConnected("no time was left");
     }
-    plan.notices.note_sending();
+    // The last step before a target has it: a connection may take 120 ms to come up, and a busy box
+    // longer to go on.
+    if !plan.notices.may_send() {
+        return AttemptEnd::Withheld;
+    }
     let bytes = encode(request, plan, left);
     let mut reader = RawReader::new(stream.clone());
     let answer = {
--- a/crates/gateway/src/gossip/telling.rs
+++ b/crates/gateway/src/gossip/telling.rs
@@ -17,6 +17,7 @@
 
 use super::GossipDuty;
 use crate::context::{SeenBy, lock, log_replaced, millis, note_suspicion};
+use crate::notices::take_leaving;
 use crate::sightings::Urgency;
 
 /// How long successes wait for more before they are told.
@@ -124,6 +125,8 @@
 
     fn take_sightings(&self, peer: u64, box_id: &str, sightings: &Sightings) {
         self.context.crashes.take(&sightings.crashes, box_id);
+        let leaving = sightings.targets.iter().filter(|seen| seen.leaving);
+        leaving.for_each(|seen| take_leaving(&self.context, TargetKey(seen.target), box_id));
         let now = self.context.now();
         let mut core = self.context.core();
         for seen in &sightings.targets {
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -15,8 +15,6 @@
 
 /// What a target's answer says where it leaves.
 const LEAVES: &str = "1";
-/// What was on its way when a target asked for rest arrives within this. Source: the users' pages.
-const ON_THE_WAY: Duration = Duration::from_millis(500);
 
 /// One attempt's view of what its target has said.
 pub(crate) struct NoticeLink<'a> {
@@ -36,33 +34,33 @@
         }
         let now = self.context.now();
         let change = self.context.core().note_notice(now, self.key, &notice);
-        self.log(start.status, &change);
+        self.tell(start.status, &change);
     }
 
-    /// Counts a request that goes to a target which has said that it wants none.
-    pub(crate) fn note_sending(&self) {
+    /// Whether the target may be sent the request, now that a connection to it is up.
+    pub(crate) fn may_send(&self) -> bool {
         let now = self.context.now();
         let (notice, since) = match self.context.core().notice_bar(now, self.key) {
             Some(NoticeBar::Leaving(since)) => ("leaves", since),
             Some(NoticeBar::Resting { since, .. }) => ("rests", since),
-            None => return,
+            None => return true,
         };
-        if since < ON_THE_WAY {
-            return;
-        }
         let (target, request, since_ms) = (self.target, self.request_id(), millis(since));
-        log::warn!(target, request, notice, since_ms; "sent-after-notice");
-        metrics::counter!("wingbridge_sent_after_notice", "notice" => notice).increment(1);
+        log::info!(target, request, notice, since_ms; "send-withheld");
+        metrics::counter!("wingbridge_sends_withheld", "notice" => notice).increment(1);
+        false
     }
 
     fn request_id(&self) -> &str {
         self.request.unwrap_or("-")
     }
 
-    fn log(&self, status: u16, change: &NoticeChange) {
+    /// Tells of what is new: peers of a target that leaves, and the log of both.
+    fn tell(&self, status: u16, change: &NoticeChange) {
         let (target, request) = (self.target, self.request_id());
         if change.leaves {
             log::info!(target, request, status, by = "own"; "target-leaves");
+            self.context.sightings.note_leaving(self.key);
         }
         if let Some(rest) = change.rest {
             log::info!(target, request, status, rest_ms = millis(rest); "target-rests");
@@ -70,6 +68,23 @@
     }
 }
 
+/// Takes a peer's word that a target leaves.
+///
+/// Until it has asked the target itself a box would send it work that is then cut when the target
+/// ends. A rest is not told: it was asked of one box, and one refusal told to all would have
+/// every box turn to the same targets next.
+pub(crate) fn take_leaving(context: &BoxContext, key: TargetKey, peer: &str) {
+    let now = context.now();
+    let mut core = context.core();
+    if !core.note_leaving(now, key) {
+        return;
+    }
+    let name =
+        core.target_name(key).map_or_else(|| format!("{:016x}", key.0), |name| name.to_string());
+    drop(core);
+    log::info!(target:% = name, by = peer; "target-leaves");
+}
+
 /// Sets the gauges of targets that want nothing now.
 pub(crate) fn show_left_out(context: &BoxContext) {
     let LeftOut { leaving, resting, .. } = context.core().all_left_out(context.now());
@@ -100,13 +115,18 @@
 fn read_rest(start: &AnswerStart, names: &HeaderNames, now: SystemTime) -> Option<Duration> {
     let told = start.headers.text("date").and_then(|text| httpdate::parse_http_date(text).ok());
     let from = told.unwrap_or(now);
-    let read = |text: &str| match text.parse::<f64>() {
-        // Too many to count; not a number and less than none are no times.
-        Ok(seconds) if seconds > 0.0 => {
-            Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-        }
-        Ok(_) => None,
-        Err(_) => httpdate::parse_http_date(text).ok()?.duration_since(from).ok(),
-    };
+    let until = |text: &str| httpdate::parse_http_date(text).ok()?.duration_since(from).ok();
+    let read = |text: &str| read_seconds(text).or_else(|| until(text));
     start.headers.texts(&names.retry_after).filter_map(read).max()
 }
+
+/// A time in seconds, whole or not, as digits. What a float may be beside that (`inf`, `1e12`) is no
+/// time that a target means.
+fn read_seconds(text: &str) -> Option<Duration> {
+    if !text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.') {
+        return None;
+    }
+    let seconds: f64 = text.parse().ok()?;
+    // So many digits that no duration holds them are the longest one.
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -130,6 +130,7 @@
             let pick = match self.pick(left) {
                 Ok(pick) => pick,
                 Err(NoPick::NoTarget) => return self.give_up("no target takes it"),
+                Err(NoPick::Resting(left)) => return self.give_up_until(left),
                 Err(NoPick::Crowded) if self.context.stopping.is_stopping() => {
                     // Held on, it could be cut by the end of the process.
                     return self.give_up("this box ends and every target has a queue");
@@ -322,6 +323,10 @@
                 }
                 self.go_on("another instance has the address")
             }
+            AttemptEnd::Withheld => {
+                open.end(SteerOutcome::Dropped, None, 0);
+                self.go_on("it has said meanwhile that it wants nothing")
+            }
             AttemptEnd::NotConnected(why) => {
                 if why == CONNECTION_REFUSED {
                     self.context.crashes.note_gone(open.pick.key);
@@ -413,8 +418,11 @@
         if self.context.crashes.verdict(self.outgoing.fingerprint).ended() >= REPEATED_BELOW {
             return Some(ENDS_TARGETS);
         }
-        let context = &self.context;
-        let spent = context.core().spend_retry(context.now(), &self.plan.service, RetryUse::Repeat);
+        let (context, service) = (&self.context, &self.plan.service);
+        if !context.core().has_choice(context.now(), service, &self.tried) {
+            return Some("there is no other target");
+        }
+        let spent = context.core().spend_retry(context.now(), service, RetryUse::Repeat);
         if spent {
             metrics::counter!("wingbridge_retries").increment(1);
         }
@@ -431,6 +439,15 @@
         self.runs += 1;
     }
 
+    /// The answer while all targets rest, the first of them for `left` yet.
+    fn give_up_until(&mut self, left: Duration) -> CallerAnswer {
+        const WHY: &str = "all targets want nothing for now";
+        if self.fallback.is_some() || self.runs > 0 {
+            return self.give_up(WHY);
+        }
+        CallerAnswer::not_run_before(&self.context.headers.retry_after, left, WHY)
+    }
+
     /// The answer when no target's success is to be had.
     fn give_up(&mut self, why: &'static str) -> CallerAnswer {
         if let Some(answer) = self.fallback.take() {
--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PendingSighting {
     pub(crate) sighting: Sighting,
-    /// It failed, or it was a suspect and did not: the rest is not worth its price across.
+    /// It failed, or has left or leaves, or it was a suspect and did not fail: the rest is not worth its price across.
     pub(crate) is_news: bool,
 }
 
@@ -74,6 +74,11 @@
         self.add(key, &seen, ended.suspect);
     }
 
+    /// Notes that a target has said that it leaves.
+    pub(crate) fn note_leaving(&self, key: TargetKey) {
+        self.add(key, &Sighting { target: key.0, leaving: true, ..Sighting::default() }, false);
+    }
+
     /// Notes that an attempt that is still open counts as a stall.
     pub(crate) fn note_stall(&self, key: TargetKey) {
         self.add(key, &Sighting { target: key.0, overdue: 1, ..Sighting::default() }, false);
@@ -85,7 +90,7 @@
     }
 
     fn add(&self, key: TargetKey, seen: &Sighting, suspect: bool) {
-        let failed = seen.bad + seen.overdue > 0 || seen.replaced;
+        let failed = seen.bad + seen.overdue > 0 || seen.replaced || seen.leaving;
         let is_news = failed || (suspect && seen.good > 0);
         let mut pending = lock(&self.pending);
         let known = pending.entry(key);
@@ -120,6 +125,7 @@
     sum.bad += seen.bad;
     sum.overdue += seen.overdue;
     sum.replaced |= seen.replaced;
+    sum.leaving |= seen.leaving;
     if seen.held_plus_one > 0 {
         sum.held_plus_one = seen.held_plus_one;
     }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -273,6 +273,9 @@
     /// Those open attempts whose age tells of the target.
     #[prost(message, repeated, tag = "9")]
     pub telling: Vec<OpenAttempt>,
+    /// Whether the target has said in an answer that it leaves.
+    #[prost(bool, tag = "10")]
+    pub leaving: bool,
 }
 
 /// An open attempt, beside what is usual for its route.
