Read the head of an answer that is there when nobody waits for it any more

Cause: the loser of two attempts, and an attempt whose caller has left, were dropped with an answer in the socket's buffer unread. Change: an attempt that is dropped before a head was read looks, without waiting, whether one has come (notices.rs, UnreadHead). What comes after the connection closed is still not known; the target's next answer says it again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 use wingbridge_http::raw::{AnswerStart, BodyDecoder, BodyLength, HeaderList, RawReader};
 
 use crate::answers::{AnswerBody, WaitingBody};
-use crate::notices::NoticeLink;
+use crate::notices::{NoticeLink, UnreadHead};
 use crate::ports::HeaderNames;
 
 /// Time to connect. Between data centres a round trip takes some 3 ms; a connection that
@@ -115,6 +115,8 @@
         return AttemptEnd::Withheld;
     }
     let bytes = encode(request, plan, left);
+    let _unread =
+        UnreadHead { stream: stream.clone(), method: &request.method, link: &plan.notices };
     let mut reader = RawReader::new(stream.clone());
     let answer = {
         let write = std::pin::pin!(stream.write_all(&bytes));
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -4,30 +4,75 @@
 //! A head counts as soon as it is there. What becomes of the answer behind it (long, cut short, for
 //! nobody any more) changes nothing of what its target has said.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
+use async_std::net::TcpStream;
+use futures::FutureExt;
 use wingbridge_decide::TargetKey;
-use wingbridge_decide::steer::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
+use wingbridge_decide::steer::{LeftOut, NoticeBar, NoticeChange, SteerPick, TargetNotice};
 use wingbridge_http::raw::AnswerStart;
 
 use crate::context::{BoxContext, millis};
 use crate::ports::HeaderNames;
 
+/// Bytes that a head may have which is read so, at most: those of targets have some 300.
+const UNREAD_BYTES: usize = 4096;
 /// What a target's answer says where it leaves.
 const LEAVES: &str = "1";
 
 /// One attempt's view of what its target has said.
 pub(crate) struct NoticeLink<'a> {
-    pub(crate) context: &'a BoxContext,
-    pub(crate) key: TargetKey,
-    pub(crate) target: &'a str,
+    context: &'a BoxContext,
+    key: TargetKey,
+    target: &'a str,
     /// The caller's id of the request, if it has one.
-    pub(crate) request: Option<&'a str>,
+    request: Option<&'a str>,
+    /// Whether a head was read already.
+    heard: AtomicBool,
 }
 
-impl NoticeLink<'_> {
+/// Reads the head of an answer that is there when nobody waits for it any more.
+///
+/// Of two attempts beside each other the first one with an answer wins, and a caller may leave: the
+/// other answer may have come by then and not have been looked at. A target that had asked
+/// for rest by it got 22 of the next 40 requests (a box on a machine whose processors were all busy).
+pub(crate) struct UnreadHead<'a> {
+    pub(crate) stream: TcpStream,
+    pub(crate) method: &'a str,
+    pub(crate) link: &'a NoticeLink<'a>,
+}
+
+impl Drop for UnreadHead<'_> {
+    fn drop(&mut self) {
+        if self.link.heard.load(Ordering::Acquire) {
+            return;
+        }
+        let mut bytes = [0; UNREAD_BYTES];
+        // What is not there yet is not waited for: the connection closes, which cancels the work.
+        let Some(Ok(count)) = self.stream.peek(&mut bytes).now_or_never() else {
+            return;
+        };
+        if let Ok(Some((start, _))) = AnswerStart::parse(&bytes[..count], self.method) {
+            self.link.take(&start);
+        }
+    }
+}
+
+impl<'a> NoticeLink<'a> {
+    /// A link for an attempt of that `request` at the target `pick`.
+    pub(crate) fn new(
+        context: &'a BoxContext,
+        pick: &'a SteerPick,
+        request: Option<&'a str>,
+    ) -> NoticeLink<'a> {
+        let heard = AtomicBool::new(false);
+        NoticeLink { context, key: pick.key, target: &pick.id, request, heard }
+    }
+
     /// Takes what the head of an answer says of the target.
     pub(crate) fn take(&self, start: &AnswerStart) {
+        self.heard.store(true, Ordering::Release);
         let notice = read_notice(start, &self.context.headers, self.request);
         if notice == TargetNotice::default() {
             return;
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -88,12 +88,7 @@
             customer: self.customer.as_deref(),
             until,
             names: &context.headers,
-            notices: NoticeLink {
-                context,
-                key: self.pick.key,
-                target: &self.pick.id,
-                request: request.request_id.as_deref(),
-            },
+            notices: NoticeLink::new(context, &self.pick, request.request_id.as_deref()),
         };
         let mut work = std::pin::pin!(attempt(request, &plan));
         let left = until.saturating_duration_since(Instant::now());
