wingbench steer: targets that ask for rest, and five ways to take that

Cause: whether a box that was asked for rest keeps that to itself, tells it, adds a spread, or holds what nobody takes was to be weighed. Conclusion: own, as it is.

--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -12,6 +12,7 @@
 use crate::quota::{QuotaBench, WAYS};
 use crate::steer::SteerBench;
 use crate::steer::pattern::LoadPattern;
+use crate::steer::rests::RestWay;
 
 /// The whole command line.
 pub fn bench_command() -> Command {
@@ -143,10 +144,19 @@
             setting(
                 "pattern",
                 "What happens to each fleet",
-                "steady, first-load, burst, refusals or slow-targets.",
+                "steady, first-load, burst, refusals, slow-targets, some-rest, all-rest or \
+                 burst-rest.",
             )
             .default_value("steady"),
         )
+        .arg(
+            setting(
+                "rests",
+                "What boxes do when a target asks for rest",
+                "own, ignored, told, spread or held.",
+            )
+            .default_value("own"),
+        )
         .arg(
             setting(
                 "without",
@@ -170,7 +180,11 @@
     let pattern = pattern
         .parse()
         .map_err(|_| SettingError::new("pattern", &pattern, &LoadPattern::names()))?;
+    let rests = raw_text(matches, "rests");
+    let rest_way =
+        rests.parse().map_err(|_| SettingError::new("rests", &rests, &RestWay::names()))?;
     Ok(SteerBench {
+        rest_way,
         pattern,
         seed: number(matches, "seed", 0..=u64::from(u32::MAX))?,
         fleets: number(matches, "fleets", 1..=1000)? as usize,
--- a/crates/bench/src/steer/mod.rs
+++ b/crates/bench/src/steer/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod pattern;
 pub mod report;
+pub mod rests;
 pub mod seconds;
 mod targets;
 mod world;
@@ -18,6 +19,7 @@
 use crate::steer::fleet::FleetPlan;
 use crate::steer::pattern::LoadPattern;
 use crate::steer::report::{FleetSums, SteerReport};
+use crate::steer::rests::RestWay;
 use crate::steer::world::play;
 
 /// What is measured.
@@ -35,6 +37,8 @@
     pub without: MechanismSet,
     /// What happens to each fleet.
     pub pattern: LoadPattern,
+    /// What boxes do when a target asks for rest.
+    pub rest_way: RestWay,
 }
 
 /// Plays all fleets, each once as set and once with uniform random picks.
@@ -66,7 +70,7 @@
 ) -> Vec<(FleetSums, FleetSums)> {
     let play_fleet = |number: &u64| {
         let plan = FleetPlan::draw(bench.seed + number);
-        let played = |without| play(&plan, bench.pattern, bench.seconds, without);
+        let played = |without| play(&plan, bench, without);
         (played(&bench.without), played(uniform))
     };
     numbers.iter().map(play_fleet).collect()
--- a/crates/bench/src/steer/pattern.rs
+++ b/crates/bench/src/steer/pattern.rs
@@ -20,6 +20,9 @@
 /// Share of requests that each target refuses, and for how long.
 const REFUSED: f64 = 0.55;
 const REFUSED_TIME: Duration = Duration::from_millis(8500);
+/// What targets ask for that refuse, and those whose queues are full: seconds, as the users' do.
+const REST_TIME: Duration = Duration::from_secs(3);
+const BURST_REST_TIME: Duration = Duration::from_secs(1);
 /// One target in so many is slow, how many times, and for how long.
 const SLOW_ONE_IN: usize = 5;
 const SLOW_OF_THOSE: usize = 2;
@@ -40,14 +43,23 @@
     Refusals,
     /// Two in five targets work 12 times as long for 9 s.
     SlowTargets,
+    /// Two in five targets refuse all requests for 8.5 s, and ask for rest each time.
+    SomeRest,
+    /// As [`LoadPattern::Refusals`], and each refusal asks for rest.
+    AllRest,
+    /// As [`LoadPattern::Burst`], and targets whose queues are full ask for rest.
+    BurstRest,
 }
 
-const NAMES: [(LoadPattern, &str); 5] = [
+const NAMES: [(LoadPattern, &str); 8] = [
     (LoadPattern::Steady, "steady"),
     (LoadPattern::FirstLoad, "first-load"),
     (LoadPattern::Burst, "burst"),
     (LoadPattern::Refusals, "refusals"),
     (LoadPattern::SlowTargets, "slow-targets"),
+    (LoadPattern::SomeRest, "some-rest"),
+    (LoadPattern::AllRest, "all-rest"),
+    (LoadPattern::BurstRest, "burst-rest"),
 ];
 
 impl LoadPattern {
@@ -66,14 +78,28 @@
 
     /// The rate of requests, as a multiple of the usual one.
     pub(super) fn rate_factor(self, now: TimePoint) -> f64 {
-        let bursts = self == LoadPattern::Burst && within(now, BURST_TIME);
+        let is_burst = matches!(self, LoadPattern::Burst | LoadPattern::BurstRest);
+        let bursts = is_burst && within(now, BURST_TIME);
         if bursts { BURST } else { 1.0 }
     }
 
-    /// The share of requests that a target refuses though it has room.
-    pub(super) fn refused_share(self, now: TimePoint) -> f64 {
-        let refuses = self == LoadPattern::Refusals && within(now, REFUSED_TIME);
-        if refuses { REFUSED } else { 0.0 }
+    /// The share of requests that the target of that number refuses though it has room.
+    pub(super) fn refused_share(self, now: TimePoint, target: usize) -> f64 {
+        match self {
+            _ if !within(now, REFUSED_TIME) => 0.0,
+            LoadPattern::Refusals | LoadPattern::AllRest => REFUSED,
+            LoadPattern::SomeRest if target % SLOW_ONE_IN < SLOW_OF_THOSE => 1.0,
+            _ => 0.0,
+        }
+    }
+
+    /// For how long a target that refuses wants nothing.
+    pub(super) fn rest_time(self) -> Option<Duration> {
+        match self {
+            LoadPattern::SomeRest | LoadPattern::AllRest => Some(REST_TIME),
+            LoadPattern::BurstRest => Some(BURST_REST_TIME),
+            _ => None,
+        }
     }
 
     /// How many times as long the target of that number works.
--- a/crates/bench/src/steer/report.rs
+++ b/crates/bench/src/steer/report.rs
@@ -11,6 +11,7 @@
 use crate::steer::SteerBench;
 use crate::steer::fleet::FleetPlan;
 use crate::steer::pattern::LoadPattern;
+use crate::steer::rests::RestSums;
 use crate::steer::seconds::SecondRows;
 
 /// Sums over requests that may run again, or over those that run once.
@@ -51,6 +52,9 @@
     /// All requests by the second in which they began.
     #[serde(default)]
     pub seconds: SecondRows,
+    /// What targets got that had asked for rest.
+    #[serde(default)]
+    pub rests: RestSums,
     #[serde(skip)]
     noticed: NoticeTimes,
     #[serde(skip)]
@@ -147,6 +151,7 @@
         self.repeatable.add(&other.repeatable);
         self.once.add(&other.once);
         self.seconds.add(&other.seconds);
+        self.rests.add(&other.rests);
         self.noticed.0 += &other.noticed.0;
         self.right_suspicions += other.right_suspicions;
         self.false_suspicions += other.false_suspicions;
@@ -264,7 +269,18 @@
         if self.pattern == steady() {
             return self.sums_text();
         }
-        format!("{}\n\n{}", self.sums_text(), self.seconds_text())
+        format!("{}{}\n\n{}", self.sums_text(), self.rests_text(), self.seconds_text())
+    }
+
+    fn rests_text(&self) -> String {
+        let RestSums { asked, sent_in_rest, peak } = self.steered.rests;
+        if asked == 0 {
+            return String::new();
+        }
+        format!(
+            "\nrests asked for {asked}, requests within them {sent_in_rest}, the most at one target \
+             within 100 ms {peak}"
+        )
     }
 
     fn seconds_text(&self) -> String {
--- a/crates/bench/src/steer/world.rs
+++ b/crates/bench/src/steer/world.rs
@@ -11,14 +11,16 @@
 use wingbridge_decide::steer::record::SteerTarget;
 use wingbridge_decide::steer::{
     AttemptMark, AttemptNews, NoPick, PeerSample, RetryUse, SteerCore, SteerOutcome, SteerRequest,
-    SteerSetup,
+    SteerSetup, TargetNotice,
 };
 use wingbridge_decide::{Name, TargetKey, TimePoint};
 
+use crate::steer::SteerBench;
 use crate::steer::event::{AnswerKind, Attempt, Event, EventQueue, Message, Request};
 use crate::steer::fleet::{FleetPlan, ServicePlan};
 use crate::steer::pattern::{COUNTED_FROM, LoadPattern};
 use crate::steer::report::FleetSums;
+use crate::steer::rests::{RestWatch, RestWay};
 use crate::steer::targets::{EmulatedTarget, WorkEnd};
 
 /// How long a box gathers what it saw before it tells its data centre.
@@ -37,6 +39,8 @@
 struct World<'a> {
     plan: &'a FleetPlan,
     pattern: LoadPattern,
+    rest_way: RestWay,
+    rests: RestWatch,
     random: SmallRng,
     events: EventQueue,
     boxes: Vec<SteerCore>,
@@ -49,26 +53,22 @@
     sums: FleetSums,
 }
 
-/// Plays a fleet for `seconds` of traffic that are counted.
-pub(super) fn play(
-    plan: &FleetPlan,
-    pattern: LoadPattern,
-    seconds: u64,
-    without: &MechanismSet,
-) -> FleetSums {
-    let mut world = World::new(plan, pattern, without);
-    let end = COUNTED_FROM + Duration::from_secs(seconds);
+/// Plays a fleet for the seconds of traffic that are counted.
+pub(super) fn play(plan: &FleetPlan, bench: &SteerBench, without: &MechanismSet) -> FleetSums {
+    let mut world = World::new(plan, bench, without);
+    let end = COUNTED_FROM + Duration::from_secs(bench.seconds);
     for service in 0..plan.services.len() {
-        world.schedule_arrival(service, pattern.first_request());
+        world.schedule_arrival(service, bench.pattern.first_request());
     }
     while let Some(event) = world.events.next(end) {
         world.handle(event);
     }
+    world.sums.rests = world.rests.sums;
     world.sums
 }
 
 impl World<'_> {
-    fn new<'a>(plan: &'a FleetPlan, pattern: LoadPattern, without: &MechanismSet) -> World<'a> {
+    fn new<'a>(plan: &'a FleetPlan, bench: &SteerBench, without: &MechanismSet) -> World<'a> {
         let mut random = SmallRng::seed_from_u64(plan.seed);
         let mut targets = Vec::new();
         let mut steered = Vec::new();
@@ -102,7 +102,9 @@
         let key_of = |(index, target): (usize, &SteerTarget)| (target.key(), index);
         World {
             plan,
-            pattern,
+            pattern: bench.pattern,
+            rest_way: bench.rest_way,
+            rests: RestWatch::default(),
             random,
             events: EventQueue::default(),
             boxes: (0..all).map(make_box).collect(),
@@ -170,6 +172,9 @@
     fn send(&mut self, request: usize) {
         match self.try_send(request) {
             Err(NoPick::Crowded) => self.events.schedule(HOLD_STEP, Event::LookAgain { request }),
+            Err(NoPick::Resting(left)) if self.may_hold(request, left) => {
+                self.events.schedule(left, Event::LookAgain { request });
+            }
             Err(_) if self.open_attempts(request) == 0 => self.end_request(request, None),
             Ok(()) | Err(_) => {}
         }
@@ -229,7 +234,9 @@
         if !open {
             return;
         }
-        let refused = self.pattern.refused_share(self.events.now);
+        let gateway = self.requests[self.attempts[attempt].request].gateway;
+        self.rests.note_arrival(self.events.now, gateway, target);
+        let refused = self.pattern.refused_share(self.events.now, target);
         let refuses = refused > 0.0 && self.random.random_bool(refused);
         if !refuses && self.targets[target].1.take(attempt) {
             self.begin_work(target);
@@ -261,6 +268,40 @@
         }
     }
 
+    /// Has the box that was refused, and others by the way that is played, take a target's wish for
+    /// rest.
+    fn take_rest(&mut self, attempt: usize) {
+        let Some(rest) = self.pattern.rest_time() else {
+            return;
+        };
+        let Attempt { request, target, mark, .. } = self.attempts[attempt];
+        let gateway = self.requests[request].gateway;
+        let now = self.events.now;
+        self.rests.note_asked(now, gateway, target, rest);
+        let longer = match self.rest_way {
+            RestWay::Ignored => return,
+            RestWay::Spread => rest.mul_f64(self.random.random::<f64>() / 4.0),
+            _ => Duration::ZERO,
+        };
+        let notice = TargetNotice { leaves: false, rest: Some(rest + longer) };
+        let centre = gateway % self.plan.centres;
+        let told = |other: usize| other % self.plan.centres == centre;
+        for (number, core) in self.boxes.iter_mut().enumerate() {
+            if number == gateway || (self.rest_way == RestWay::Told && told(number)) {
+                core.note_notice(now, mark.key, &notice);
+            }
+        }
+    }
+
+    /// Whether a request waits for the first target that is back after `left`.
+    fn may_hold(&self, request: usize, left: Duration) -> bool {
+        let Request { service, since, .. } = self.requests[request];
+        let back = self.events.now.since(since) + left;
+        self.rest_way == RestWay::Held
+            && self.open_attempts(request) == 0
+            && back < self.service_plan(service).goal
+    }
+
     fn finish_work(&mut self, attempt: usize) {
         let target = self.attempts[attempt].target;
         self.targets[target].1.drop_attempt(attempt);
@@ -275,7 +316,10 @@
         let outcome = match kind {
             AnswerKind::Good => SteerOutcome::Good(self.events.now.since(mark.started)),
             AnswerKind::Failure => SteerOutcome::Failed,
-            AnswerKind::Refusal => SteerOutcome::Shed,
+            AnswerKind::Refusal => {
+                self.take_rest(attempt);
+                SteerOutcome::Shed
+            }
         };
         self.end_attempt(attempt, outcome);
         if kind == AnswerKind::Good {
--- a/crates/bench/tests/steer.rs
+++ b/crates/bench/tests/steer.rs
@@ -2,6 +2,7 @@
 
 use wingbench::steer::pattern::LoadPattern;
 use wingbench::steer::report::{KindSums, SteerReport};
+use wingbench::steer::rests::RestWay;
 use wingbench::steer::{SteerBench, measure_steer};
 
 const SEED: u64 = 700;
@@ -13,6 +14,7 @@
 
 fn measured_under(pattern: LoadPattern, without: &str) -> SteerReport {
     let bench = SteerBench {
+        rest_way: RestWay::default(),
         seed: SEED,
         fleets: FLEETS,
         seconds: 20,
@@ -125,3 +127,43 @@
         "storm".parse::<LoadPattern>().expect_err("no pattern").to_string().contains("first-load")
     );
 }
+
+struct RestCase {
+    way: RestWay,
+    pattern: LoadPattern,
+    /// Requests within rests at most, of those that were asked for.
+    most_sent: f64,
+}
+
+const RESTS: &[RestCase] = &[
+    RestCase { way: RestWay::Own, pattern: LoadPattern::SomeRest, most_sent: 0.0 },
+    RestCase { way: RestWay::Own, pattern: LoadPattern::AllRest, most_sent: 0.0 },
+    RestCase { way: RestWay::Own, pattern: LoadPattern::BurstRest, most_sent: 0.0 },
+    RestCase { way: RestWay::Ignored, pattern: LoadPattern::SomeRest, most_sent: 1.0 },
+];
+
+fn measured_rests(case: &RestCase) -> SteerReport {
+    let bench = SteerBench {
+        seed: SEED,
+        fleets: FLEETS,
+        seconds: 20,
+        workers: 2,
+        without: Default::default(),
+        pattern: case.pattern,
+        rest_way: case.way,
+    };
+    measure_steer(&bench).expect("names of mechanisms")
+}
+
+/// Three targets that refused all that came were asked more than before, since they had nothing to do.
+#[test]
+fn no_box_sends_to_a_target_that_it_was_asked_to_leave_alone() {
+    for case in RESTS {
+        let rests = measured_rests(case).steered.rests;
+        assert!(rests.asked > 0, "{:?}: nobody asked for rest", case.pattern);
+        let sent = rests.sent_in_rest as f64 / rests.asked as f64;
+        assert!(sent <= case.most_sent, "{:?}: {rests:?}", case.way);
+        // The watch sees what is sent where nothing is heeded.
+        assert_eq!(sent > 0.0, case.way == RestWay::Ignored, "{:?}: {rests:?}", case.way);
+    }
+}
