A test that fails: the refusal of another request passes for one of an order

Cause: found on the search for answers whose word is not about what was asked: a refusal was believed before its id was looked at, so an order that may have run was told as not run, and sent again. Change: a row in the table of answers. Figures: status 503 where 502 is due.

--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -88,6 +88,14 @@
         body: None,
         sends: (2, 2),
     },
+    AnswerCase {
+        name: "the refusal of another request says nothing of an order",
+        kind: ONCE,
+        scripts: &[Script::WrongIdSheds, Script::WrongIdSheds],
+        status: 502,
+        body: None,
+        sends: (1, 1),
+    },
     AnswerCase {
         name: "another instance at the address: not run",
         kind: ONCE,
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -38,6 +38,8 @@
     NoProof,
     /// Gives the answer to another request.
     WrongId,
+    /// Refuses another request, and says that it ran nothing of that.
+    WrongIdSheds,
     /// Encodes the body.
     Encoded,
     /// Answers well, and sends another answer behind.
@@ -242,6 +244,10 @@
             format!("HTTP/1.1 200 Fine\r\nX-Id: {id}\r\n{said}Content-Length: 5\r\n\r\nhello")
         }
         Script::WrongId => ok.replace(&id, "another") + "Content-Length: 5\r\n\r\nhello",
+        Script::WrongIdSheds => {
+            let id = "another";
+            format!("HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        }
         Script::Encoded => format!("{ok}Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"),
         Script::Twice => {
             let one = format!("{ok}Content-Length: 5\r\n\r\nhello");
