Look first whether an answer is to this request, and then at what it says

Cause: 'not run' and 421 were read before the id. Change: an answer with another id is broken, whatever it says (attempt.rs).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,8 @@
 const CONNECT_TIME: Duration = Duration::from_millis(120);
 /// Why nothing was sent to a target whose address takes no connections.
 pub(crate) const CONNECTION_REFUSED: &str = "the connection was refused";
+/// Why an answer can't be used that has another id than the request, or none.
+const OTHERS_ANSWER: &str = "the answer belongs to another request";
 /// Time to find out whether a target that closed a connection still listens: one that ended
 /// refuses within a round trip, some 3 ms between data centres.
 const LISTENS_TIME: Duration = Duration::from_millis(50);
@@ -170,6 +172,13 @@
     held: HeldBody,
 ) -> AttemptEnd {
     let load = start.headers.text(&names.load).and_then(parse_load);
+    let returned = start.headers.text(&names.request_id);
+    let is_others = request.request_id.is_some() && returned != request.request_id.as_deref();
+    // Before all else: that another request did not run says nothing of this one, which would be
+    // run twice. Some refusals come without an id.
+    if is_others && returned.is_some() {
+        return AttemptEnd::Broken(OTHERS_ANSWER.into());
+    }
     // Such an answer says "not run" too, but the target that was meant is gone for good.
     if start.status == 421 {
         return AttemptEnd::WrongTarget;
@@ -177,9 +186,8 @@
     if start.headers.has(&names.not_run) {
         return AttemptEnd::Refused(load);
     }
-    let returned = start.headers.text(&names.request_id);
-    if request.request_id.as_deref() != returned && request.request_id.is_some() {
-        return AttemptEnd::Broken("the answer belongs to another request".into());
+    if is_others {
+        return AttemptEnd::Broken(OTHERS_ANSWER.into());
     }
     let good = (200..300).contains(&start.status);
     if good && !start.headers.has(&names.proof) {
