Soak: targets that ask for rest or say that they leave, among its faults and promises

Cause: no stand-in of the soak had an answer that says something of its target, so that no seed could find boxes that don't heed it. Change: targets that refuse and ask for rest, that say in all answers that they leave, with their entry or without; two promises, each with a planted case; drawn from a seed of their own, so that other faults stay as they were.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,17 +7,18 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use wingbridge_platform_standins::{AnswerCheck, Arrival, DEADLY};
+use wingbridge_platform_standins::{AnswerCheck, Arrival, DEADLY, NoticeRecord};
 
 use crate::callers::{CallerEnd, CallerRecord};
 use crate::fleet::RETRY_SLACK;
+use crate::notices::{after_word, sent_in_rest};
 use crate::report::Violation;
 use crate::spans::{SpanLog, SpanScope};
 use crate::world::{CUSTOMER, ConfigBoard, ROUTE_TIME, service_of};
 
 /// A target that leaves gets no new work after this long, and a configuration is in force.
 /// Source: the users' pages.
-const CHANGE_TIME: Duration = Duration::from_secs(2);
+pub(crate) const CHANGE_TIME: Duration = Duration::from_secs(2);
 /// A box counts as in touch after so long without a disturbance. Source: the users' pages.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Handling by an older configuration is excused for so long after a newer one was seen.
@@ -64,6 +65,8 @@
     pub records: Vec<CallerRecord>,
     /// What reached targets.
     pub arrivals: Vec<Arrival>,
+    /// What targets said of themselves in answers.
+    pub notices: Vec<NoticeRecord>,
     /// Questions for the configuration.
     pub probes: Vec<ProbeRecord>,
     /// Targets that left, and when that was acknowledged.
@@ -96,6 +99,8 @@
         Violation::of("a planned stop cuts nothing", lost(evidence), 0),
         Violation::of("a request is answered in its time", held_too_long(evidence), 0),
         Violation::of("a leaving target gets no new work", late_at_leaving(evidence), 0),
+        Violation::of("a target that says that it leaves is left alone", after_word(evidence), 0),
+        Violation::of("a target that asks for rest gets it", sent_in_rest(evidence), 0),
         Violation::of("a configuration is in force in time", late_config(evidence), 0),
         Violation::of("a configuration never reverts", reverted(evidence), 0),
         Violation::of("a hang-up cancels", after_hang_up(evidence), GONE_MOST),
@@ -322,7 +327,7 @@
 }
 
 /// The box that took a request, by its id.
-fn box_of(request: &str) -> Option<usize> {
+pub(crate) fn box_of(request: &str) -> Option<usize> {
     request.split_once('-')?.0.parse().ok()
 }
 
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -41,6 +41,7 @@
     EndStorePath(usize, usize),
     EndTargetPath(usize),
     EndTarget(usize),
+    EndRest(usize),
     EndLeaving(usize, bool),
     LapseEntry(usize),
     ReplaceTarget(usize, bool),
@@ -144,7 +145,7 @@
     /// A process can't be started or signalled.
     pub fn carry_out(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.began = Instant::now();
-        for (at, fault) in &plan.faults {
+        for (at, fault) in plan.faults.iter().chain(&plan.notices) {
             self.put(*at, DriverStep::Begin(*fault));
         }
         while !self.agenda.is_empty() || !self.all_run() || self.began.elapsed() < time {
@@ -230,6 +231,10 @@
             }
             DriverStep::EndTargetPath(index) => self.world.set_path(index, RelayMode::Open),
             DriverStep::EndTarget(index) => self.world.set_mode(index, TargetMode::Sound),
+            DriverStep::EndRest(index) => {
+                self.world.ask_rest(index, None);
+                self.world.set_mode(index, TargetMode::Sound);
+            }
             DriverStep::EndLeaving(index, other) => {
                 self.world.end_target(index, true);
                 self.put_in(REUSE_AFTER, DriverStep::ReplaceTarget(index, other));
@@ -286,6 +291,15 @@
                 self.world.end_target(index, false);
                 self.put_in(LAPSE_AFTER, DriverStep::LapseEntry(index));
             }
+            PlannedFault::AskRest(index, share, rest, time) => {
+                self.world.ask_rest(index, Some(rest));
+                self.world.set_mode(index, TargetMode::Refuses(share));
+                self.put_in(time, DriverStep::EndRest(index));
+            }
+            PlannedFault::LeaveByAnswers(index) => {
+                self.world.say_leaving(index);
+                self.put_in(SERVES_ON, DriverStep::EndLeaving(index, false));
+            }
             PlannedFault::ChangeConfig(count, pause) => {
                 self.world.change_config();
                 if count > 1 {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,10 @@
     CrashTarget(usize),
     /// So many configurations are written, with this pause between.
     ChangeConfig(u32, Duration),
+    /// A target's refusals ask for that much rest, for a while, and it refuses that share.
+    AskRest(usize, f64, Duration, Duration),
+    /// A target says that it leaves in its answers alone, and ends when it has.
+    LeaveByAnswers(usize),
 }
 
 /// Faults with the times at which they begin.
@@ -45,6 +49,8 @@
 pub struct FaultPlan {
     /// In the order of their times, from the start of the load.
     pub faults: Vec<(Duration, PlannedFault)>,
+    /// Targets that ask for rest, or leave by their answers alone, with the times at which they begin to.
+    pub notices: Vec<(Duration, PlannedFault)>,
     /// Requests under which targets end.
     pub deadly: Vec<DeadlyRound>,
 }
@@ -66,6 +72,9 @@
 
 /// Deadly requests for each second of faults.
 const DEADLY_PER_S: f64 = 0.1;
+/// Targets that ask for rest or leave by their answers alone, for each second of faults.
+const NOTICES_PER_S: f64 = 0.2;
+const NOTICE_SEED: u64 = 0x1eaf;
 /// They are drawn from a seed of their own, so that a seed's other faults stay as they were without them.
 const DEADLY_SEED: u64 = 0xdead;
 
@@ -91,7 +100,8 @@
             .map(|_| (size.time.mul_f64(random.random()), draw_fault(&mut random, size)))
             .collect();
         faults.sort_by_key(|(at, _)| *at);
-        FaultPlan { faults, deadly: draw_deadly(seed, size) }
+        let (notices, deadly) = (draw_notices(seed, size), draw_deadly(seed, size));
+        FaultPlan { faults, notices, deadly }
     }
 }
 
@@ -119,6 +129,24 @@
     }
 }
 
+fn draw_notices(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ NOTICE_SEED);
+    let count = (size.time.as_secs_f64() * NOTICES_PER_S).ceil() as usize;
+    let mut draw = |_| {
+        let at = size.time.mul_f64(random.random());
+        let target = random.random_range(0..size.targets);
+        let share = random.random_range(0.3..1.0);
+        let rest = Duration::from_millis(random.random_range(200..3000));
+        let time = Duration::from_millis(random.random_range(1000..5000));
+        let fault = match random.random_bool(0.7) {
+            true => PlannedFault::AskRest(target, share, rest, time),
+            false => PlannedFault::LeaveByAnswers(target),
+        };
+        (at, fault)
+    };
+    (0..count).map(&mut draw).collect()
+}
+
 fn draw_deadly(seed: u64, size: &PlanSize) -> Vec<DeadlyRound> {
     let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
     let count = (size.time.as_secs_f64() * DEADLY_PER_S).ceil() as usize;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -80,6 +80,7 @@
     let evidence = SoakEvidence {
         records,
         arrivals: driver.world().arrivals.all(),
+        notices: driver.world().arrivals.notices(),
         probes,
         departures: driver.world().departures().to_vec(),
         board,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -120,8 +120,19 @@
         self.slots[index].target.set_mode(mode);
     }
 
-    /// The target says that it leaves.
+    /// The target says in its answers that it leaves, and its entry doesn't.
+    pub fn say_leaving(&self, index: usize) {
+        self.slots[index].target.say_leaving();
+    }
+
+    /// The target's refusals ask for that much rest, or for none.
+    pub fn ask_rest(&self, index: usize, rest: Option<Duration>) {
+        self.slots[index].target.ask_rest(rest);
+    }
+
+    /// The target says that it leaves, in its entry and in its answers.
     pub fn announce_leaving(&mut self, index: usize) {
+        self.say_leaving(index);
         let spec = &self.slots[index].spec;
         let acknowledged = self.store.put_target(spec, EntryState::Draining, 2);
         self.departures.push((spec.id.clone(), acknowledged));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wingbridge_platform_standins::{AnswerCheck, Arrival};
+use wingbridge_platform_standins::{AnswerCheck, Arrival, NoticeRecord, SaidNotice};
 use wingbridge_soak::callers::{CallerEnd, CallerRecord};
 use wingbridge_soak::checks::{ProbeRecord, SoakEvidence, check_all};
 use wingbridge_soak::spans::{SpanLog, SpanScope};
@@ -21,6 +21,7 @@
             arrival("0-1", "/order/1", "orders", start, 10),
             arrival("0-2", "/read/2", "reads", start, 10),
         ],
+        notices: Vec::new(),
         probes: Vec::new(),
         departures: Vec::new(),
         board: ConfigBoard::default(),
@@ -68,6 +69,21 @@
     }
 }
 
+/// What the target said of itself in its answer to the first repeatable request.
+fn notice(start: Instant, notice: SaidNotice) -> NoticeRecord {
+    let at = start + Duration::from_millis(20);
+    NoticeRecord { request: "0-2".into(), target: "t-1".into(), notice, at }
+}
+
+/// Has the same box send so many more requests to that target, from ten seconds later on.
+fn send_later(run: &mut SoakEvidence, start: Instant, count: u64) {
+    for number in 0..count {
+        let (id, sent) = (format!("0-l{number}"), start + Duration::from_secs(10 + number));
+        run.records.push(record(&id, "/read/l", sent, 50, SERVED));
+        run.arrivals.push(arrival(&id, "/read/l", "reads", sent, 10));
+    }
+}
+
 struct CheckCase {
     promise: &'static str,
     spoil: fn(&mut SoakEvidence, Instant),
@@ -114,6 +130,20 @@
             }
         },
     },
+    CheckCase {
+        promise: "a target that says that it leaves is left alone",
+        spoil: |run, start| {
+            run.notices.push(notice(start, SaidNotice::Leaves));
+            send_later(run, start, 1);
+        },
+    },
+    CheckCase {
+        promise: "a target that asks for rest gets it",
+        spoil: |run, start| {
+            run.notices.push(notice(start, SaidNotice::Rest(Duration::from_secs(30))));
+            send_later(run, start, 3);
+        },
+    },
     CheckCase {
         promise: "a planned stop cuts nothing",
         spoil: |run, _| {
