--- a/crates/ctl/src/explain/left_alone.rs
+++ b/crates/ctl/src/explain/left_alone.rs
@@ -1,4 +1,4 @@
-//! Targets that wanted nothing, or could get nothing, and what reached them all the same.
+//! Targets that wanted nothing, or could get nothing, and who knew that.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,8 +20,6 @@
     Replaced,
     /// The store lists it no more, or as leaving.
     Left,
-    /// A request was sent to it though it had said that it wants none.
-    SentAfter,
     /// A request was kept back from it at the last moment.
     Withheld,
 }
@@ -55,8 +53,6 @@
     pub replaced_at: usize,
     /// Boxes that knew by the store's list that it had left.
     pub left_at: usize,
-    /// Requests that were sent to it half a second or longer after it had said that it wants none.
-    pub sent_after: usize,
     /// Requests that were kept back from it when their connections were up.
     pub withheld: usize,
 }
@@ -88,10 +84,6 @@
             return;
         };
         let known_at = match line.cause {
-            AloneCause::SentAfter => {
-                sums.row.sent_after += 1;
-                return;
-            }
             AloneCause::Withheld => {
                 sums.row.withheld += 1;
                 return;
@@ -112,8 +104,7 @@
         known_at.insert(box_name.to_string());
     }
 
-    /// Those that were sent to against their word first, and then those that asked for the most
-    /// rest.
+    /// Those that asked for the most rest first, and then those that leave.
     pub(super) fn rows(self) -> Vec<AloneRow> {
         let row = |(target, sums): (String, AloneSums)| AloneRow {
             target,
@@ -125,7 +116,7 @@
         };
         let mut rows: Vec<AloneRow> = self.targets.into_iter().map(row).collect();
         rows.retain(AloneRow::was_alone);
-        rows.sort_by_key(|row| std::cmp::Reverse((row.sent_after, row.rest_ms, row.leaves_at)));
+        rows.sort_by_key(|row| std::cmp::Reverse((row.rest_ms, row.leaves_at)));
         rows
     }
 
@@ -141,6 +132,6 @@
 impl AloneRow {
     fn was_alone(&self) -> bool {
         let known_at = self.leaves_at + self.rests_at + self.replaced_at + self.left_at;
-        known_at + self.sent_after + self.withheld > 0
+        known_at + self.withheld > 0
     }
 }
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -315,7 +315,6 @@
                 row.replaced_at,
                 row.left_at,
                 row.withheld,
-                row.sent_after,
             ];
             let counts = counts.iter().map(usize::to_string);
             std::iter::once(row.target.clone()).chain(counts).collect()
@@ -330,7 +329,6 @@
             "replaced, by",
             "left the list, by",
             "withheld",
-            "sent after",
         ];
         table(&headings, &rows)
     }
--- a/crates/ctl/src/explain/request_line.rs
+++ b/crates/ctl/src/explain/request_line.rs
@@ -72,7 +72,7 @@
     Left(LeftLine),
     /// A target that ended while it had a request.
     Ended(EndedLine),
-    /// Why a target is left alone, or that it was not.
+    /// Why a target is left alone.
     Alone(AloneLine),
     Other,
 }
@@ -161,7 +161,6 @@
             alone(raw, AloneCause::Rests(rest_ms))
         }
         "target-replaced" => alone(raw, AloneCause::Replaced),
-        "sent-after-notice" => alone(raw, AloneCause::SentAfter),
         "send-withheld" => alone(raw, AloneCause::Withheld),
         _ => Ok(LogLine::Other),
     }
