--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -17,6 +17,7 @@
 mod request_line;
 mod spells;
 mod spread;
+mod tables;
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, stdin};
