--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -365,3 +365,31 @@
     pair.speaker.follow(Script::Good);
     pair.ask_until_it_has(2);
 }
+
+/// Two seconds after an outage the targets that it took from the list are dropped, and the ones that
+/// stay were taken for new: they had no notice any more.
+#[test]
+fn a_rest_outlasts_the_end_of_what_an_outage_took_from_the_list() {
+    let pair = Pair::start(Script::Sheds, LONG_REST, RouteKind::AtMostOnce);
+    let lapsing = TargetStandin::start("lapsing", "service", Script::Good);
+    let all = [&pair.speaker, &pair.other, &lapsing];
+    pair.store.put_targets(all.map(|target| target.entry.clone()).to_vec());
+    pair.let_it_read();
+    pair.store.set_away(true);
+    let failed_from = pair.store.reads();
+    eventually("the store is missed", || pair.store.reads() > failed_from + 4);
+    thread::sleep(NEWS_TIME);
+    pair.list(Some(pair.speaker.entry.clone()));
+    pair.store.set_away(false);
+    pair.let_it_read();
+    pair.hear_notice();
+    pair.speaker.follow(Script::Good);
+    let before = pair.sends();
+    eventually("what has lapsed is dropped", || {
+        let lapsed_before = lapsing.seen().len();
+        pair.ask_on();
+        lapsing.seen().len() == lapsed_before
+    });
+    pair.ask_on();
+    assert_eq!(pair.sends(), before);
+}
