Key a target's life by a hash over its name and start

Cause: the start was the hash's seed, by which short names with starts that differ as they do had one key, and so one record. Change: name and start are hashed together; a life without a known start has its name's key, as before. Figures: 4,096 lives of 64 targets had 3,534 keys, 4,096 now.

--- a/crates/decide/src/names.rs
+++ b/crates/decide/src/names.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 /// The name of a service, a box or a data centre.
 pub type Name = Arc<str>;
@@ -21,7 +21,16 @@
     /// The key of one life of the target named `id`: it holds nothing of what was known of an
     /// earlier one. `born_ms` is its start in milliseconds since 1970; 0 if it is not known.
     pub fn of_life(id: &str, born_ms: u64) -> TargetKey {
-        TargetKey(xxh3_64_with_seed(id.as_bytes(), born_ms))
+        if born_ms == 0 {
+            return TargetKey::of(id);
+        }
+        // Not as the hash's seed: that is little more than added to a short name, and 4,096 lives of 64
+        // targets named by their numbers had 3,534 keys. Two targets with one key share what is known of
+        // either, and lose it with each listing.
+        let mut hash = Xxh3::new();
+        hash.update(&born_ms.to_le_bytes());
+        hash.update(id.as_bytes());
+        TargetKey(hash.digest())
     }
 }
 
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -43,6 +43,15 @@
         cause: "two orders under which targets end: boxes that knew no request again sent them 9 and 7 times \
                 later than 3 s after the third target",
     },
+    KeptSeed {
+        seed: 99230,
+        seconds: 8,
+        routes: 0,
+        targets: 9,
+        faults_per_s: 0.6,
+        cause: "a target that had asked for rest got 13 requests of one box: it had the key of another one, so \
+                that each listing took one of them for new",
+    },
 ];
 
 fn settings(kept: &KeptSeed) -> SoakSettings {
