Tell in logs, metrics and explain which limits targets name, and what they get

Two targets that had named 1 and 1.1 requests a second got 32 and 19 in 4 s, and no line told that an answer carried a limit, which boxes knew it, or what all boxes together sent.

Of each answer that is its target's own word the limit is read and kept with the target's life; nothing is decided by it yet. Lines: target-limited, target-unlimited, limited-send; a gauge and a counter; a table in wingctl explain that holds the most sends in any 4 s, over all boxes, against what the limit allowed, from 3 s after it was named.

A lower limit counts at once; a higher one or none by the answer to a request that was sent after the lower one was heard, since answers come out of order.

--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -5,11 +5,13 @@
 //! believed of the target, and by where in a target's spell of failures they fell. Lines of
 //! configurations and targets tell how long a change took through all boxes, and requests how
 //! old what they were decided by was. Requests under which targets ended are named one by one,
-//! and targets that wanted nothing with what kept them out of the choice.
+//! and targets that wanted nothing with what kept them out of the choice. What all boxes sent to a target
+//! that had named a limit is held against it.
 
 mod calibration;
 mod deadly;
 mod left_alone;
+mod limited;
 mod log_objects;
 mod losses;
 mod moments;
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -9,6 +9,7 @@
 use super::calibration::{Calibration, CalibrationRow};
 use super::deadly::{DeadlyCount, DeadlyRow};
 use super::left_alone::{AloneCause, AloneCount, AloneLine, AloneRow};
+use super::limited::{LimitedCount, LimitedRow};
 use super::log_objects::{LogObject, log_objects};
 use super::losses::{LossCount, LossRow, ServiceRow};
 use super::moments::{MomentCount, MomentRow};
@@ -52,6 +53,8 @@
     pub deadly: Vec<DeadlyRow>,
     /// Targets that were left alone for some of the time, and why.
     pub left_alone: Vec<AloneRow>,
+    /// Targets that had a limit for some of the time, and what they got.
+    pub limited: Vec<LimitedRow>,
 }
 
 /// A line of a log that can't be read.
@@ -96,6 +99,7 @@
     old_views: usize,
     deadly: DeadlyCount,
     left_alone: AloneCount,
+    limited: LimitedCount,
 }
 
 impl ReportSums {
@@ -141,6 +145,7 @@
                 self.spread.note_left(line);
             }
             LogLine::Alone(line) => self.left_alone.note(box_name, &line),
+            LogLine::Limited(line) => self.limited.note(box_name, &line),
             LogLine::Request(_) | LogLine::Other => {}
         }
         Ok(())
@@ -163,6 +168,7 @@
             old_views: self.old_views,
             deadly: self.deadly.rows(),
             left_alone: self.left_alone.rows(),
+            limited: self.limited.rows(),
         }
     }
 }
--- a/crates/ctl/src/explain/request_line.rs
+++ b/crates/ctl/src/explain/request_line.rs
@@ -6,6 +6,7 @@
 
 use super::deadly::EndedLine;
 use super::left_alone::{AloneCause, AloneLine};
+use super::limited::{LimitedCause, LimitedLine};
 use super::spread::{InForceLine, LeftLine};
 
 /// What a request's line says of an attempt under which its target ended.
@@ -74,6 +75,8 @@
     Ended(EndedLine),
     /// Why a target is left alone.
     Alone(AloneLine),
+    /// What a target with a limit said, or got.
+    Limited(LimitedLine),
     Other,
 }
 
@@ -126,6 +129,8 @@
     tried: String,
     #[serde(default)]
     rest_ms: String,
+    #[serde(default)]
+    per_second: String,
 }
 
 /// Decodes the JSON of one line.
@@ -160,6 +165,12 @@
             let rest_ms = number(&raw.rest_ms, "rest_ms")?;
             alone(raw, AloneCause::Rests(rest_ms))
         }
+        "target-limited" => {
+            let rate = number(&raw.per_second, "per_second")?;
+            limited(raw, LimitedCause::Named(rate))
+        }
+        "target-unlimited" => limited(raw, LimitedCause::Ended),
+        "limited-send" => limited(raw, LimitedCause::Sent),
         "target-replaced" => alone(raw, AloneCause::Replaced),
         "send-withheld" => alone(raw, AloneCause::Withheld),
         _ => Ok(LogLine::Other),
@@ -171,6 +182,11 @@
     Ok(LogLine::Alone(AloneLine { target: raw.target, at_ms, cause }))
 }
 
+fn limited(raw: RawLine, cause: LimitedCause) -> eyre::Result<LogLine> {
+    let at_ms = time_ms(&raw.time)?;
+    Ok(LogLine::Limited(LimitedLine { target: raw.target, at_ms, cause }))
+}
+
 fn decode_request(raw: RawLine) -> eyre::Result<RequestLine> {
     let status = number(&raw.status, "status")?;
     let ended_ms = time_ms(&raw.time)?;
@@ -215,5 +231,5 @@
 }
 
 fn number<T: std::str::FromStr>(text: &str, name: &str) -> eyre::Result<T> {
-    text.parse().map_err(|_| eyre!("its field '{name}' is '{text}', which is no whole number"))
+    text.parse().map_err(|_| eyre!("its field '{name}' is '{text}', which is no number"))
 }
--- a/crates/ctl/src/explain/tables.rs
+++ b/crates/ctl/src/explain/tables.rs
@@ -3,6 +3,7 @@
 use super::calibration::CalibrationRow;
 use super::deadly::DeadlyRow;
 use super::left_alone::AloneRow;
+use super::limited::LimitedRow;
 use super::losses::{LossRow, ServiceRow};
 use super::moments::MomentRow;
 use super::report::{LogReport, OLD_VIEW_MS};
@@ -19,6 +20,8 @@
 const DEADLY_SHOWN: usize = 12;
 /// Targets that were left alone that are shown to people; JSON has all.
 const ALONE_SHOWN: usize = 20;
+/// Targets with a limit that are shown to people; JSON has all.
+const LIMITED_SHOWN: usize = 20;
 
 impl LogReport {
     /// Tables for people.
@@ -51,6 +54,8 @@
             self.deadly_table(),
             "targets that were left alone, and the boxes that knew why:".to_string(),
             self.alone_table(),
+            "targets that named a limit, and what all boxes sent them in 4 s:".to_string(),
+            self.limited_table(),
         ]
         .join("\n\n")
     }
@@ -175,6 +180,33 @@
         table(&headings, &rows)
     }
 
+    fn limited_table(&self) -> String {
+        let row = |row: &LimitedRow| {
+            vec![
+                row.target.clone(),
+                row.per_second.to_string(),
+                row.least_per_second.to_string(),
+                row.boxes.to_string(),
+                row.sends.to_string(),
+                row.most.to_string(),
+                format!("{:.1}", row.allowed),
+                row.most_at_ms.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = self.limited.iter().take(LIMITED_SHOWN).map(row).collect();
+        let headings = [
+            "target",
+            "a second",
+            "least",
+            "boxes that knew",
+            "sends",
+            "most in 4 s",
+            "allowed",
+            "until ms",
+        ];
+        table(&headings, &rows)
+    }
+
     fn version_table(&self) -> String {
         let row = |row: &VersionRow| {
             vec![
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -12,6 +12,7 @@
 pub mod belief;
 mod choose;
 pub mod ledger;
+pub mod limit;
 pub mod listeners;
 pub mod mechanism;
 pub mod messages;
@@ -46,6 +47,7 @@
 use crate::steer::trial::{TrialPlace, draw_trial};
 use crate::time::TimePoint;
 
+pub use limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
 pub use messages::{
     AttemptNews, LoadReport, NoPick, PeerSample, RetryUse, SteerOutcome, SteerPick, SteerRequest,
     SteerSetup, SuspicionChange,
--- a/crates/decide/src/steer/notice.rs
+++ b/crates/decide/src/steer/notice.rs
@@ -1,5 +1,5 @@
-//! What targets say of themselves in their answers: that they leave, and for how long they want
-//! nothing from the box that they answer.
+//! What targets say of themselves in their answers: that they leave, for how long they want nothing
+//! from the box that they answer, and how many requests a second they take from all boxes together.
 //!
 //! Such a notice is the target's own word, so it counts without the store and whatever the store
 //! lists. It belongs to one life of a target: the next one, under another name or the same, begins
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::steer::limit::{LimitChange, LimitSaid, LimitWord};
 use crate::time::TimePoint;
 
 /// A longer rest is taken for one of this time. Targets ask for seconds; one that asks for years by
@@ -63,6 +64,7 @@
 pub(crate) struct NoticeState {
     leaves_since: Option<TimePoint>,
     rest: Option<RestSpan>,
+    limit: Option<LimitWord>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +86,23 @@
         NoticeChange { leaves, rest }
     }
 
+    /// Takes what an answer to a request that was sent at `asked` says of the target's limit.
+    pub(crate) fn hear_limit(
+        &mut self,
+        now: TimePoint,
+        asked: TimePoint,
+        said: LimitSaid,
+    ) -> Option<LimitChange> {
+        let (word, change) = LimitWord::heard(self.limit, now, asked, said)?;
+        self.limit = Some(word);
+        change
+    }
+
+    /// What the target said last of its limit.
+    pub(crate) fn limit(&self) -> Option<LimitWord> {
+        self.limit
+    }
+
     /// Why the target wants nothing at `now`, if so.
     pub(crate) fn bar(&self, now: TimePoint) -> Option<NoticeBar> {
         if let Some(since) = self.leaves_since {
--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -4,6 +4,7 @@
 
 use crate::names::{Name, TargetKey};
 use crate::steer::SteerCore;
+use crate::steer::limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
 use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
 use crate::steer::record::TargetRecord;
 use crate::time::TimePoint;
@@ -27,6 +28,38 @@
         self.note_notice(now, key, &TargetNotice { leaves: true, rest: None }).leaves
     }
 
+    /// Takes what a target's answer to a request of this box, sent at `asked`, says of its limit.
+    pub fn hear_limit(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        asked: TimePoint,
+        said: LimitSaid,
+    ) -> Option<LimitChange> {
+        match self.record_mut(key) {
+            Some(record) => record.notices.hear_limit(now, asked, said),
+            None => self.parted.hear_limit(now, key, asked, said),
+        }
+    }
+
+    /// What a listed target said last of its limit.
+    pub fn limit_word(&self, key: TargetKey) -> Option<LimitWord> {
+        self.pool_of(key)?[key].notices.limit()
+    }
+
+    /// The limit of a target, if it has one now.
+    pub fn limit(&self, key: TargetKey) -> Option<RequestRate> {
+        self.limit_word(key)?.rate
+    }
+
+    /// How many listed targets have a limit now.
+    pub fn limited_targets(&self) -> usize {
+        let records = self.pools.values().flat_map(|pool| pool.all_records());
+        records
+            .filter(|record| record.notices.limit().is_some_and(|word| word.rate.is_some()))
+            .count()
+    }
+
     /// A target's name, if it is listed.
     pub fn target_name(&self, key: TargetKey) -> Option<&Name> {
         Some(&self.pool_of(key)?[key].setup.id)
--- a/crates/decide/src/steer/parted.rs
+++ b/crates/decide/src/steer/parted.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::names::TargetKey;
+use crate::steer::limit::{LimitChange, LimitSaid};
 use crate::steer::notice::{NoticeChange, NoticeState, TargetNotice};
 use crate::time::TimePoint;
 
@@ -49,6 +50,20 @@
         change
     }
 
+    /// The same of its limit.
+    pub(crate) fn hear_limit(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        asked: TimePoint,
+        said: LimitSaid,
+    ) -> Option<LimitChange> {
+        let mut notices = self.restore(key);
+        let change = notices.hear_limit(now, asked, said);
+        self.keep(now, key, notices);
+        change
+    }
+
     /// What a target said that is listed now.
     pub(crate) fn restore(&mut self, key: TargetKey) -> NoticeState {
         self.kept.remove(&key).map(|parted| parted.notices).unwrap_or_default()
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -9,8 +9,10 @@
 
 use async_std::net::TcpStream;
 use futures::FutureExt;
-use wingbridge_decide::TargetKey;
-use wingbridge_decide::steer::{LeftOut, NoticeBar, NoticeChange, SteerPick, TargetNotice};
+use wingbridge_decide::steer::{
+    LeftOut, LimitChange, LimitSaid, NoticeBar, NoticeChange, RequestRate, SteerPick, TargetNotice,
+};
+use wingbridge_decide::{TargetKey, TimePoint};
 use wingbridge_http::raw::AnswerStart;
 
 use crate::attempt::is_anothers;
@@ -29,6 +31,8 @@
     target: &'a str,
     /// The caller's id of the request, if it has one.
     request: Option<&'a str>,
+    /// When the attempt began.
+    asked: TimePoint,
     /// Whether a head was read already.
     heard: AtomicBool,
 }
@@ -68,28 +72,40 @@
         request: Option<&'a str>,
     ) -> NoticeLink<'a> {
         let heard = AtomicBool::new(false);
-        NoticeLink { context, key: pick.key, target: &pick.id, request, heard }
+        let asked = context.now();
+        NoticeLink { context, key: pick.key, target: &pick.id, request, asked, heard }
     }
 
     /// Takes what the head of an answer says of the target.
     pub(crate) fn take(&self, start: &AnswerStart) {
         self.heard.store(true, Ordering::Release);
-        let notice = read_notice(start, &self.context.headers, self.request);
-        if notice == TargetNotice::default() {
+        let names = &self.context.headers;
+        if !is_own_word(start, names, self.request) {
             return;
         }
+        let notice = read_notice(start, names);
         let now = self.context.now();
-        let change = self.context.core().note_notice(now, self.key, &notice);
+        let mut core = self.context.core();
+        let change = core.note_notice(now, self.key, &notice);
+        let limit = core.hear_limit(now, self.key, self.asked, read_limit(start, names));
+        drop(core);
         self.tell(start.status, &change);
+        if let Some(limit) = limit {
+            self.tell_limit(start.status, limit);
+        }
     }
 
     /// Whether the target may be sent the request, now that a connection to it is up.
     pub(crate) fn may_send(&self) -> bool {
         let now = self.context.now();
-        let (notice, since) = match self.context.core().notice_bar(now, self.key) {
+        let bar = self.context.core().notice_bar(now, self.key);
+        let (notice, since) = match bar {
             Some(NoticeBar::Leaving(since)) => ("leaves", since),
             Some(NoticeBar::Resting { since, .. }) => ("rests", since),
-            None => return true,
+            None => {
+                self.note_limited_send();
+                return true;
+            }
         };
         let (target, request, since_ms) = (self.target, self.request_id(), millis(since));
         log::info!(target, request, notice, since_ms; "send-withheld");
@@ -97,6 +113,29 @@
         false
     }
 
+    /// Leaves a line of each send to a target with a limit: over all boxes they show whether it was kept.
+    fn note_limited_send(&self) {
+        let Some(limit) = self.context.core().limit(self.key) else {
+            return;
+        };
+        let (target, request) = (self.target, self.request_id());
+        log::info!(target, request, per_second:% = limit; "limited-send");
+        metrics::counter!("wingbridge_limited_sends").increment(1);
+    }
+
+    /// Tells the log of a limit that is new.
+    fn tell_limit(&self, status: u16, change: LimitChange) {
+        let (target, request) = (self.target, self.request_id());
+        match change {
+            LimitChange::Named(rate) => {
+                log::info!(target, request, status, per_second:% = rate, by = "own"; "target-limited");
+            }
+            LimitChange::Ended => {
+                log::info!(target, request, status, by = "own"; "target-unlimited");
+            }
+        }
+    }
+
     fn request_id(&self) -> &str {
         self.request.unwrap_or("-")
     }
@@ -133,27 +172,41 @@
 
 /// Sets the gauges of targets that want nothing now.
 pub(crate) fn show_left_out(context: &BoxContext) {
-    let LeftOut { leaving, resting, .. } = context.core().all_left_out(context.now());
+    let core = context.core();
+    let LeftOut { leaving, resting, .. } = core.all_left_out(context.now());
+    let limited = core.limited_targets();
+    drop(core);
+    metrics::gauge!("wingbridge_targets_limited").set(limited as f64);
     metrics::gauge!("wingbridge_targets_leaving").set(leaving as f64);
     metrics::gauge!("wingbridge_targets_resting").set(resting as f64);
 }
 
-/// What an answer to the request with the id `request` says of the target that was asked.
-fn read_notice(start: &AnswerStart, names: &HeaderNames, request: Option<&str>) -> TargetNotice {
-    // Another instance's word, or in an answer to another request nobody knows whose.
-    if start.status == 421 || is_anothers(start, names, request) {
-        return TargetNotice::default();
-    }
+/// Whether an answer to the request with the id `request` is the word of the target that was asked: of
+/// another instance, or in an answer to another request, nobody knows whose it is.
+fn is_own_word(start: &AnswerStart, names: &HeaderNames, request: Option<&str>) -> bool {
     let is_success = (200..300).contains(&start.status);
-    if is_success && !start.headers.has(&names.proof) {
-        return TargetNotice::default();
-    }
+    let has_proof = !is_success || start.headers.has(&names.proof);
+    start.status != 421 && !is_anothers(start, names, request) && has_proof
+}
+
+/// What an answer says of its target: that it leaves, and for how long it wants nothing.
+fn read_notice(start: &AnswerStart, names: &HeaderNames) -> TargetNotice {
     let mut leaving = start.headers.texts(&names.leaving);
     let rests = matches!(start.status, 429 | 503);
     let rest = if rests { read_rest(start, names, SystemTime::now()) } else { None };
     TargetNotice { leaves: leaving.any(|text| text == LEAVES), rest }
 }
 
+/// What an answer says of its target's limit: the lowest one of those that can be read.
+fn read_limit(start: &AnswerStart, names: &HeaderNames) -> LimitSaid {
+    let mut texts = start.headers.texts(&names.limit).peekable();
+    if texts.peek().is_none() {
+        return LimitSaid::None;
+    }
+    let rate = |text: &str| RequestRate::new(read_decimal(text)?);
+    texts.filter_map(rate).min().map_or(LimitSaid::Unclear, LimitSaid::At)
+}
+
 /// The longest time for which an answer asks to be left alone, of those that can be read: seconds,
 /// whole or not, or a date, which counts from that of the answer if it tells one.
 fn read_rest(start: &AnswerStart, names: &HeaderNames, now: SystemTime) -> Option<Duration> {
@@ -164,13 +217,18 @@
     start.headers.texts(&names.retry_after).filter_map(read).max()
 }
 
-/// A time in seconds, whole or not, as digits. What a float may be beside that (`inf`, `1e12`) is no
-/// time that a target means.
+/// A time in seconds, whole or not.
 fn read_seconds(text: &str) -> Option<Duration> {
+    let seconds = read_decimal(text)?;
+    // So many digits that no duration holds them are the longest one.
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
+/// A number from 0 on, whole or not, as digits. What a float may be beside that (`inf`, `1e12`) is none
+/// that a target means.
+fn read_decimal(text: &str) -> Option<f64> {
     if !text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.') {
         return None;
     }
-    let seconds: f64 = text.parse().ok()?;
-    // So many digits that no duration holds them are the longest one.
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    text.parse().ok()
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -138,6 +138,9 @@
     pub customer: String,
     /// A target's word in each of its answers that it leaves: "1".
     pub leaving: String,
+    /// The requests a second that a target takes from all boxes together, as a decimal number in
+    /// each of its answers, for as long as it has that limit.
+    pub limit: String,
     /// Seconds, or a date, after which a refused caller may come back, and a box to a target that
     /// turned it away.
     pub retry_after: String,
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -243,6 +243,7 @@
             customer_key: "X-Key".into(),
             customer: "X-Customer".into(),
             leaving: "X-Leaving".into(),
+            limit: "X-Limit".into(),
             retry_after: "Retry-After".into(),
         })
     }
