Send to targets that have named a limit by permits that one box keeps for all

What callers and targets saw: targets that named 1 and 1.1 requests a second got 32 and 19 in 4 s from boxes that had passed on their word (11 and 12 allowed).

Cause: the limit was read by nobody, and what one box sends the others can't know: forty boxes that send one request each in 4 s are forty. Class: a bound over the fleet that each box keeps by itself.

Mend: a target that has a limit is a choice as before, but nothing is sent there without a permit. One box of its data centre, the first by rendezvous, keeps a bucket that fills at the limit; a request whose choice falls on the target asks it (a datagram each way), goes elsewhere if there is none, and the target is no choice of that box until its turn. First attempts, trials and retries ask alike; second attempts beside an open one leave such targets alone; a last look before the request is written withholds what was chosen before the limit was heard or under a higher one. New limits are told to all boxes at once, repeated with signs of life, and by keepers' answers. A box that no keeper answers lives on half of its equal share, at a drawn moment. A box that has just started keeps no permits for 3 s, and one that is not the keeper by its own view answers none, so that there are no two.

Why it holds: permits are counted at one place before the send; where that can't be reached, shares sum up to less than the limit.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod judge;
 pub mod messages;
 pub mod names;
+pub mod permits;
 pub mod pick;
 pub mod queue;
 pub mod quota;
--- a/crates/decide/src/steer/limit.rs
+++ b/crates/decide/src/steer/limit.rs
@@ -6,6 +6,7 @@
 //! that was sent after the lower one was heard: what had been under way may have been answered before.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::time::TimePoint;
 
@@ -101,6 +102,25 @@
         (word.is_lower_than(&known) || is_later).then(|| (word, Some(word.as_change())))
     }
 
+    /// The same for what a peer tells that heard it `age` ago: the later word holds.
+    pub(crate) fn told(
+        known: Option<LimitWord>,
+        now: TimePoint,
+        rate: Option<RequestRate>,
+        age: Duration,
+    ) -> Option<(LimitWord, Option<LimitChange>)> {
+        let word = LimitWord { rate, said: now.before(age) };
+        let Some(known) = known else {
+            let change = rate.map(LimitChange::Named);
+            return Some((word, change));
+        };
+        if word.said <= known.said {
+            return None;
+        }
+        let change = (known.rate != rate).then(|| word.as_change());
+        Some((word, change))
+    }
+
     fn is_lower_than(&self, other: &LimitWord) -> bool {
         match (self.rate, other.rate) {
             (Some(rate), Some(other)) => rate < other,
--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -5,6 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::BeliefSample;
 use crate::steer::ledger::RetryBounds;
+use crate::steer::limit::RequestRate;
 use crate::steer::mechanism::MechanismSet;
 use crate::steer::open::OpenAge;
 
@@ -61,6 +62,8 @@
     pub busy: f64,
     /// Whether it is a suspect that is tried again.
     pub trial: bool,
+    /// The limit over all boxes that it has: nothing may be sent there without a permit.
+    pub limit: Option<RequestRate>,
 }
 
 /// What a retry is for. The budget is one for all, and some uses are worth more.
@@ -88,8 +91,8 @@
 pub enum NoPick {
     /// The service has no target that takes work, or each was tried.
     NoTarget,
-    /// All targets of the service have said that they want nothing: the first of them for this
-    /// long yet.
+    /// All targets of the service have said that they want nothing, or no more than they get: the
+    /// first of them for this long yet.
     Resting(Duration),
     /// Each target is so full that the request can't be answered in time.
     Overloaded,
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -402,5 +402,6 @@
         risk: pool.risk(now, record),
         busy: record.busy(now),
         trial,
+        limit: record.limit(),
     }
 }
--- a/crates/decide/src/steer/notice.rs
+++ b/crates/decide/src/steer/notice.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::steer::limit::{LimitChange, LimitSaid, LimitWord};
+use crate::steer::limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
 use crate::time::TimePoint;
 
 /// A longer rest is taken for one of this time. Targets ask for seconds; one that asks for years by
@@ -57,6 +57,8 @@
     pub resting: usize,
     /// Those whose addresses others have.
     pub replaced: usize,
+    /// Those whose limit over all boxes is used up for now.
+    pub limited: usize,
 }
 
 /// All that one target has said of itself.
@@ -98,11 +100,28 @@
         change
     }
 
+    /// Takes what a peer tells of the limit that heard it `age` ago.
+    pub(crate) fn take_limit(
+        &mut self,
+        now: TimePoint,
+        rate: Option<RequestRate>,
+        age: Duration,
+    ) -> Option<LimitChange> {
+        let (word, change) = LimitWord::told(self.limit, now, rate, age)?;
+        self.limit = Some(word);
+        change
+    }
+
     /// What the target said last of its limit.
-    pub(crate) fn limit(&self) -> Option<LimitWord> {
+    pub(crate) fn limit_word(&self) -> Option<LimitWord> {
         self.limit
     }
 
+    /// The limit that it has now.
+    pub(crate) fn limit(&self) -> Option<RequestRate> {
+        self.limit?.rate
+    }
+
     /// Why the target wants nothing at `now`, if so.
     pub(crate) fn bar(&self, now: TimePoint) -> Option<NoticeBar> {
         if let Some(since) = self.leaves_since {
--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -5,7 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::SteerCore;
 use crate::steer::limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
-use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
+use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, NoticeState, TargetNotice};
 use crate::steer::record::TargetRecord;
 use crate::time::TimePoint;
 
@@ -36,15 +36,23 @@
         asked: TimePoint,
         said: LimitSaid,
     ) -> Option<LimitChange> {
-        match self.record_mut(key) {
-            Some(record) => record.notices.hear_limit(now, asked, said),
-            None => self.parted.hear_limit(now, key, asked, said),
-        }
+        self.change_limit(now, key, |notices| notices.hear_limit(now, asked, said))
+    }
+
+    /// Takes what a peer tells of a target's limit that heard it `age` ago; `None` for the end of one.
+    pub fn take_limit(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        rate: Option<RequestRate>,
+        age: Duration,
+    ) -> Option<LimitChange> {
+        self.change_limit(now, key, |notices| notices.take_limit(now, rate, age))
     }
 
     /// What a listed target said last of its limit.
     pub fn limit_word(&self, key: TargetKey) -> Option<LimitWord> {
-        self.pool_of(key)?[key].notices.limit()
+        self.pool_of(key)?[key].notices.limit_word()
     }
 
     /// The limit of a target, if it has one now.
@@ -52,12 +60,19 @@
         self.limit_word(key)?.rate
     }
 
-    /// How many listed targets have a limit now.
-    pub fn limited_targets(&self) -> usize {
+    /// Notes that there is no permit for a target until then.
+    pub fn note_used_up(&mut self, key: TargetKey, until: TimePoint) {
+        if let Some(record) = self.record_mut(key) {
+            record.note_used_up(until);
+        }
+    }
+
+    /// The listed targets that have a limit now, with what they said last of it.
+    pub fn limited_targets(&self) -> impl Iterator<Item = (TargetKey, LimitWord)> {
         let records = self.pools.values().flat_map(|pool| pool.all_records());
-        records
-            .filter(|record| record.notices.limit().is_some_and(|word| word.rate.is_some()))
-            .count()
+        let words = records.filter_map(|record| Some((record, record.notices.limit_word()?)));
+        let limited = words.filter(|(_, word)| word.rate.is_some());
+        limited.map(|(record, word)| (record.setup.key(), word))
     }
 
     /// A target's name, if it is listed.
@@ -65,6 +80,11 @@
         Some(&self.pool_of(key)?[key].setup.id)
     }
 
+    /// The data centre of a listed target.
+    pub fn data_centre_of(&self, key: TargetKey) -> Option<Name> {
+        Some(self.pool_of(key)?[key].setup.data_centre.clone())
+    }
+
     /// Whether a target could be chosen for a request of `service` beside those that were tried.
     pub fn has_choice(&self, now: TimePoint, service: &str, tried: &[TargetKey]) -> bool {
         let pool = self.pools.get(service);
@@ -91,10 +111,24 @@
     /// Counts `time`, which the clock did not, into what is left of rests.
     pub fn grow_older(&mut self, time: Duration) {
         for pool in self.pools.values_mut() {
-            pool.all_records_mut().for_each(|record| record.notices.grow_older(time));
+            pool.all_records_mut().for_each(|record| record.grow_older(time));
         }
         self.parted.grow_older(time);
     }
+
+    fn change_limit(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        take: impl FnOnce(&mut NoticeState) -> Option<LimitChange>,
+    ) -> Option<LimitChange> {
+        let Some(record) = self.record_mut(key) else {
+            return self.parted.change(now, key, take);
+        };
+        let change = take(&mut record.notices)?;
+        record.note_limit(change);
+        Some(change)
+    }
 }
 
 fn count<'a>(now: TimePoint, records: impl Iterator<Item = &'a TargetRecord>) -> LeftOut {
@@ -107,7 +141,7 @@
         match record.notices.bar(now) {
             Some(NoticeBar::Leaving(_)) => out.leaving += 1,
             Some(NoticeBar::Resting { .. }) => out.resting += 1,
-            None => {}
+            None => out.limited += usize::from(record.used_up_for(now).is_some()),
         }
     }
     out
--- a/crates/decide/src/steer/parted.rs
+++ b/crates/decide/src/steer/parted.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use crate::names::TargetKey;
-use crate::steer::limit::{LimitChange, LimitSaid};
 use crate::steer::notice::{NoticeChange, NoticeState, TargetNotice};
 use crate::time::TimePoint;
 
@@ -44,22 +43,18 @@
         key: TargetKey,
         notice: &TargetNotice,
     ) -> NoticeChange {
-        let mut notices = self.restore(key);
-        let change = notices.take(now, notice);
-        self.keep(now, key, notices);
-        change
+        self.change(now, key, |notices| notices.take(now, notice))
     }
 
-    /// The same of its limit.
-    pub(crate) fn hear_limit(
+    /// Changes what a target has said that is not listed.
+    pub(crate) fn change<T>(
         &mut self,
         now: TimePoint,
         key: TargetKey,
-        asked: TimePoint,
-        said: LimitSaid,
-    ) -> Option<LimitChange> {
+        take: impl FnOnce(&mut NoticeState) -> T,
+    ) -> T {
         let mut notices = self.restore(key);
-        let change = notices.hear_limit(now, asked, said);
+        let change = take(&mut notices);
         self.keep(now, key, notices);
         change
     }
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -235,18 +235,18 @@
         records.map(|(key, record)| (*key, record))
     }
 
-    /// Time until the first target wants requests again, if all of them have said that they don't and
-    /// one of them only for a while.
+    /// Time until the first target takes requests again, if all of them have said that they want none, or
+    /// no more than they get, and one of them only for a while.
     pub(crate) fn time_to_first(&self, now: TimePoint) -> Option<Duration> {
         let present = self.records.values().filter(|record| !record.is_replaced());
-        let mut first = None;
+        let mut first: Option<Duration> = None;
         for record in present {
-            match record.notices.bar(now)? {
-                NoticeBar::Leaving(_) => {}
-                NoticeBar::Resting { left, .. } => {
-                    first = Some(first.map_or(left, |known: Duration| known.min(left)));
-                }
-            }
+            let left = match record.notices.bar(now) {
+                Some(NoticeBar::Leaving(_)) => continue,
+                Some(NoticeBar::Resting { left, .. }) => left,
+                None => record.used_up_for(now)?,
+            };
+            first = Some(first.map_or(left, |known| known.min(left)));
         }
         first
     }
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -4,6 +4,7 @@
 
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, SpellHabits, TargetBelief};
+use crate::steer::limit::{LimitChange, RequestRate};
 use crate::steer::messages::{SteerOutcome, SuspicionChange};
 use crate::steer::notice::NoticeState;
 use crate::steer::open::{AttemptMark, OpenAge, OpenAttempts};
@@ -73,6 +74,8 @@
     replaced: bool,
     /// What it has said of itself.
     pub(crate) notices: NoticeState,
+    /// Until when there is no permit for it.
+    used_up_until: Option<TimePoint>,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     /// What this box and its peers have open here.
@@ -100,6 +103,7 @@
             fresh: !at_start,
             replaced: false,
             notices,
+            used_up_until: None,
             path_failed_at: None,
             full_at: None,
             open: OpenAttempts::default(),
@@ -138,7 +142,35 @@
     /// refusal as a price alone three resting targets were sent 18 to 53 requests a second, all
     /// refused, of the 50 to 84 that their service got (counts of the targets over six seconds).
     pub(crate) fn is_in_draw(&self, now: TimePoint) -> bool {
-        !self.replaced && self.notices.bar(now).is_none()
+        !self.replaced && self.notices.bar(now).is_none() && self.used_up_for(now).is_none()
+    }
+
+    /// The limit over all boxes that it has now.
+    pub(crate) fn limit(&self) -> Option<RequestRate> {
+        self.notices.limit()
+    }
+
+    /// For how long yet there is no permit for it, if so.
+    pub(crate) fn used_up_for(&self, now: TimePoint) -> Option<Duration> {
+        self.limit()?;
+        let until = self.used_up_until.filter(|until| now < *until)?;
+        Some(until.since(now))
+    }
+
+    /// Notes that there is no permit for it until then.
+    pub(crate) fn note_used_up(&mut self, until: TimePoint) {
+        self.used_up_until = Some(until);
+    }
+
+    /// Notes that its limit is another one now.
+    pub(crate) fn note_limit(&mut self, _: LimitChange) {
+        self.used_up_until = None;
+    }
+
+    /// Counts `time`, which the clock did not, into what is left of rests and turns.
+    pub(crate) fn grow_older(&mut self, time: Duration) {
+        self.notices.grow_older(time);
+        self.used_up_until = self.used_up_until.map(|until| until.before(time));
     }
 
     /// Another instance has its address; returns whether that is new.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -18,6 +18,7 @@
 use crate::gate::OpenGate;
 use crate::newer_config::NewerConfig;
 use crate::peers::PeerTable;
+use crate::permit_desk::PermitDesk;
 use crate::policies::PolicySet;
 use crate::ports::{EnvironmentPort, HeaderNames, TargetListing};
 use crate::routes::RouteConfig;
@@ -33,6 +34,7 @@
 /// How duties hear of what others took.
 pub(crate) struct DutyNotices {
     pub(crate) credit: CreditDesk,
+    pub(crate) permits: PermitDesk,
     pub(crate) sightings: SightingBuffer,
     pub(crate) view_changed: async_channel::Sender<()>,
     pub(crate) newer_heard: async_channel::Sender<()>,
@@ -48,6 +50,8 @@
     pub(crate) peers: Mutex<PeerTable>,
     /// Admits requests by their customers' quotas.
     pub(crate) credit: CreditDesk,
+    /// Permits to send to targets with a limit.
+    pub(crate) permits: PermitDesk,
     pub(crate) sightings: SightingBuffer,
     /// Which requests end targets.
     pub(crate) crashes: CrashDesk,
@@ -104,6 +108,7 @@
             stopping,
             peers: Mutex::new(peers),
             credit: notices.credit,
+            permits: notices.permits,
             sightings: notices.sightings,
             crashes: CrashDesk::new(),
             view_changed: notices.view_changed,
--- a/crates/gateway/src/gossip/beacons.rs
+++ b/crates/gateway/src/gossip/beacons.rs
@@ -8,6 +8,7 @@
 use wingbridge_wire::gossip::{Beacon, DatagramBody, ViewMark};
 
 use super::GossipDuty;
+use crate::limit_news::{limits_retold, take_limit};
 use crate::notices::show_left_out;
 use crate::view_exchange::view_mark;
 
@@ -24,6 +25,8 @@
 const LISTED_A_SECOND: usize = 432;
 /// Requests that end targets which an answer to a box names, at most: it may have just started.
 const CRASHES_ANSWERED: usize = 16;
+/// Limits of targets that a beacon names at most, of some 20 bytes each.
+const LIMITS_TOLD: usize = 12;
 /// Time between two questions to seeds while no peer is known.
 const SEARCH_PERIOD: Duration = Duration::from_millis(250);
 /// A box that knows others, but none of its data centre, asks seeds as often for this long:
@@ -110,16 +113,19 @@
         self.note_boxes();
         let told = listed.iter().take(FAR_LISTED).cloned().collect();
         let crashes = self.context.crashes.retold(listed_by(near.len()));
+        let limits = limits_retold(&self.context, LIMITS_TOLD);
         let beacon = Beacon {
             mark: self.mark(),
             peers: listed,
             crashes: crashes.clone(),
+            limits: limits.clone(),
             ..Beacon::default()
         };
         self.send_beacon(&near, beacon).await;
         if let Some(far) = far {
             let mark = self.mark();
-            let beacon = Beacon { asks: true, mark, peers: told, crashes, ..Beacon::default() };
+            let beacon =
+                Beacon { asks: true, mark, peers: told, crashes, limits, ..Beacon::default() };
             self.send_beacon(&[far], beacon).await;
         }
     }
@@ -140,6 +146,7 @@
         beacon: Beacon,
     ) {
         self.context.crashes.take(&beacon.crashes, box_id);
+        beacon.limits.iter().for_each(|limit| take_limit(&self.context, limit, box_id));
         if beacon.leaving {
             self.context.peers().note_leaving(from);
             return;
@@ -162,7 +169,8 @@
             };
             let crashes = self.context.crashes.retold(CRASHES_ANSWERED);
             let mark = self.mark();
-            let answer = Beacon { mark, peers: listed, crashes, ..Beacon::default() };
+            let limits = limits_retold(&self.context, LIMITS_TOLD);
+            let answer = Beacon { mark, peers: listed, crashes, limits, ..Beacon::default() };
             self.send_beacon(&[from], answer).await;
         }
         if let Some(mark) = beacon.mark.filter(|_| !self.context.is_waking()) {
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -14,6 +14,7 @@
 use prost::Message;
 use wingbridge_decide::steer::news::NewsFilter;
 use wingbridge_wire::gossip::{CreditNews, Datagram, DatagramBody};
+use wingbridge_wire::limits::PermitNews;
 
 use crate::context::BoxContext;
 use crate::credit_desk::quota_asker;
@@ -58,6 +59,11 @@
         self.send(&[host], DatagramBody::Credit(news)).await;
     }
 
+    /// Sends what concerns permits for targets with a limit to the box at `host`.
+    pub(crate) async fn send_permits(&self, host: IpAddr, news: PermitNews) {
+        self.send(&[host], DatagramBody::Permits(news)).await;
+    }
+
     /// Takes datagrams, until the task is dropped.
     pub(crate) async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -112,6 +118,12 @@
                     self.send_credit(from, answer).await;
                 }
             }
+            Some(DatagramBody::Permits(news)) => {
+                let context = &self.context;
+                if let Some(answer) = context.permits.take_news(context, &box_id, &news) {
+                    self.send_permits(from, answer).await;
+                }
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/gossip/telling.rs
+++ b/crates/gateway/src/gossip/telling.rs
@@ -17,6 +17,7 @@
 
 use super::GossipDuty;
 use crate::context::{SeenBy, lock, log_replaced, millis, note_suspicion};
+use crate::limit_news::take_limit;
 use crate::notices::take_leaving;
 use crate::sightings::Urgency;
 
@@ -127,6 +128,8 @@
         self.context.crashes.take(&sightings.crashes, box_id);
         let leaving = sightings.targets.iter().filter(|seen| seen.leaving);
         leaving.for_each(|seen| take_leaving(&self.context, TargetKey(seen.target), box_id));
+        let limits = sightings.targets.iter().filter_map(|seen| seen.limit.as_ref());
+        limits.for_each(|limit| take_limit(&self.context, limit, box_id));
         let now = self.context.now();
         let mut core = self.context.core();
         for seen in &sightings.targets {
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -10,13 +10,15 @@
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use wingbridge_decide::steer::{
-    LeftOut, LimitChange, LimitSaid, NoticeBar, NoticeChange, RequestRate, SteerPick, TargetNotice,
+    LeftOut, LimitSaid, NoticeBar, NoticeChange, RequestRate, SteerPick, TargetNotice,
 };
 use wingbridge_decide::{TargetKey, TimePoint};
 use wingbridge_http::raw::AnswerStart;
 
 use crate::attempt::is_anothers;
 use crate::context::{BoxContext, millis};
+use crate::limit_news::{limit_of, log_limit};
+use crate::permit_desk::PermitSource;
 use crate::ports::HeaderNames;
 
 /// Bytes that a head may have which is read so, at most: those of targets have some 300.
@@ -33,6 +35,8 @@
     request: Option<&'a str>,
     /// When the attempt began.
     asked: TimePoint,
+    /// The permit that it has, with the limit for which it was given.
+    permit: Option<(RequestRate, PermitSource)>,
     /// Whether a head was read already.
     heard: AtomicBool,
 }
@@ -70,10 +74,11 @@
         context: &'a BoxContext,
         pick: &'a SteerPick,
         request: Option<&'a str>,
+        permit: Option<(RequestRate, PermitSource)>,
     ) -> NoticeLink<'a> {
         let heard = AtomicBool::new(false);
         let asked = context.now();
-        NoticeLink { context, key: pick.key, target: &pick.id, request, asked, heard }
+        NoticeLink { context, key: pick.key, target: &pick.id, request, asked, permit, heard }
     }
 
     /// Takes what the head of an answer says of the target.
@@ -91,21 +96,32 @@
         drop(core);
         self.tell(start.status, &change);
         if let Some(limit) = limit {
-            self.tell_limit(start.status, limit);
+            log_limit(self.target, limit, "own");
+            if let Some(told) = limit_of(self.context, self.key) {
+                self.context.sightings.note_limit(self.key, told);
+            }
         }
     }
 
     /// Whether the target may be sent the request, now that a connection to it is up.
     pub(crate) fn may_send(&self) -> bool {
         let now = self.context.now();
-        let bar = self.context.core().notice_bar(now, self.key);
+        let (bar, limit) = {
+            let core = self.context.core();
+            (core.notice_bar(now, self.key), core.limit(self.key))
+        };
         let (notice, since) = match bar {
             Some(NoticeBar::Leaving(since)) => ("leaves", since),
             Some(NoticeBar::Resting { since, .. }) => ("rests", since),
-            None => {
-                self.note_limited_send();
-                return true;
-            }
+            None => match limit {
+                None => return true,
+                // One for a higher limit was for more than the target takes now.
+                Some(limit) if self.permit.is_some_and(|(under, _)| under <= limit) => {
+                    self.note_limited_send(limit);
+                    return true;
+                }
+                Some(_) => ("limit", Duration::ZERO),
+            },
         };
         let (target, request, since_ms) = (self.target, self.request_id(), millis(since));
         log::info!(target, request, notice, since_ms; "send-withheld");
@@ -114,28 +130,13 @@
     }
 
     /// Leaves a line of each send to a target with a limit: over all boxes they show whether it was kept.
-    fn note_limited_send(&self) {
-        let Some(limit) = self.context.core().limit(self.key) else {
-            return;
-        };
+    fn note_limited_send(&self, limit: RequestRate) {
+        let by = self.permit.map_or("", |(_, source)| source.as_str());
         let (target, request) = (self.target, self.request_id());
-        log::info!(target, request, per_second:% = limit; "limited-send");
+        log::info!(target, request, per_second:% = limit, by; "limited-send");
         metrics::counter!("wingbridge_limited_sends").increment(1);
     }
 
-    /// Tells the log of a limit that is new.
-    fn tell_limit(&self, status: u16, change: LimitChange) {
-        let (target, request) = (self.target, self.request_id());
-        match change {
-            LimitChange::Named(rate) => {
-                log::info!(target, request, status, per_second:% = rate, by = "own"; "target-limited");
-            }
-            LimitChange::Ended => {
-                log::info!(target, request, status, by = "own"; "target-unlimited");
-            }
-        }
-    }
-
     fn request_id(&self) -> &str {
         self.request.unwrap_or("-")
     }
@@ -174,7 +175,7 @@
 pub(crate) fn show_left_out(context: &BoxContext) {
     let core = context.core();
     let LeftOut { leaving, resting, .. } = core.all_left_out(context.now());
-    let limited = core.limited_targets();
+    let limited = core.limited_targets().count();
     drop(core);
     metrics::gauge!("wingbridge_targets_limited").set(limited as f64);
     metrics::gauge!("wingbridge_targets_leaving").set(leaving as f64);
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -4,12 +4,15 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use wingbridge_decide::steer::{AttemptMark, LoadReport, SUSPECT_FROM, SteerOutcome, SteerPick};
+use wingbridge_decide::steer::{
+    AttemptMark, LoadReport, RequestRate, SUSPECT_FROM, SteerOutcome, SteerPick,
+};
 use wingbridge_decide::{Fingerprint, Name};
 
 use crate::attempt::{AttemptEnd, AttemptPlan, OutgoingRequest, attempt};
 use crate::context::{BoxContext, SeenBy, note_suspicion};
 use crate::notices::NoticeLink;
+use crate::permit_desk::PermitSource;
 use crate::sightings::SeenOutcome;
 
 /// Tells the core that an attempt is over, also when its future is dropped.
@@ -17,6 +20,8 @@
     context: Arc<BoxContext>,
     pub(crate) pick: SteerPick,
     pub(crate) started: Instant,
+    /// Its permit, if the target has a limit.
+    permit: Option<(RequestRate, PermitSource)>,
     route: Name,
     /// The customer whose request it is.
     customer: Option<Name>,
@@ -37,6 +42,7 @@
     pub(crate) fn begin(
         context: Arc<BoxContext>,
         pick: SteerPick,
+        permit: Option<(RequestRate, PermitSource)>,
         route: Name,
         customer: Option<Name>,
         fingerprint: Fingerprint,
@@ -44,7 +50,17 @@
         let mark = context.core().begin(context.now(), pick.key, &route);
         context.sightings.note_open(pick.key);
         let started = Instant::now();
-        OpenAttempt { context, pick, started, route, customer, fingerprint, mark, ended: false }
+        OpenAttempt {
+            context,
+            pick,
+            started,
+            permit,
+            route,
+            customer,
+            fingerprint,
+            mark,
+            ended: false,
+        }
     }
 
     /// The time from its beginning from which on a second attempt is worth a retry, for a request
@@ -88,7 +104,12 @@
             customer: self.customer.as_deref(),
             until,
             names: &context.headers,
-            notices: NoticeLink::new(context, &self.pick, request.request_id.as_deref()),
+            notices: NoticeLink::new(
+                context,
+                &self.pick,
+                request.request_id.as_deref(),
+                self.permit,
+            ),
         };
         let mut work = std::pin::pin!(attempt(request, &plan));
         let left = until.saturating_duration_since(Instant::now());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
+use wingbridge_decide::TargetKey;
 use wingbridge_decide::names::{rendezvous_weight, rendezvous_weight_of, stable_hash};
 use wingbridge_decide::steer::listeners::listeners;
 use wingbridge_wire::gossip::PeerRecord;
@@ -246,6 +247,29 @@
         Keepers { first: first.1, deputy: deputy.map(|deputy| deputy.1) }
     }
 
+    /// The box that keeps the permits of a target in `data_centre`: one there, which most requests for it come
+    /// by, and of any other only where this box knows none there. Links count as for customers' credit.
+    pub(crate) fn permit_keeper(&self, data_centre: &str, target: TargetKey) -> KeeperSeat {
+        let weight = |centre: &str, link_mbps: u32, box_id: &str| {
+            let weight = rendezvous_weight_of(target.0, box_id);
+            (centre == data_centre, link_mbps.checked_ilog2(), weight)
+        };
+        let own = weight(&self.own_centre, self.own_link_mbps, &self.own_id);
+        let peers = self.peers.values().map(|peer| {
+            let weight = weight(&peer.data_centre, peer.link_mbps, &peer.box_id);
+            (weight, KeeperSeat::Peer(peer.host))
+        });
+        let first = peers.max_by_key(|(weight, _)| *weight).filter(|(weight, _)| *weight > own);
+        first.map_or(KeeperSeat::Own, |(_, seat)| seat)
+    }
+
+    /// The part of the boxes of the own data centre that this one hears, of those that did not say that they
+    /// end.
+    pub(crate) fn heard_part(&self) -> f64 {
+        let heard = self.near_peers().count() + 1;
+        heard as f64 / (heard + self.lost.len()) as f64
+    }
+
     /// Some boxes of the own data centre, by chance, `most` at most.
     pub(crate) fn some_near(&mut self, most: usize) -> Vec<IpAddr> {
         let own = &self.own_centre;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -83,9 +83,11 @@
 
     /// Notes which targets could not be chosen.
     pub(crate) fn note_left_out(&mut self, out: &LeftOut) {
-        let LeftOut { leaving, resting, replaced } = out;
+        let LeftOut { leaving, resting, replaced, limited } = out;
         if *out != LeftOut::default() {
-            self.left_out = format!("leaving {leaving}, resting {resting}, replaced {replaced}");
+            self.left_out = format!(
+                "leaving {leaving}, resting {resting}, replaced {replaced}, limited {limited}"
+            );
         }
     }
 
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -8,7 +8,7 @@
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, REPEATED_BELOW};
 use wingbridge_decide::steer::{
-    LoadReport, NoPick, RetryUse, SteerOutcome, SteerPick, SteerRequest,
+    LoadReport, NoPick, RequestRate, RetryUse, SteerOutcome, SteerPick, SteerRequest,
 };
 
 use crate::answers::{CallerAnswer, CallerOutcome};
@@ -16,6 +16,7 @@
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::held_credit::HeldCredit;
 use crate::open_attempt::{EndedAttempt, OpenAttempt};
+use crate::permit_desk::{Permit, PermitSource};
 use crate::request_log::RequestTrace;
 use crate::routes::{Entrance, RouteKind};
 use crate::routing::RequestPlan;
@@ -64,6 +65,12 @@
     Again,
 }
 
+/// The permit of an attempt, with the limit for which it was given; none where the target has no limit.
+type SendPermit = Option<(RequestRate, PermitSource)>;
+
+/// There is none now.
+struct NoPermit;
+
 /// Why a request that was let in goes no further.
 #[derive(Debug, Clone, Copy)]
 enum TurnedAway {
@@ -142,13 +149,31 @@
                 }
                 Err(NoPick::Overloaded) => return self.give_up("no target could answer in time"),
             };
-            match self.race(pick).await {
+            let permit = match self.ask_permit(&pick).await {
+                Ok(permit) => permit,
+                // The target is no choice any more.
+                Err(NoPermit) => continue,
+            };
+            match self.race(pick, permit).await {
                 NextStep::Answer(answer) => return answer,
                 NextStep::Again => {}
             }
         }
     }
 
+    /// Asks whether it may be sent to a target that has named a limit over all boxes.
+    async fn ask_permit(&self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
+        // Each time: what one box sends by itself the others can't know in time, and boxes that kept a
+        // limit each for itself sent many times it together.
+        let Some(rate) = pick.limit else {
+            return Ok(None);
+        };
+        match self.context.permits.ask(&self.context, pick, rate).await {
+            Permit::Granted(under, source) => Ok(Some((under, source))),
+            Permit::Denied => Err(NoPermit),
+        }
+    }
+
     /// Judges it by the configuration in force, if that is another one by now.
     fn judge_again(&mut self) -> Result<(), TurnedAway> {
         let Some(config) = self.context.config() else {
@@ -215,9 +240,9 @@
 
     /// One attempt, and others beside it while it is open for too long. The first answer
     /// that a caller can have wins, and what is still open then is cancelled.
-    async fn race(&mut self, first: SteerPick) -> NextStep {
+    async fn race(&mut self, first: SteerPick, permit: SendPermit) -> NextStep {
         let mut running = FuturesUnordered::new();
-        let first = self.begin(first);
+        let first = self.begin(first, permit);
         let mut hedge_at = self.hedge_time(&first);
         running.push(self.start(first));
         loop {
@@ -233,7 +258,7 @@
                 }
                 RaceEvent::HedgeDue => match self.pick_hedge() {
                     Some(pick) => {
-                        let second = self.begin(pick);
+                        let second = self.begin(pick, None);
                         running.push(self.start(second));
                     }
                     None => hedge_at = Some(Instant::now() + HEDGE_STEP),
@@ -242,7 +267,7 @@
         }
     }
 
-    fn begin(&mut self, pick: SteerPick) -> OpenAttempt {
+    fn begin(&mut self, pick: SteerPick, permit: SendPermit) -> OpenAttempt {
         self.tried.push(pick.key);
         self.trace.note_pick(&pick, self.since.elapsed());
         if let Some(credit) = &mut self.credit {
@@ -255,7 +280,7 @@
         let route = self.plan.route.name.clone();
         let customer = self.plan.customer.as_ref().map(|customer| customer.name.clone());
         let fingerprint = self.outgoing.fingerprint;
-        OpenAttempt::begin(Arc::clone(&self.context), pick, route, customer, fingerprint)
+        OpenAttempt::begin(Arc::clone(&self.context), pick, permit, route, customer, fingerprint)
     }
 
     fn start(&self, open: OpenAttempt) -> impl Future<Output = EndedAttempt> + use<> {
@@ -286,7 +311,8 @@
             return None;
         }
         let left = self.until().saturating_duration_since(Instant::now());
-        let pick = self.pick(left).ok()?;
+        // Room at a target with a limit is for requests that have no other one.
+        let pick = self.pick(left).ok().filter(|pick| pick.limit.is_none())?;
         let context = &self.context;
         let service = &self.plan.service;
         let spent = context.core().spend_retry(context.now(), service, RetryUse::Hedge);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
 use crate::credit_desk::CreditDesk;
 use crate::gossip::{GossipDuty, fetch_listings};
 use crate::intake::take_callers;
+use crate::permit_desk::PermitDesk;
 use crate::policies::PolicySet;
 use crate::ports::EnvironmentPort;
 use crate::settings::GatewaySettings;
@@ -63,6 +64,7 @@
     let (view_changed, notices) = async_channel::bounded(1);
     let (newer_heard, heard) = async_channel::bounded(1);
     let (credit, credit_wishes) = CreditDesk::new(settings.quota_slack);
+    let (permits, permit_wishes) = PermitDesk::new();
     let (fetching, named) = async_channel::bounded(1);
     let stopping = StopState::new();
     log::info!(
@@ -74,7 +76,7 @@
         log::warn!(without:% = settings.mechanisms; "parts-of-the-pick-off");
     }
     let policies = PolicySet::compile()?;
-    let duty_notices = DutyNotices { credit, sightings, view_changed, newer_heard };
+    let duty_notices = DutyNotices { credit, permits, sightings, view_changed, newer_heard };
     let context = BoxContext::new(settings, port, policies, stopping, duty_notices, seed);
     let gossip = GossipDuty::new(Arc::clone(&context), socket, seed, fetching);
     let reader = ConfigReader::new(Arc::clone(&context), Arc::clone(&gossip));
@@ -89,6 +91,7 @@
         task::spawn(Arc::clone(&gossip).tell(wishes)),
         task::spawn(fetch_listings(Arc::clone(&context), named)),
         task::spawn(CreditDesk::run(Arc::clone(&context), Arc::clone(&gossip), credit_wishes)),
+        task::spawn(PermitDesk::run(Arc::clone(&gossip), permit_wishes)),
         task::spawn(store.run(notices)),
         task::spawn(config.run(heard)),
         task::spawn(note_reloads(reloads)),
--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -7,6 +7,7 @@
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::steer::{LoadReport, SteerOutcome};
 use wingbridge_wire::gossip::Sighting;
+use wingbridge_wire::limits::TargetLimit;
 
 use crate::context::lock;
 
@@ -37,7 +38,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PendingSighting {
     pub(crate) sighting: Sighting,
-    /// It failed, or has left or leaves, or it was a suspect and did not fail: the rest is not worth its price across.
+    /// It failed, has left or leaves, has another limit, or was a suspect and did not fail: the rest is not worth its
+    /// price across.
     pub(crate) is_news: bool,
 }
 
@@ -79,6 +81,12 @@
         self.add(key, &Sighting { target: key.0, leaving: true, ..Sighting::default() }, false);
     }
 
+    /// Notes that a target has named a limit, another one than before, or none any more.
+    pub(crate) fn note_limit(&self, key: TargetKey, limit: TargetLimit) {
+        let seen = Sighting { target: key.0, limit: Some(limit), ..Sighting::default() };
+        self.add(key, &seen, false);
+    }
+
     /// Notes that an attempt that is still open counts as a stall.
     pub(crate) fn note_stall(&self, key: TargetKey) {
         self.add(key, &Sighting { target: key.0, overdue: 1, ..Sighting::default() }, false);
@@ -91,7 +99,7 @@
 
     fn add(&self, key: TargetKey, seen: &Sighting, suspect: bool) {
         let failed = seen.bad + seen.overdue > 0 || seen.replaced || seen.leaving;
-        let is_news = failed || (suspect && seen.good > 0);
+        let is_news = failed || seen.limit.is_some() || (suspect && seen.good > 0);
         let mut pending = lock(&self.pending);
         let known = pending.entry(key);
         let known = known.or_insert_with(|| PendingSighting {
@@ -126,6 +134,7 @@
     sum.overdue += seen.overdue;
     sum.replaced |= seen.replaced;
     sum.leaving |= seen.leaving;
+    sum.limit = seen.limit.or(sum.limit);
     if seen.held_plus_one > 0 {
         sum.held_plus_one = seen.held_plus_one;
     }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -4,6 +4,9 @@
 //! as good as any other and got 32 and 19 requests in 4 s, 41 within nine seconds from eight boxes, none of them a trial and
 //! one a second send. One box alone sent ten in 4 s; with what each box keeps by itself forty boxes that send one each in 4 s
 //! are forty.
+//!
+//! The cause: the limit was read by nobody, and no box knew what the others had sent. Each send to such a target is now
+//! asked of the one box that keeps its permits for all.
 
 mod harness;
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -5,6 +5,8 @@
 
 use prost::{Message, Oneof};
 
+use crate::limits::{PermitNews, TargetLimit};
+
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
@@ -18,7 +20,7 @@
     #[prost(fixed64, tag = "3")]
     pub incarnation: u64,
     /// What is told.
-    #[prost(oneof = "DatagramBody", tags = "4, 5, 7")]
+    #[prost(oneof = "DatagramBody", tags = "4, 5, 7, 8")]
     pub body: Option<DatagramBody>,
     /// What the sender's link carries, in megabits a second; 0 if unknown.
     #[prost(uint32, tag = "6")]
@@ -37,6 +39,9 @@
     /// What the sender asks of customers' credit, and what it grants.
     #[prost(message, tag = "7")]
     Credit(CreditNews),
+    /// What the sender asks of permits to send to targets with a limit, and what it answers.
+    #[prost(message, tag = "8")]
+    Permits(PermitNews),
 }
 
 /// Customers' credit between a box and the boxes that keep it.
@@ -117,6 +122,9 @@
     /// Requests under which targets ended.
     #[prost(message, repeated, tag = "5")]
     pub crashes: Vec<CrashRecord>,
+    /// Limits of targets.
+    #[prost(message, repeated, tag = "6")]
+    pub limits: Vec<TargetLimit>,
 }
 
 /// How new a view of the store is.
@@ -276,6 +284,9 @@
     /// Whether the target has said in an answer that it leaves.
     #[prost(bool, tag = "10")]
     pub leaving: bool,
+    /// What it said of its limit over all boxes, if that is new.
+    #[prost(message, optional, tag = "11")]
+    pub limit: Option<TargetLimit>,
 }
 
 /// An open attempt, beside what is usual for its route.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod frame;
 pub mod gossip;
 pub mod handshake;
+pub mod limits;
 pub mod messages;
 
 pub use error::{ErrorKind, WireError};
