Permits: a second's worth in the bucket, turns that overlap, and asks that never wait twice

And a box that asks one that is not the keeper by its own view got no answer, so that its request waited 80 ms, once for each target.

Change: buckets hold one second, two permits at least; turns lie half a permit apart; a box that is asked and is not the keeper says who is, and is asked once more at most; silence is remembered by box, not by target.

--- a/crates/decide/src/permits/keeper.rs
+++ b/crates/decide/src/permits/keeper.rs
@@ -9,9 +9,13 @@
 use crate::steer::RequestRate;
 use crate::time::TimePoint;
 
-/// Permits that a bucket holds, in time of the limit; one at least. Callers come unevenly, and what a
-/// second has not used the next one may.
-const BURST_TIME: f64 = 0.5;
+/// Permits that a bucket holds: those of so many seconds, and so many at least. Callers come unevenly, and
+/// what one second has not used the next one may.
+const BURST_TIME: f64 = 1.0;
+const BURST_LEAST: f64 = 2.0;
+/// Permits by which the turn of the next box is later than that of the one before. Half of them are not
+/// there at their turn, or have no request for it.
+const TURN_PERMITS: f64 = 0.5;
 /// A target is asked this often, in requests a second, whatever its limit: nobody else would learn that it
 /// has ended.
 const LEAST_RATE: f64 = 0.01;
@@ -50,7 +54,7 @@
         // A bucket begins empty: what another keeper has just given out is not known.
         let kept = self.targets.entry(key).or_insert_with(|| KeptLimit::empty(now));
         kept.asked = now;
-        kept.bucket.fill(now, rate, (rate * BURST_TIME).max(1.0));
+        kept.bucket.fill(now, rate, (rate * BURST_TIME).max(BURST_LEAST));
         if kept.bucket.take_one() {
             return PermitAnswer::Granted;
         }
@@ -70,7 +74,7 @@
             |permits: f64| Duration::try_from_secs_f64(permits / rate).unwrap_or(WAIT_MOST);
         let next = now + seconds((1.0 - self.bucket.credit()).max(0.0)).min(WAIT_MOST);
         let turn = self.queued_until.max(next).min(now + WAIT_MOST);
-        self.queued_until = turn + seconds(1.0).min(WAIT_MOST);
+        self.queued_until = turn + seconds(TURN_PERMITS).min(WAIT_MOST);
         turn.since(now).max(WAIT_LEAST)
     }
 }
--- a/crates/gateway/src/permit_desk.rs
+++ b/crates/gateway/src/permit_desk.rs
@@ -21,17 +21,19 @@
 /// An ask without an answer is given up after this long: a round trip takes some milliseconds, and
 /// boxes with a tenth of a core answer some tens of milliseconds late when they are busy.
 const ASK_TIME: Duration = Duration::from_millis(80);
-/// A keeper that did not answer is not asked again for this long, so that one request in it waits.
+/// A box that did not answer is not asked again for this long, so that one request in it waits.
 const SILENT_PAUSE: Duration = Duration::from_secs(1);
 /// A box keeps no permits, and asks for none, for this long after its start: until it has heard of the
 /// others it would be the keeper of all targets.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Boxes that are asked for one permit: the keeper by this box's view, and the one that that names.
+const ASKED_BOXES: usize = 2;
 /// Datagrams that wait to be sent at most.
 const OUTGOING: usize = 64;
-/// Targets whose shares a box remembers while it is alone at most.
-const ALONE_AT: usize = 1024;
+/// Targets whose shares a box remembers, and silent boxes, at most.
+const REMEMBERED: usize = 1024;
 
-/// By whose word a request was sent to a target with a limit.
+/// By whose word a request is sent to a target with a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PermitSource {
     /// The box that keeps the target's permits.
@@ -61,15 +63,19 @@
     keeper: PermitKeeper,
     asks: u64,
     /// Requests that wait for the answer to an ask.
-    waiting: HashMap<u64, Sender<PermitAnswer>>,
-    alone: HashMap<TargetKey, AloneState>,
+    waiting: HashMap<u64, Sender<PeerWord>>,
+    /// What this box sends by itself, where no keeper answers it.
+    shares: HashMap<TargetKey, LoneShare>,
+    /// Boxes that did not answer, and until when they are not asked.
+    silent: HashMap<IpAddr, Instant>,
 }
 
-/// How a box stands with a target whose keeper does not answer it.
-#[derive(Debug)]
-struct AloneState {
-    share: LoneShare,
-    silent_until: Instant,
+/// What a box that was asked says.
+#[derive(Debug, Clone, Copy)]
+enum PeerWord {
+    Answer(PermitAnswer),
+    /// It is not the keeper; this one is, if it knows one.
+    Passed(Option<IpAddr>),
 }
 
 impl PermitDesk {
@@ -88,13 +94,13 @@
         rate: RequestRate,
     ) -> Permit {
         let kept = match self.seat(context, pick) {
-            Some(KeeperSeat::Own) => self.answer(context, pick.key, rate),
-            Some(KeeperSeat::Peer(host)) => self.ask_peer(context, host, pick.key).await,
+            Some(KeeperSeat::Own) => Some(self.keep(context, pick.key, rate)),
+            Some(KeeperSeat::Peer(host)) => self.ask_peers(context, host, pick.key).await,
             None => None,
         };
         let (answer, source) = match kept {
             Some(answer) => {
-                lock(&self.state).alone.remove(&pick.key);
+                lock(&self.state).shares.remove(&pick.key);
                 (answer, PermitSource::Keeper)
             }
             None => (self.take_alone(context, pick.key, rate), PermitSource::OwnShare),
@@ -129,13 +135,9 @@
             if let Some(limit) = &reply.limit {
                 take_limit(context, limit, peer);
             }
-            let answer = match reply.granted {
-                true => PermitAnswer::Granted,
-                false => PermitAnswer::Denied(Duration::from_millis(reply.wait_ms.into())),
-            };
             // The request may be gone; then its permit is lost.
             if let Some(waiting) = lock(&self.state).waiting.remove(&reply.number) {
-                let _ = waiting.try_send(answer);
+                let _ = waiting.try_send(decode_reply(reply));
             }
         }
         let replies = news.asks.iter().filter_map(|ask| self.reply(context, peer, ask));
@@ -145,57 +147,86 @@
 
     /// Who keeps the permits of a target; `None` while this box is not to know.
     fn seat(&self, context: &BoxContext, pick: &SteerPick) -> Option<KeeperSeat> {
-        let is_silent = |alone: &AloneState| Instant::now() < alone.silent_until;
-        if lock(&self.state).alone.get(&pick.key).is_some_and(is_silent) || !is_settled(context) {
-            return None;
+        is_settled(context).then(|| context.peers().permit_keeper(&pick.data_centre, pick.key))
+    }
+
+    /// The keeper's answer; `None` if there is none in time, or nobody is the keeper by its own view.
+    async fn ask_peers(
+        &self,
+        context: &BoxContext,
+        first: IpAddr,
+        key: TargetKey,
+    ) -> Option<PermitAnswer> {
+        let mut host = first;
+        for _ in 0..ASKED_BOXES {
+            match self.ask_peer(context, host, key).await? {
+                PeerWord::Answer(answer) => return Some(answer),
+                PeerWord::Passed(next) => host = next?,
+            }
         }
-        Some(context.peers().permit_keeper(&pick.data_centre, pick.key))
+        None
     }
 
-    /// What the keeper at `host` says; `None` if it says nothing in time.
+    /// What the box at `host` says; `None` if it says nothing in time, or did not a moment ago.
     async fn ask_peer(
         &self,
         context: &BoxContext,
         host: IpAddr,
         key: TargetKey,
-    ) -> Option<PermitAnswer> {
+    ) -> Option<PeerWord> {
         let limit = limit_of(context, key);
         let (answered, answer) = async_channel::bounded(1);
         let number = {
             let mut state = lock(&self.state);
+            if state.silent.get(&host).is_some_and(|until| Instant::now() < *until) {
+                return None;
+            }
             state.asks += 1;
             let number = state.asks;
             state.waiting.insert(number, answered);
             number
         };
         let news = PermitNews { asks: vec![PermitAsk { number, limit }], replies: Vec::new() };
-        // Full: so much is on its way that the answer would be late.
-        let sent = self.outgoing.try_send((host, news));
-        let kept = match sent {
-            Ok(()) => timeout(ASK_TIME, answer.recv()).await.ok()?.ok(),
+        let word = match self.outgoing.try_send((host, news)) {
+            Ok(()) => timeout(ASK_TIME, answer.recv()).await.ok().and_then(Result::ok),
+            // Full: so much is on its way that the answer would be late.
             Err(_) => None,
         };
-        lock(&self.state).waiting.remove(&number);
-        kept
+        let mut state = lock(&self.state);
+        state.waiting.remove(&number);
+        match word {
+            Some(_) => drop(state.silent.remove(&host)),
+            None => state.note_silent(host),
+        }
+        word
     }
 
-    /// The answer to a peer's ask; none from a box that is not the keeper by its own view.
+    /// The answer to a peer's ask.
     fn reply(&self, context: &BoxContext, peer: &str, ask: &PermitAsk) -> Option<PermitReply> {
         let told = ask.limit.as_ref()?;
         take_limit(context, told, peer);
         let key = TargetKey(told.target);
-        let data_centre = context.core().data_centre_of(key)?;
-        if !is_settled(context) {
-            return None;
-        }
+        let (limit, number) = (limit_of(context, key), ask.number);
+        let passed = |keeper: String| PermitReply {
+            number,
+            passed: true,
+            keeper,
+            limit,
+            ..PermitReply::default()
+        };
+        // One that does not know the target, or has just started, does not know who keeps its permits.
+        let data_centre = context.core().data_centre_of(key).filter(|_| is_settled(context));
+        let Some(data_centre) = data_centre else {
+            return Some(passed(String::new()));
+        };
         let seat = context.peers().permit_keeper(&data_centre, key);
-        if seat != KeeperSeat::Own {
+        if let KeeperSeat::Peer(host) = seat {
             // With two keepers for a moment, twice the limit would be given out.
-            return None;
+            return Some(passed(host.to_string()));
         }
-        let limit = limit_of(context, key);
-        let answer = match context.core().limit(key) {
-            Some(rate) => self.answer(context, key, rate)?,
+        let rate = context.core().limit(key);
+        let answer = match rate {
+            Some(rate) => self.keep(context, key, rate),
             // It has ended, which the asker learns by this.
             None => PermitAnswer::Granted,
         };
@@ -204,41 +235,41 @@
             PermitAnswer::Denied(wait) => (false, wait),
         };
         let wait_ms = u32::try_from(millis(wait)).unwrap_or(u32::MAX);
-        Some(PermitReply { number: ask.number, granted, wait_ms, limit })
+        Some(PermitReply { number, granted, wait_ms, limit, ..PermitReply::default() })
     }
 
-    fn answer(
-        &self,
-        context: &BoxContext,
-        key: TargetKey,
-        rate: RequestRate,
-    ) -> Option<PermitAnswer> {
+    /// The answer to an ask for a target whose permits this box keeps.
+    fn keep(&self, context: &BoxContext, key: TargetKey, rate: RequestRate) -> PermitAnswer {
         let part = context.peers().heard_part();
-        Some(lock(&self.state).keeper.answer(context.now(), key, rate, part))
+        lock(&self.state).keeper.answer(context.now(), key, rate, part)
     }
 
-    /// What this box may do by itself, from now until it asks its keeper again.
+    /// What this box may do by itself; it asks a keeper again after a moment.
     fn take_alone(&self, context: &BoxContext, key: TargetKey, rate: RequestRate) -> PermitAnswer {
         let boxes = context.peers().boxes();
-        let now = Instant::now();
         let mut state = lock(&self.state);
-        if state.alone.len() >= ALONE_AT {
-            state.alone.retain(|_, alone| now < alone.silent_until);
+        if state.shares.len() >= REMEMBERED {
+            // Each begins again at a moment that is drawn.
+            state.shares.clear();
         }
-        let alone = state
-            .alone
-            .entry(key)
-            .or_insert_with(|| AloneState { share: LoneShare::default(), silent_until: now });
-        if now >= alone.silent_until {
-            alone.silent_until = now + SILENT_PAUSE;
-        }
-        match alone.share.take(context.now(), rate, boxes, rand::random()) {
+        let share = state.shares.entry(key).or_default();
+        match share.take(context.now(), rate, boxes, rand::random()) {
             PermitAnswer::Denied(wait) => PermitAnswer::Denied(wait.min(SILENT_PAUSE)),
             PermitAnswer::Granted => PermitAnswer::Granted,
         }
     }
 }
 
+impl DeskState {
+    fn note_silent(&mut self, host: IpAddr) {
+        let now = Instant::now();
+        if self.silent.len() >= REMEMBERED {
+            self.silent.retain(|_, until| now < *until);
+        }
+        self.silent.insert(host, now + SILENT_PAUSE);
+    }
+}
+
 impl PermitSource {
     /// Its name in logs.
     pub(crate) fn as_str(self) -> &'static str {
@@ -249,6 +280,18 @@
     }
 }
 
+fn decode_reply(reply: &PermitReply) -> PeerWord {
+    if reply.passed {
+        // A text that is no address names nobody.
+        return PeerWord::Passed(reply.keeper.parse().ok());
+    }
+    let wait = Duration::from_millis(reply.wait_ms.into());
+    PeerWord::Answer(match reply.granted {
+        true => PermitAnswer::Granted,
+        false => PermitAnswer::Denied(wait),
+    })
+}
+
 /// Whether this box has run for long enough to have heard of the others.
 fn is_settled(context: &BoxContext) -> bool {
     context.now().since(Default::default()) >= SETTLE_TIME
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -43,7 +43,7 @@
 }
 
 /// The answer to a [`PermitAsk`].
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct PermitReply {
     /// The ask that it answers.
     #[prost(uint64, tag = "1")]
@@ -54,6 +54,12 @@
     /// Milliseconds after which there may be a permit, if there is none.
     #[prost(uint32, tag = "3")]
     pub wait_ms: u32,
+    /// Whether the sender does not keep the permits of that target.
+    #[prost(bool, tag = "5")]
+    pub passed: bool,
+    /// Who does by the sender's view, as a text; empty if it does not know yet.
+    #[prost(string, tag = "6")]
+    pub keeper: String,
     /// What the sender knows of the limit.
     #[prost(message, optional, tag = "4")]
     pub limit: Option<TargetLimit>,
