Permits: forget asks whose callers have left

Cause, by reading: an ask whose request is dropped while it waits for a silent keeper stayed in the table for good. Change: from 1,024 open asks on, those whose request is gone are dropped.

--- a/crates/gateway/src/permit_desk.rs
+++ b/crates/gateway/src/permit_desk.rs
@@ -30,7 +30,7 @@
 const ASKED_BOXES: usize = 2;
 /// Datagrams that wait to be sent at most.
 const OUTGOING: usize = 64;
-/// Targets whose shares a box remembers, and silent boxes, at most.
+/// Targets whose shares a box remembers, silent boxes and open asks, from which on it looks what can go.
 const REMEMBERED: usize = 1024;
 
 /// By whose word a request is sent to a target with a limit.
@@ -181,10 +181,7 @@
             if state.silent.get(&host).is_some_and(|until| Instant::now() < *until) {
                 return None;
             }
-            state.asks += 1;
-            let number = state.asks;
-            state.waiting.insert(number, answered);
-            number
+            state.note_waiting(answered)
         };
         let news = PermitNews { asks: vec![PermitAsk { number, limit }], replies: Vec::new() };
         let word = match self.outgoing.try_send((host, news)) {
@@ -261,6 +258,17 @@
 }
 
 impl DeskState {
+    /// Notes a request that waits; returns the number of its ask.
+    fn note_waiting(&mut self, answered: Sender<PeerWord>) -> u64 {
+        if self.waiting.len() >= REMEMBERED {
+            // Their callers have left.
+            self.waiting.retain(|_, waiting| !waiting.is_closed());
+        }
+        self.asks += 1;
+        self.waiting.insert(self.asks, answered);
+        self.asks
+    }
+
     fn note_silent(&mut self, host: IpAddr) {
         let now = Instant::now();
         if self.silent.len() >= REMEMBERED {
