--- a/crates/bench/src/quota/fleet.rs
+++ b/crates/bench/src/quota/fleet.rs
@@ -118,6 +118,7 @@
         ranks.shuffle(&mut random);
         let cut = (0..all).map(|_| random.random_bool(1.0 / 3.0)).collect();
         let callers = (bench.limit.per_second / 1.6 / CALLER_RATE).ceil().max(2.0) as usize;
+        let callers = callers.max(bench.callers);
         let mut draw = || random.random_range(0..bench.boxes);
         let callers = (0..callers).map(|number| {
             let first = draw();
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -132,6 +132,9 @@
         vec![
             row.scenario.clone(),
             row.way.clone(),
+            row.windows.to_string(),
+            format!("{:.2}", row.median),
+            format!("{:.2}", row.nearly_all),
             format!("{:.2}", row.worst),
             row.broken.to_string(),
             format!("{:.2}", row.refused),
@@ -142,7 +145,10 @@
     let headings = [
         "scenario",
         "way",
-        "worst window of its bound",
+        "windows",
+        "half of them, of the bound",
+        "99 in 100",
+        "worst",
         "fleets that broke it",
         "refused below the limit, in 100",
         "datagrams/s a box",
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -9,8 +9,9 @@
 use crate::decide::DecideSetup;
 use crate::decide::site::SiteSetup;
 use crate::quota::scenario::SCENARIOS;
-use crate::quota::{QuotaBench, WAYS};
+use crate::quota::{QuotaBench, WAYS, WindowBound};
 use crate::steer::SteerBench;
+use crate::steer::limits::LimitWay;
 use crate::steer::pattern::LoadPattern;
 use crate::steer::rests::RestWay;
 
@@ -144,8 +145,8 @@
             setting(
                 "pattern",
                 "What happens to each fleet",
-                "steady, first-load, burst, refusals, slow-targets, some-rest, all-rest or \
-                 burst-rest.",
+                "steady, first-load, burst, refusals, slow-targets, some-rest, all-rest, \
+                 burst-rest, some-limits, all-limits or burst-limits.",
             )
             .default_value("steady"),
         )
@@ -157,6 +158,14 @@
             )
             .default_value("own"),
         )
+        .arg(
+            setting(
+                "limits",
+                "What boxes do when a target names a limit over all boxes",
+                "permits, ignored, each-alone or shares.",
+            )
+            .default_value("permits"),
+        )
         .arg(
             setting(
                 "without",
@@ -183,7 +192,11 @@
     let rests = raw_text(matches, "rests");
     let rest_way =
         rests.parse().map_err(|_| SettingError::new("rests", &rests, &RestWay::names()))?;
+    let limits = raw_text(matches, "limits");
+    let limit_way =
+        limits.parse().map_err(|_| SettingError::new("limits", &limits, &LimitWay::names()))?;
     Ok(SteerBench {
+        limit_way,
         rest_way,
         pattern,
         seed: number(matches, "seed", 0..=u64::from(u32::MAX))?,
@@ -196,19 +209,28 @@
 
 fn quota_command() -> Command {
     Command::new("quota")
-        .about("Ways to hold a customer's quota over all boxes, on fleets drawn at random")
+        .about("Ways to hold a quota or a target's limit over all boxes, on fleets drawn at random")
         .arg(setting("seed", "The first fleet's seed", "0 to 4294967295.").default_value("1"))
         .arg(setting("fleets", "How many fleets", "1 to 1000.").default_value("20"))
-        .arg(setting("boxes", "Boxes of each", "2 to 1000.").default_value("113"))
+        .arg(setting("boxes", "Boxes of each", "2 to 2000.").default_value("113"))
         .arg(
-            setting("rate", "What the customer may ask in a second", "1 to 100000.")
-                .default_value("100"),
+            setting(
+                "rate",
+                "What the customer may ask in a second, or the target takes",
+                "0.1 to 100000.",
+            )
+            .default_value("100"),
         )
         .arg(
             setting("burst", "What it may ask above that at once", "0 to 100000.")
                 .default_value("100"),
         )
         .arg(setting("loss", "Datagrams that are lost", "0 to 0.9.").default_value("0.002"))
+        .arg(
+            setting("bound", "What is allowed", "That of customers or of targets.")
+                .default_value("customers"),
+        )
+        .arg(setting("callers", "Callers at least", "0 to 100000.").default_value("0"))
         .arg(
             setting("scenarios", "What happens", "Names with commas between; empty: all.")
                 .default_value(""),
@@ -224,12 +246,19 @@
 /// # Errors
 /// The first setting that is not allowed.
 pub fn resolve_quota(matches: &ArgMatches) -> Result<QuotaBench, SettingError> {
+    let bound = match raw_text(matches, "bound").as_str() {
+        "customers" => WindowBound::OF_CUSTOMERS,
+        "targets" => WindowBound::OF_TARGETS,
+        other => return Err(SettingError::new("bound", other, "customers or targets")),
+    };
     Ok(QuotaBench {
+        bound,
+        callers: number(matches, "callers", 0..=100_000)? as usize,
         seed: number(matches, "seed", 0..=u64::from(u32::MAX))?,
         fleets: number(matches, "fleets", 1..=1000)? as usize,
-        boxes: number(matches, "boxes", 2..=1000)? as usize,
+        boxes: number(matches, "boxes", 2..=2000)? as usize,
         limit: QuotaLimit {
-            per_second: decimal("rate", &raw_text(matches, "rate"), 1.0..=100_000.0)?,
+            per_second: decimal("rate", &raw_text(matches, "rate"), 0.1..=100_000.0)?,
             burst: decimal("burst", &raw_text(matches, "burst"), 0.0..=100_000.0)?,
         },
         loss: decimal("loss", &raw_text(matches, "loss"), 0.0..=0.9)?,
--- a/crates/bench/src/steer/mod.rs
+++ b/crates/bench/src/steer/mod.rs
@@ -4,6 +4,7 @@
 pub mod cost;
 mod event;
 pub mod fleet;
+pub mod limits;
 pub mod pattern;
 pub mod report;
 pub mod rests;
@@ -17,6 +18,7 @@
 use wingbridge_decide::steer::mechanism::{MechanismSet, UnknownMechanism};
 
 use crate::steer::fleet::FleetPlan;
+use crate::steer::limits::LimitWay;
 use crate::steer::pattern::LoadPattern;
 use crate::steer::report::{FleetSums, SteerReport};
 use crate::steer::rests::RestWay;
@@ -39,6 +41,8 @@
     pub pattern: LoadPattern,
     /// What boxes do when a target asks for rest.
     pub rest_way: RestWay,
+    /// What boxes do when a target names a limit.
+    pub limit_way: LimitWay,
 }
 
 /// Plays all fleets, each once as set and once with uniform random picks.
--- a/crates/bench/src/steer/pattern.rs
+++ b/crates/bench/src/steer/pattern.rs
@@ -49,9 +49,16 @@
     AllRest,
     /// As [`LoadPattern::Burst`], and targets whose queues are full ask for rest.
     BurstRest,
+    /// Two in five targets take a fifth of their usual load, and say so, from then on.
+    SomeLimits,
+    /// All targets take half of their usual load, and say so, from then on.
+    AllLimits,
+    /// As [`LoadPattern::Burst`], and targets whose queues were full take half of their usual load for
+    /// 3 s, and say so.
+    BurstLimits,
 }
 
-const NAMES: [(LoadPattern, &str); 8] = [
+const NAMES: [(LoadPattern, &str); 11] = [
     (LoadPattern::Steady, "steady"),
     (LoadPattern::FirstLoad, "first-load"),
     (LoadPattern::Burst, "burst"),
@@ -60,6 +67,9 @@
     (LoadPattern::SomeRest, "some-rest"),
     (LoadPattern::AllRest, "all-rest"),
     (LoadPattern::BurstRest, "burst-rest"),
+    (LoadPattern::SomeLimits, "some-limits"),
+    (LoadPattern::AllLimits, "all-limits"),
+    (LoadPattern::BurstLimits, "burst-limits"),
 ];
 
 impl LoadPattern {
@@ -78,7 +88,8 @@
 
     /// The rate of requests, as a multiple of the usual one.
     pub(super) fn rate_factor(self, now: TimePoint) -> f64 {
-        let is_burst = matches!(self, LoadPattern::Burst | LoadPattern::BurstRest);
+        let is_burst =
+            matches!(self, LoadPattern::Burst | LoadPattern::BurstRest | LoadPattern::BurstLimits);
         let bursts = is_burst && within(now, BURST_TIME);
         if bursts { BURST } else { 1.0 }
     }
@@ -102,6 +113,18 @@
         }
     }
 
+    /// The limit that a target of that number names, as a part of its usual load. `full` is whether its
+    /// queue was full within the last seconds.
+    pub(super) fn limit_part(self, now: TimePoint, target: usize, full: bool) -> Option<f64> {
+        let has_begun = now >= COUNTED_FROM + BEGINS;
+        match self {
+            LoadPattern::SomeLimits if has_begun && is_affected(target) => Some(0.2),
+            LoadPattern::AllLimits if has_begun => Some(0.5),
+            LoadPattern::BurstLimits if has_begun && full => Some(0.5),
+            _ => None,
+        }
+    }
+
     /// How many times as long the target of that number works.
     pub(super) fn work_factor(self, now: TimePoint, target: usize) -> f64 {
         let slow = self == LoadPattern::SlowTargets && within(now, SLOW_TIME);
--- a/crates/bench/src/steer/report.rs
+++ b/crates/bench/src/steer/report.rs
@@ -10,6 +10,7 @@
 
 use crate::steer::SteerBench;
 use crate::steer::fleet::FleetPlan;
+use crate::steer::limits::LimitSums;
 use crate::steer::pattern::LoadPattern;
 use crate::steer::rests::RestSums;
 use crate::steer::seconds::SecondRows;
@@ -55,6 +56,9 @@
     /// What targets got that had asked for rest.
     #[serde(default)]
     pub rests: RestSums,
+    /// What targets got that had named a limit.
+    #[serde(default)]
+    pub limits: LimitSums,
     #[serde(skip)]
     noticed: NoticeTimes,
     #[serde(skip)]
@@ -152,6 +156,7 @@
         self.once.add(&other.once);
         self.seconds.add(&other.seconds);
         self.rests.add(&other.rests);
+        self.limits.add(&other.limits);
         self.noticed.0 += &other.noticed.0;
         self.right_suspicions += other.right_suspicions;
         self.false_suspicions += other.false_suspicions;
@@ -269,7 +274,8 @@
         if self.pattern == steady() {
             return self.sums_text();
         }
-        format!("{}{}\n\n{}", self.sums_text(), self.rests_text(), self.seconds_text())
+        let told = [self.rests_text(), self.limits_text()].concat();
+        format!("{}{told}\n\n{}", self.sums_text(), self.seconds_text())
     }
 
     fn rests_text(&self) -> String {
@@ -283,6 +289,17 @@
         )
     }
 
+    fn limits_text(&self) -> String {
+        let LimitSums { windows, broken, worst, arrived, allowed } = self.steered.limits;
+        if windows == 0 {
+            return String::new();
+        }
+        format!(
+            "\nrequests to targets with a limit {arrived}, their limits {allowed:.0}; windows of 4 s with \
+             more than is allowed {broken} of {windows}, the worst {worst:.2} of it"
+        )
+    }
+
     fn seconds_text(&self) -> String {
         let rows = self.steered.seconds.0.iter().enumerate().map(|(second, row)| {
             let counts = [row.requests, row.in_goal, row.late, row.lost(), row.trials];
--- a/crates/bench/src/steer/world/mod.rs
+++ b/crates/bench/src/steer/world/mod.rs
@@ -1,5 +1,6 @@
 //! One emulated fleet: what its boxes, targets and callers do at each event.
 
+mod limits;
 mod telling;
 
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 use crate::steer::SteerBench;
 use crate::steer::event::{AnswerKind, Attempt, Event, EventQueue, Message, Request};
 use crate::steer::fleet::{FleetPlan, ServicePlan};
+use crate::steer::limits::{LimitWatch, LimitWay};
 use crate::steer::pattern::{COUNTED_FROM, LoadPattern};
 use crate::steer::report::FleetSums;
 use crate::steer::rests::{RestWatch, RestWay};
@@ -42,6 +44,10 @@
     pattern: LoadPattern,
     rest_way: RestWay,
     rests: RestWatch,
+    limit_way: LimitWay,
+    limits: LimitWatch,
+    /// When a target's queue was full last.
+    full_at: HashMap<usize, TimePoint>,
     random: SmallRng,
     events: EventQueue,
     boxes: Vec<SteerCore>,
@@ -65,6 +71,7 @@
         world.handle(event);
     }
     world.sums.rests = world.rests.sums;
+    world.sums.limits = world.limits.sums(end);
     world.sums
 }
 
@@ -106,6 +113,9 @@
             pattern: bench.pattern,
             rest_way: bench.rest_way,
             rests: RestWatch::default(),
+            limit_way: bench.limit_way,
+            limits: LimitWatch::default(),
+            full_at: HashMap::new(),
             random,
             events: EventQueue::default(),
             boxes: (0..all).map(make_box).collect(),
@@ -189,10 +199,10 @@
             .iter()
             .map(|attempt| self.attempts[*attempt].mark.key)
             .collect();
-        let name = &self.names[service];
+        let name = self.names[service].clone();
         let asked = SteerRequest {
-            service: name,
-            route: name,
+            service: &name,
+            route: &name,
             repeatable: plan.repeatable && tried.len() + 1 < ATTEMPTS,
             large: false,
             body_bytes: 0,
@@ -200,8 +210,13 @@
             left: plan.timeout.saturating_sub(self.events.now.since(since)),
             tried: &tried,
         };
-        let pick = self.boxes[gateway].pick(self.events.now, &asked)?;
-        let mark = self.boxes[gateway].begin(self.events.now, pick.key, name);
+        let pick = loop {
+            let pick = self.boxes[gateway].pick(self.events.now, &asked)?;
+            if self.has_permit(gateway, &pick) {
+                break pick;
+            }
+        };
+        let mark = self.boxes[gateway].begin(self.events.now, pick.key, &name);
         let target = self.keys[&pick.key];
         let attempt = self.attempts.len();
         self.attempts.push(Attempt { request, target, mark, open: true });
@@ -237,11 +252,13 @@
         }
         let gateway = self.requests[self.attempts[attempt].request].gateway;
         self.rests.note_arrival(self.events.now, gateway, target);
+        self.limits.note_arrival(self.events.now, target);
         let refused = self.pattern.refused_share(self.events.now, target);
         let refuses = refused > 0.0 && self.random.random_bool(refused);
         if !refuses && self.targets[target].1.take(attempt) {
             self.begin_work(target);
         } else {
+            self.full_at.insert(target, self.events.now);
             self.events.schedule(NEAR, Event::Answered { attempt, kind: AnswerKind::Refusal });
         }
     }
@@ -288,6 +305,7 @@
                 SteerOutcome::Shed
             }
         };
+        self.hear_limit(attempt);
         self.end_attempt(attempt, outcome);
         if kind == AnswerKind::Good {
             self.end_request(request, Some(self.events.now.since(self.requests[request].since)));
--- a/crates/bench/tests/quota.rs
+++ b/crates/bench/tests/quota.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use wingbench::quota::scenario::{QuotaScenario, SCENARIOS};
-use wingbench::quota::{QuotaBench, QuotaWay, WAYS, measure_quota};
+use wingbench::quota::{QuotaBench, QuotaWay, WAYS, WindowBound, measure_quota};
 use wingbridge_decide::quota::QuotaLimit;
 
 const SEED: u64 = 40;
@@ -17,6 +17,8 @@
         loss: 0.002,
         scenarios: vec![scenario],
         ways: vec![way],
+        bound: WindowBound::OF_CUSTOMERS,
+        callers: 0,
     }
 }
 
@@ -77,9 +79,48 @@
     assert!("none".parse::<QuotaScenario>().is_err());
 }
 
+fn of_a_target(scenario: QuotaScenario, way: QuotaWay, boxes: usize, rate: f64) -> QuotaBench {
+    QuotaBench {
+        limit: QuotaLimit { per_second: rate, burst: 2.0 },
+        bound: WindowBound::OF_TARGETS,
+        // From all boxes.
+        callers: boxes * 2,
+        ..bench(scenario, way, boxes, rate)
+    }
+}
+
+/// Customers' keepers let boxes spend ahead of their word: of forty boxes each one.
+#[test]
+fn the_limit_of_a_target_is_kept_by_permits_and_broken_by_customers_keepers() {
+    let worst = |way| {
+        let bench = of_a_target(QuotaScenario::TenTimes, way, 40, 1.0);
+        measure_quota(&bench).rows[0].worst
+    };
+    assert!(worst(QuotaWay::Permits) <= 1.0);
+    assert!(worst(QuotaWay::Keepers) > 2.0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
+    #[test]
+    fn no_target_gets_more_than_its_limit_allows(
+        seed in 0u64..1_000_000,
+        which in 0..SCENARIOS.len(),
+        boxes in 4usize..50,
+        rate in 0.1f64..30.0,
+        loss in 0.0f64..0.1,
+    ) {
+        let bench = QuotaBench {
+            seed,
+            fleets: 1,
+            loss,
+            ..of_a_target(SCENARIOS[which].0, QuotaWay::Permits, boxes, rate)
+        };
+        let row = &measure_quota(&bench).rows[0];
+        prop_assert_eq!(row.broken, 0, "{:?}", row);
+    }
+
     #[test]
     fn no_window_is_above_the_bound(
         seed in 0u64..1_000_000,
--- a/crates/bench/tests/steer.rs
+++ b/crates/bench/tests/steer.rs
@@ -1,5 +1,6 @@
 //! The choice of targets on fleets drawn at random, against uniform random picks.
 
+use wingbench::steer::limits::LimitWay;
 use wingbench::steer::pattern::LoadPattern;
 use wingbench::steer::report::{KindSums, SteerReport};
 use wingbench::steer::rests::RestWay;
@@ -15,6 +16,7 @@
 fn measured_under(pattern: LoadPattern, without: &str) -> SteerReport {
     let bench = SteerBench {
         rest_way: RestWay::default(),
+        limit_way: LimitWay::Permits,
         seed: SEED,
         fleets: FLEETS,
         seconds: 20,
@@ -151,6 +153,7 @@
         without: Default::default(),
         pattern: case.pattern,
         rest_way: case.way,
+        limit_way: LimitWay::Permits,
     };
     measure_steer(&bench).expect("names of mechanisms")
 }
@@ -167,3 +170,42 @@
         assert_eq!(sent > 0.0, case.way == RestWay::Ignored, "{:?}: {rests:?}", case.way);
     }
 }
+
+struct LimitCase {
+    pattern: LoadPattern,
+    way: LimitWay,
+    /// Whether some window has more than the limit allows.
+    is_broken: bool,
+}
+
+const LIMITS: &[LimitCase] = &[
+    LimitCase { pattern: LoadPattern::SomeLimits, way: LimitWay::Permits, is_broken: false },
+    LimitCase { pattern: LoadPattern::AllLimits, way: LimitWay::Permits, is_broken: false },
+    LimitCase { pattern: LoadPattern::BurstLimits, way: LimitWay::Permits, is_broken: false },
+    // The check finds a fault where there is one.
+    LimitCase { pattern: LoadPattern::SomeLimits, way: LimitWay::Ignored, is_broken: true },
+    LimitCase { pattern: LoadPattern::SomeLimits, way: LimitWay::EachAlone, is_broken: true },
+];
+
+#[test]
+fn targets_with_a_limit_get_what_it_allows_and_use_it() {
+    for case in LIMITS {
+        let bench = SteerBench {
+            rest_way: RestWay::default(),
+            limit_way: case.way,
+            seed: SEED,
+            fleets: 4,
+            seconds: 24,
+            workers: 2,
+            without: Default::default(),
+            pattern: case.pattern,
+        };
+        let report = measure_steer(&bench).expect("names of mechanisms");
+        let limits = report.steered.limits;
+        let told = format!("{} {:?}: {limits:?}", case.pattern, case.way);
+        assert_eq!(limits.broken > 0, case.is_broken, "{told}");
+        if case.pattern == LoadPattern::AllLimits {
+            assert!(limits.arrived as f64 > 0.9 * limits.allowed, "{told}");
+        }
+    }
+}
--- a/crates/decide/src/steer/limit.rs
+++ b/crates/decide/src/steer/limit.rs
@@ -56,7 +56,7 @@
     }
 
     /// A rate in millionths of a request a second.
-    pub fn from_millionths(millionths: u64) -> RequestRate {
+    pub const fn from_millionths(millionths: u64) -> RequestRate {
         RequestRate(millionths)
     }
 
