Soak: targets that name limits, among its faults and promises

Change: two targets in ten seconds of faults name a limit of 0 to 4 requests a second in their answers for 8 to 14 s, drawn from a seed of their own, so that kept seeds stay as they were.

The check finds what it is there for in a row of checks.rs.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -11,6 +11,7 @@
 
 use crate::callers::{CallerEnd, CallerRecord};
 use crate::fleet::RETRY_SLACK;
+use crate::limits::above_limit;
 use crate::notices::{after_word, sent_in_rest};
 use crate::report::Violation;
 use crate::spans::{SpanLog, SpanScope};
@@ -101,6 +102,7 @@
         Violation::of("a leaving target gets no new work", late_at_leaving(evidence), 0),
         Violation::of("a target that says that it leaves is left alone", after_word(evidence), 0),
         Violation::of("a target that asks for rest gets it", sent_in_rest(evidence), 0),
+        Violation::of("a target that names a limit gets no more", above_limit(evidence), 0),
         Violation::of("a configuration is in force in time", late_config(evidence), 0),
         Violation::of("a configuration never reverts", reverted(evidence), 0),
         Violation::of("a hang-up cancels", after_hang_up(evidence), GONE_MOST),
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -42,6 +42,7 @@
     EndTargetPath(usize),
     EndTarget(usize),
     EndRest(usize),
+    EndLimit(usize),
     EndLeaving(usize, bool),
     LapseEntry(usize),
     ReplaceTarget(usize, bool),
@@ -145,7 +146,7 @@
     /// A process can't be started or signalled.
     pub fn carry_out(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.began = Instant::now();
-        for (at, fault) in plan.faults.iter().chain(&plan.notices) {
+        for (at, fault) in plan.faults.iter().chain(&plan.notices).chain(&plan.limits) {
             self.put(*at, DriverStep::Begin(*fault));
         }
         while !self.agenda.is_empty() || !self.all_run() || self.began.elapsed() < time {
@@ -235,6 +236,7 @@
                 self.world.ask_rest(index, None);
                 self.world.set_mode(index, TargetMode::Sound);
             }
+            DriverStep::EndLimit(index) => self.world.name_limit(index, None),
             DriverStep::EndLeaving(index, other) => {
                 self.world.end_target(index, true);
                 self.put_in(REUSE_AFTER, DriverStep::ReplaceTarget(index, other));
@@ -296,6 +298,10 @@
                 self.world.set_mode(index, TargetMode::Refuses(share));
                 self.put_in(time, DriverStep::EndRest(index));
             }
+            PlannedFault::NameLimit(index, limit, time) => {
+                self.world.name_limit(index, Some(limit));
+                self.put_in(time, DriverStep::EndLimit(index));
+            }
             PlannedFault::LeaveByAnswers(index) => {
                 self.world.say_leaving(index);
                 self.put_in(SERVES_ON, DriverStep::EndLeaving(index, false));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod checks;
 pub mod driver;
 pub mod fleet;
+mod limits;
 mod notices;
 pub mod plan;
 pub mod relay;
--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -75,16 +75,21 @@
     cases
 }
 
-fn records_by_id(evidence: &SoakEvidence) -> HashMap<&str, &CallerRecord> {
+pub(crate) fn records_by_id(evidence: &SoakEvidence) -> HashMap<&str, &CallerRecord> {
     evidence.records.iter().map(|record| (record.id.as_str(), record)).collect()
 }
 
-fn was_answered(record: &CallerRecord) -> bool {
+pub(crate) fn was_answered(record: &CallerRecord) -> bool {
     matches!(record.end, CallerEnd::Answered(_, _))
 }
 
 /// Whether the box stood still or started anew between a notice and an arrival.
-fn was_disturbed(evidence: &SoakEvidence, index: usize, told: Instant, arrival: &Arrival) -> bool {
+pub(crate) fn was_disturbed(
+    evidence: &SoakEvidence,
+    index: usize,
+    told: Instant,
+    arrival: &Arrival,
+) -> bool {
     let scopes = [SpanScope::Box(index), SpanScope::PlannedStop(index)];
     scopes.iter().any(|scope| evidence.spans.touches(scope, told, arrival.at))
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -42,6 +42,8 @@
     AskRest(usize, f64, Duration, Duration),
     /// A target says that it leaves in its answers alone, and ends when it has.
     LeaveByAnswers(usize),
+    /// A target names that limit in its answers, in millionths of a request a second, for a while.
+    NameLimit(usize, u64, Duration),
 }
 
 /// Faults with the times at which they begin.
@@ -51,6 +53,8 @@
     pub faults: Vec<(Duration, PlannedFault)>,
     /// Targets that ask for rest, or leave by their answers alone, with the times at which they begin to.
     pub notices: Vec<(Duration, PlannedFault)>,
+    /// Targets that name limits, with the times at which they begin to.
+    pub limits: Vec<(Duration, PlannedFault)>,
     /// Requests under which targets end.
     pub deadly: Vec<DeadlyRound>,
 }
@@ -75,6 +79,9 @@
 /// Targets that ask for rest or leave by their answers alone, for each second of faults.
 const NOTICES_PER_S: f64 = 0.2;
 const NOTICE_SEED: u64 = 0x1eaf;
+/// Targets that name limits, for each second of faults.
+const LIMITS_PER_S: f64 = 0.2;
+const LIMIT_SEED: u64 = 0x11c17;
 /// They are drawn from a seed of their own, so that a seed's other faults stay as they were without them.
 const DEADLY_SEED: u64 = 0xdead;
 
@@ -101,7 +108,7 @@
             .collect();
         faults.sort_by_key(|(at, _)| *at);
         let (notices, deadly) = (draw_notices(seed, size), draw_deadly(seed, size));
-        FaultPlan { faults, notices, deadly }
+        FaultPlan { faults, notices, limits: draw_limits(seed, size), deadly }
     }
 }
 
@@ -147,6 +154,19 @@
     (0..count).map(&mut draw).collect()
 }
 
+fn draw_limits(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let count = (size.time.as_secs_f64() * LIMITS_PER_S).ceil() as usize;
+    let mut draw = |_| {
+        // Long enough for a window that counts.
+        let at = size.time.mul_f64(0.5 * random.random::<f64>());
+        let time = Duration::from_millis(random.random_range(8_000..14_000));
+        let limit = random.random_range(0..4_000_000);
+        (at, PlannedFault::NameLimit(random.random_range(0..size.targets), limit, time))
+    };
+    (0..count).map(&mut draw).collect()
+}
+
 fn draw_deadly(seed: u64, size: &PlanSize) -> Vec<DeadlyRound> {
     let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
     let count = (size.time.as_secs_f64() * DEADLY_PER_S).ceil() as usize;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -130,6 +130,11 @@
         self.slots[index].target.ask_rest(rest);
     }
 
+    /// The target names a limit in its answers, in millionths of a request a second, or none.
+    pub fn name_limit(&self, index: usize, limit: Option<u64>) {
+        self.slots[index].target.name_limit(limit);
+    }
+
     /// The target says that it leaves, in its entry and in its answers.
     pub fn announce_leaving(&mut self, index: usize) {
         self.say_leaving(index);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -144,6 +144,19 @@
             send_later(run, start, 3);
         },
     },
+    CheckCase {
+        promise: "a target that names a limit gets no more",
+        spoil: |run, start| {
+            let first = notice(start, SaidNotice::Limit(1_000_000));
+            let last = NoticeRecord { at: start + Duration::from_secs(30), ..first.clone() };
+            run.notices.extend([first, last]);
+            for number in 0..15 {
+                let (id, sent) = (format!("0-n{number}"), start + Duration::from_secs(10));
+                run.records.push(record(&id, "/read/n", sent, 50, SERVED));
+                run.arrivals.push(arrival(&id, "/read/n", "reads", sent, 100 * number));
+            }
+        },
+    },
     CheckCase {
         promise: "a planned stop cuts nothing",
         spoil: |run, _| {
