Tests of limits: boxes of another data centre, and what is no limit

Rows of tables: six boxes, every other one in a data centre without targets; nine values and answers that name no limit of their target.

--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -50,6 +50,8 @@
     script: Script,
     kind: RouteKind,
     trouble: Trouble,
+    /// Whether every other box is in another data centre than the targets.
+    apart: bool,
 }
 
 const ONE: LimitCase = LimitCase {
@@ -60,6 +62,7 @@
     script: Script::Good,
     kind: RouteKind::AtMostOnce,
     trouble: Trouble::None,
+    apart: false,
 };
 
 const OF_ONE_BOX: &[LimitCase] = &[
@@ -83,6 +86,7 @@
 
 const OF_SIX_BOXES: &[LimitCase] = &[
     LimitCase { name: "six boxes", boxes: 6, ..ONE },
+    LimitCase { name: "six boxes of two data centres", boxes: 6, apart: true, ..ONE },
     LimitCase {
         name: "six boxes, a half",
         boxes: 6,
@@ -109,6 +113,11 @@
 
 impl World {
     fn start(boxes: usize, script: Script, kind: RouteKind) -> World {
+        World::start_in(boxes, script, kind, false)
+    }
+
+    /// The same with every other box in a data centre without targets, if so.
+    fn start_in(boxes: usize, script: Script, kind: RouteKind, apart: bool) -> World {
         let limited = TargetStandin::start("limited", "service", script);
         let others = ["one", "two"].map(|id| TargetStandin::start(id, "service", Script::Good));
         let store = StoreStandin::default();
@@ -116,9 +125,14 @@
         let mut world = World { store, limited, others, boxes: Vec::new() };
         world.list(true, 3);
         let hosts: Vec<_> = (0..boxes).map(|_| own_host()).collect();
-        for host in &hosts {
-            let started = BoxUnderTest::start_at(*host, world.store.port(true), &hosts, |_| {});
-            world.boxes.push(started);
+        for (number, host) in hosts.iter().enumerate() {
+            let is_elsewhere = apart && number % 2 == 1;
+            let port = world.store.port(true);
+            world.boxes.push(BoxUnderTest::start_at(*host, port, &hosts, |settings| {
+                if is_elsewhere {
+                    settings.data_centre = "elsewhere".into();
+                }
+            }));
         }
         for started in &world.boxes {
             started.wait_ready();
@@ -194,7 +208,7 @@
 }
 
 fn check(case: &LimitCase) {
-    let mut world = World::start(case.boxes, case.script, case.kind);
+    let mut world = World::start_in(case.boxes, case.script, case.kind, case.apart);
     let from = world.ask_all_while(|world| {
         if case.trouble == Trouble::Lowered {
             world.limited.say("X-Limit: 8\r\n");
@@ -257,6 +271,39 @@
     check_all(IN_TROUBLE);
 }
 
+struct NoWordCase {
+    name: &'static str,
+    script: Script,
+    said: &'static str,
+}
+
+const NO_WORDS: &[NoWordCase] = &[
+    NoWordCase { name: "negative", script: Script::Good, said: "X-Limit: -1\r\n" },
+    NoWordCase { name: "empty", script: Script::Good, said: "X-Limit:\r\n" },
+    NoWordCase { name: "no number", script: Script::Good, said: "X-Limit: few\r\n" },
+    NoWordCase { name: "endless", script: Script::Good, said: "X-Limit: inf\r\n" },
+    NoWordCase { name: "an exponent", script: Script::Good, said: "X-Limit: 1e400\r\n" },
+    NoWordCase { name: "two points", script: Script::Good, said: "X-Limit: 0.0.1\r\n" },
+    NoWordCase { name: "very large", script: Script::Good, said: "X-Limit: 99999999999\r\n" },
+    NoWordCase { name: "another's id", script: Script::WrongId, said: "X-Limit: 0\r\n" },
+    NoWordCase { name: "no proof", script: Script::NoProof, said: "X-Limit: 0\r\n" },
+];
+
+#[test]
+fn what_is_no_limit_of_the_target_changes_nothing() {
+    for case in NO_WORDS {
+        let world = World::start(1, case.script, RouteKind::AtMostOnce);
+        world.limited.say(case.said);
+        // Answers that can't be used make it a suspect, which is asked now and then.
+        let most = if case.script == Script::Good { 20 } else { 4 };
+        println!("{}", case.name);
+        eventually("it is asked on", || {
+            world.boxes[0].ask("GET", "/r/x");
+            world.limited.seen().len() >= most
+        });
+    }
+}
+
 /// Requests beyond the limits of all targets have nowhere to go, and are told so at once.
 #[test]
 fn what_is_above_all_limits_is_refused_with_a_time() {
