Permits: a request waits for one silent keeper at most

What callers would have seen: where several boxes had ended at once, a request went from one silent keeper to the next, 80 ms each, before it was told that there is no room.

Change: after one wait in vain the request takes its box's own share of the other targets' limits at once.

--- a/crates/gateway/src/permit_desk.rs
+++ b/crates/gateway/src/permit_desk.rs
@@ -51,6 +51,19 @@
     Denied,
 }
 
+/// Whether a request may wait for the answer of a keeper.
+///
+/// It waits once in vain at most: where several boxes have ended it would go from one silent keeper to the next,
+/// and be refused long after it came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum KeeperWait {
+    /// It has not met a silent one.
+    #[default]
+    Allowed,
+    /// It has.
+    Spent,
+}
+
 /// Gets permits for this box, and keeps those of others.
 #[derive(Debug)]
 pub(crate) struct PermitDesk {
@@ -92,11 +105,14 @@
         context: &BoxContext,
         pick: &SteerPick,
         rate: RequestRate,
+        wait: &mut KeeperWait,
     ) -> Permit {
         let kept = match self.seat(context, pick) {
             Some(KeeperSeat::Own) => Some(self.keep(context, pick.key, rate)),
-            Some(KeeperSeat::Peer(host)) => self.ask_peers(context, host, pick.key).await,
-            None => None,
+            Some(KeeperSeat::Peer(host)) if *wait == KeeperWait::Allowed => {
+                self.ask_peers(context, host, pick.key, wait).await
+            }
+            _ => None,
         };
         let (answer, source) = match kept {
             Some(answer) => {
@@ -156,10 +172,11 @@
         context: &BoxContext,
         first: IpAddr,
         key: TargetKey,
+        wait: &mut KeeperWait,
     ) -> Option<PermitAnswer> {
         let mut host = first;
         for _ in 0..ASKED_BOXES {
-            match self.ask_peer(context, host, key).await? {
+            match self.ask_peer(context, host, key, wait).await? {
                 PeerWord::Answer(answer) => return Some(answer),
                 PeerWord::Passed(next) => host = next?,
             }
@@ -173,6 +190,7 @@
         context: &BoxContext,
         host: IpAddr,
         key: TargetKey,
+        wait: &mut KeeperWait,
     ) -> Option<PeerWord> {
         let limit = limit_of(context, key);
         let (answered, answer) = async_channel::bounded(1);
@@ -193,7 +211,10 @@
         state.waiting.remove(&number);
         match word {
             Some(_) => drop(state.silent.remove(&host)),
-            None => state.note_silent(host),
+            None => {
+                state.note_silent(host);
+                *wait = KeeperWait::Spent;
+            }
         }
         word
     }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -16,7 +16,7 @@
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::held_credit::HeldCredit;
 use crate::open_attempt::{EndedAttempt, OpenAttempt};
-use crate::permit_desk::{Permit, PermitSource};
+use crate::permit_desk::{KeeperWait, Permit, PermitSource};
 use crate::request_log::RequestTrace;
 use crate::routes::{Entrance, RouteKind};
 use crate::routing::RequestPlan;
@@ -56,6 +56,8 @@
     open: u32,
     /// A target's failure, for the caller if nothing better comes.
     fallback: Option<Box<TargetAnswer>>,
+    /// Whether it may wait for a keeper of permits.
+    keeper_wait: KeeperWait,
     trace: RequestTrace,
 }
 
@@ -106,6 +108,7 @@
             arrivals: 0,
             open: 0,
             fallback: None,
+            keeper_wait: KeeperWait::default(),
             trace,
         }
     }
@@ -162,13 +165,13 @@
     }
 
     /// Asks whether it may be sent to a target that has named a limit over all boxes.
-    async fn ask_permit(&self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
+    async fn ask_permit(&mut self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
         // Each time: what one box sends by itself the others can't know in time, and boxes that kept a
         // limit each for itself sent many times it together.
         let Some(rate) = pick.limit else {
             return Ok(None);
         };
-        match self.context.permits.ask(&self.context, pick, rate).await {
+        match self.context.permits.ask(&self.context, pick, rate, &mut self.keeper_wait).await {
             Permit::Granted(under, source) => Ok(Some((under, source))),
             Permit::Denied => Err(NoPermit),
         }
