--- /dev/null
+++ b/crates/gateway/src/requests/allowed.rs
@@ -0,0 +1,58 @@
+//! Whether a request may go on: by the configuration in force, and by the limit of the target that was
+//! chosen.
+
+use std::sync::Arc;
+
+use wingbridge_decide::steer::{RequestRate, SteerPick};
+
+use super::RequestRun;
+use crate::permit_desk::{Permit, PermitSource};
+use crate::routes::Entrance;
+
+/// The permit of an attempt, with the limit for which it was given; none where the target has no limit.
+pub(super) type SendPermit = Option<(RequestRate, PermitSource)>;
+
+/// There is none now.
+pub(super) struct NoPermit;
+
+/// Why a request that was let in goes no further.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum TurnedAway {
+    NoEntrance(&'static str),
+    NoRoute,
+}
+
+impl RequestRun {
+    /// Asks whether it may be sent to a target that has named a limit over all boxes.
+    pub(super) async fn ask_permit(&mut self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
+        // Each time: what one box sends by itself the others can't know in time, and boxes that kept a
+        // limit each for itself sent many times it together.
+        let Some(rate) = pick.limit else {
+            return Ok(None);
+        };
+        match self.context.permits.ask(&self.context, pick, rate, &mut self.keeper_wait).await {
+            Permit::Granted(under, source) => Ok(Some((under, source))),
+            Permit::Denied => Err(NoPermit),
+        }
+    }
+
+    /// Judges it by the configuration in force, if that is another one by now.
+    pub(super) fn judge_again(&mut self) -> Result<(), TurnedAway> {
+        let Some(config) = self.context.config() else {
+            return Ok(());
+        };
+        if Arc::ptr_eq(&config, &self.plan.config) {
+            return Ok(());
+        }
+        let path = self.outgoing.target.split('?').next().unwrap_or_default();
+        let Some(route) = config.find(&self.plan.route.host, path) else {
+            return Err(TurnedAway::NoRoute);
+        };
+        match config.entrance(route, self.plan.key) {
+            Entrance::Open(customer) => self.plan.customer = customer,
+            Entrance::Closed(why) => return Err(TurnedAway::NoEntrance(why)),
+        }
+        self.plan.config = config;
+        Ok(())
+    }
+}
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -1,6 +1,9 @@
 //! One planned request over as many attempts as it may take, one after the other or two
 //! beside each other.
 
+mod allowed;
+mod ends;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,19 +11,23 @@
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, REPEATED_BELOW};
 use wingbridge_decide::steer::{
-    LoadReport, NoPick, RequestRate, RetryUse, SteerOutcome, SteerPick, SteerRequest,
+    LoadReport, NoPick, RetryUse, SteerOutcome, SteerPick, SteerRequest,
 };
 
-use crate::answers::{CallerAnswer, CallerOutcome};
+use crate::answers::CallerAnswer;
 use crate::attempt::{AttemptEnd, CONNECTION_REFUSED, OutgoingRequest, TargetAnswer};
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::held_credit::HeldCredit;
 use crate::open_attempt::{EndedAttempt, OpenAttempt};
-use crate::permit_desk::{KeeperWait, Permit, PermitSource};
+use crate::permit_desk::KeeperWait;
 use crate::request_log::RequestTrace;
-use crate::routes::{Entrance, RouteKind};
+use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
 use crate::suspension::StartMark;
+use allowed::{NoPermit, SendPermit};
+use ends::passed_on;
+
+pub(crate) use ends::deadly_answer;
 
 /// Targets that can be asked for one request, those that ran nothing counted.
 const SENDS_MOST: u32 = 4;
@@ -67,19 +74,6 @@
     Again,
 }
 
-/// The permit of an attempt, with the limit for which it was given; none where the target has no limit.
-type SendPermit = Option<(RequestRate, PermitSource)>;
-
-/// There is none now.
-struct NoPermit;
-
-/// Why a request that was let in goes no further.
-#[derive(Debug, Clone, Copy)]
-enum TurnedAway {
-    NoEntrance(&'static str),
-    NoRoute,
-}
-
 /// What comes next while attempts of one request are open.
 enum RaceEvent {
     Ended(Box<EndedAttempt>),
@@ -164,62 +158,6 @@
         }
     }
 
-    /// Asks whether it may be sent to a target that has named a limit over all boxes.
-    async fn ask_permit(&mut self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
-        // Each time: what one box sends by itself the others can't know in time, and boxes that kept a
-        // limit each for itself sent many times it together.
-        let Some(rate) = pick.limit else {
-            return Ok(None);
-        };
-        match self.context.permits.ask(&self.context, pick, rate, &mut self.keeper_wait).await {
-            Permit::Granted(under, source) => Ok(Some((under, source))),
-            Permit::Denied => Err(NoPermit),
-        }
-    }
-
-    /// Judges it by the configuration in force, if that is another one by now.
-    fn judge_again(&mut self) -> Result<(), TurnedAway> {
-        let Some(config) = self.context.config() else {
-            return Ok(());
-        };
-        if Arc::ptr_eq(&config, &self.plan.config) {
-            return Ok(());
-        }
-        let path = self.outgoing.target.split('?').next().unwrap_or_default();
-        let Some(route) = config.find(&self.plan.route.host, path) else {
-            return Err(TurnedAway::NoRoute);
-        };
-        match config.entrance(route, self.plan.key) {
-            Entrance::Open(customer) => self.plan.customer = customer,
-            Entrance::Closed(why) => return Err(TurnedAway::NoEntrance(why)),
-        }
-        self.plan.config = config;
-        Ok(())
-    }
-
-    /// The answer to a request that is not allowed any more. What may have run is not called
-    /// rejected.
-    fn turn_away(&mut self, refusal: TurnedAway) -> CallerAnswer {
-        if self.runs > 0 {
-            return self.give_up("it is not allowed any more");
-        }
-        match refusal {
-            TurnedAway::NoEntrance(why) => CallerAnswer::no_entrance(why),
-            TurnedAway::NoRoute => {
-                CallerAnswer::own(404, CallerOutcome::Rejected, "its route was taken away")
-            }
-        }
-    }
-
-    /// The answer to a request under which too many targets have ended.
-    fn refuse_deadly(&mut self, verdict: CrashVerdict, wait: Duration) -> CallerAnswer {
-        self.trace.note_crashes(verdict);
-        if self.runs > 0 {
-            return self.give_up(ENDS_TARGETS);
-        }
-        deadly_answer(&self.context, wait)
-    }
-
     fn pick(&mut self, left: Duration) -> Result<SteerPick, NoPick> {
         let repeatable = self.plan.policy.repeatable && self.runs + 1 < self.plan.policy.attempts;
         let request = SteerRequest {
@@ -467,33 +405,6 @@
         self.arrivals += 1;
         self.runs += 1;
     }
-
-    /// The answer while all targets rest, the first of them for `left` yet.
-    fn give_up_until(&mut self, left: Duration) -> CallerAnswer {
-        const WHY: &str = "all targets want nothing for now";
-        if self.fallback.is_some() || self.runs > 0 {
-            return self.give_up(WHY);
-        }
-        CallerAnswer::not_run_before(&self.context.headers.retry_after, left, WHY)
-    }
-
-    /// The answer when no target's success is to be had.
-    fn give_up(&mut self, why: &'static str) -> CallerAnswer {
-        if let Some(answer) = self.fallback.take() {
-            return passed_on(*answer);
-        }
-        if self.runs == 0 {
-            return CallerAnswer::not_run(&self.context.headers.retry_after, why);
-        }
-        let status = if Instant::now() >= self.until() { 504 } else { 502 };
-        CallerAnswer::own(status, CallerOutcome::Unknown, why)
-    }
-}
-
-/// Refuses a request that ends targets, until it may be asked again. It has not run.
-pub(crate) fn deadly_answer(context: &BoxContext, wait: Duration) -> CallerAnswer {
-    metrics::counter!("wingbridge_deadly_refused").increment(1);
-    CallerAnswer::not_before(&context.headers.retry_after, wait, ENDS_TARGETS)
 }
 
 /// The next of the `running` attempts that ends, or the time of a second attempt.
@@ -511,15 +422,3 @@
         Err(_) => RaceEvent::HedgeDue,
     }
 }
-
-fn passed_on(answer: TargetAnswer) -> CallerAnswer {
-    let TargetAnswer { start, body, .. } = answer;
-    CallerAnswer {
-        status: start.status,
-        headers: start.headers.passed_on(&[]),
-        reason: start.reason,
-        body,
-        outcome: CallerOutcome::Answered,
-        why: "a target's answer",
-    }
-}
