--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -126,7 +126,7 @@
             return self.parted.change(now, key, take);
         };
         let change = take(&mut record.notices)?;
-        record.note_limit(change);
+        record.forget_turn();
         Some(change)
     }
 }
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -4,7 +4,7 @@
 
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, SpellHabits, TargetBelief};
-use crate::steer::limit::{LimitChange, RequestRate};
+use crate::steer::limit::RequestRate;
 use crate::steer::messages::{SteerOutcome, SuspicionChange};
 use crate::steer::notice::NoticeState;
 use crate::steer::open::{AttemptMark, OpenAge, OpenAttempts};
@@ -162,8 +162,8 @@
         self.used_up_until = Some(until);
     }
 
-    /// Notes that its limit is another one now.
-    pub(crate) fn note_limit(&mut self, _: LimitChange) {
+    /// Forgets until when there is no permit for it: that was told for another limit.
+    pub(crate) fn forget_turn(&mut self) {
         self.used_up_until = None;
     }
 
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -18,7 +18,7 @@
 use crate::attempt::is_anothers;
 use crate::context::{BoxContext, millis};
 use crate::limit_news::{limit_of, log_limit};
-use crate::permit_desk::PermitSource;
+use crate::permit_desk::SendPermit;
 use crate::ports::HeaderNames;
 
 /// Bytes that a head may have which is read so, at most: those of targets have some 300.
@@ -35,8 +35,8 @@
     request: Option<&'a str>,
     /// When the attempt began.
     asked: TimePoint,
-    /// The permit that it has, with the limit for which it was given.
-    permit: Option<(RequestRate, PermitSource)>,
+    /// The permit that it has.
+    permit: Option<SendPermit>,
     /// Whether a head was read already.
     heard: AtomicBool,
 }
@@ -74,7 +74,7 @@
         context: &'a BoxContext,
         pick: &'a SteerPick,
         request: Option<&'a str>,
-        permit: Option<(RequestRate, PermitSource)>,
+        permit: Option<SendPermit>,
     ) -> NoticeLink<'a> {
         let heard = AtomicBool::new(false);
         let asked = context.now();
@@ -116,7 +116,7 @@
             None => match limit {
                 None => return true,
                 // One for a higher limit was for more than the target takes now.
-                Some(limit) if self.permit.is_some_and(|(under, _)| under <= limit) => {
+                Some(limit) if self.permit.is_some_and(|permit| permit.under <= limit) => {
                     self.note_limited_send(limit);
                     return true;
                 }
@@ -131,7 +131,7 @@
 
     /// Leaves a line of each send to a target with a limit: over all boxes they show whether it was kept.
     fn note_limited_send(&self, limit: RequestRate) {
-        let by = self.permit.map_or("", |(_, source)| source.as_str());
+        let by = self.permit.map_or("", |permit| permit.source.as_str());
         let (target, request) = (self.target, self.request_id());
         log::info!(target, request, per_second:% = limit, by; "limited-send");
         metrics::counter!("wingbridge_limited_sends").increment(1);
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -4,15 +4,13 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use wingbridge_decide::steer::{
-    AttemptMark, LoadReport, RequestRate, SUSPECT_FROM, SteerOutcome, SteerPick,
-};
+use wingbridge_decide::steer::{AttemptMark, LoadReport, SUSPECT_FROM, SteerOutcome, SteerPick};
 use wingbridge_decide::{Fingerprint, Name};
 
 use crate::attempt::{AttemptEnd, AttemptPlan, OutgoingRequest, attempt};
 use crate::context::{BoxContext, SeenBy, note_suspicion};
 use crate::notices::NoticeLink;
-use crate::permit_desk::PermitSource;
+use crate::permit_desk::SendPermit;
 use crate::sightings::SeenOutcome;
 
 /// Tells the core that an attempt is over, also when its future is dropped.
@@ -21,7 +19,7 @@
     pub(crate) pick: SteerPick,
     pub(crate) started: Instant,
     /// Its permit, if the target has a limit.
-    permit: Option<(RequestRate, PermitSource)>,
+    permit: Option<SendPermit>,
     route: Name,
     /// The customer whose request it is.
     customer: Option<Name>,
@@ -42,7 +40,7 @@
     pub(crate) fn begin(
         context: Arc<BoxContext>,
         pick: SteerPick,
-        permit: Option<(RequestRate, PermitSource)>,
+        permit: Option<SendPermit>,
         route: Name,
         customer: Option<Name>,
         fingerprint: Fingerprint,
--- a/crates/gateway/src/permit_desk.rs
+++ b/crates/gateway/src/permit_desk.rs
@@ -42,15 +42,18 @@
     OwnShare,
 }
 
-/// What came of an ask.
+/// What lets one request go to a target with a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Permit {
-    /// The request may be sent, under this limit.
-    Granted(RequestRate, PermitSource),
-    /// It may not: the target is no choice for a while.
-    Denied,
+pub(crate) struct SendPermit {
+    /// The limit for which it was given: it is none for a lower one.
+    pub(crate) under: RequestRate,
+    pub(crate) source: PermitSource,
 }
 
+/// There is none now: the target is no choice for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NoPermit;
+
 /// Whether a request may wait for the answer of a keeper.
 ///
 /// It waits once in vain at most: where several boxes have ended it would go from one silent keeper to the next,
@@ -106,7 +109,7 @@
         pick: &SteerPick,
         rate: RequestRate,
         wait: &mut KeeperWait,
-    ) -> Permit {
+    ) -> Result<SendPermit, NoPermit> {
         let kept = match self.seat(context, pick) {
             Some(KeeperSeat::Own) => Some(self.keep(context, pick.key, rate)),
             Some(KeeperSeat::Peer(host)) if *wait == KeeperWait::Allowed => {
@@ -122,13 +125,13 @@
             None => (self.take_alone(context, pick.key, rate), PermitSource::OwnShare),
         };
         match answer {
-            PermitAnswer::Granted => Permit::Granted(rate, source),
+            PermitAnswer::Granted => Ok(SendPermit { under: rate, source }),
             PermitAnswer::Denied(wait) => {
                 let by = source.as_str();
                 log::info!(target:% = pick.id, per_second:% = rate, by, wait_ms = millis(wait); "permit-denied");
                 metrics::counter!("wingbridge_permits_denied", "by" => by).increment(1);
                 context.core().note_used_up(pick.key, context.now() + wait);
-                Permit::Denied
+                Err(NoPermit)
             }
         }
     }
--- a/crates/gateway/src/requests/allowed.rs
+++ b/crates/gateway/src/requests/allowed.rs
@@ -3,18 +3,12 @@
 
 use std::sync::Arc;
 
-use wingbridge_decide::steer::{RequestRate, SteerPick};
+use wingbridge_decide::steer::SteerPick;
 
 use super::RequestRun;
-use crate::permit_desk::{Permit, PermitSource};
+use crate::permit_desk::{NoPermit, SendPermit};
 use crate::routes::Entrance;
 
-/// The permit of an attempt, with the limit for which it was given; none where the target has no limit.
-pub(super) type SendPermit = Option<(RequestRate, PermitSource)>;
-
-/// There is none now.
-pub(super) struct NoPermit;
-
 /// Why a request that was let in goes no further.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum TurnedAway {
@@ -23,17 +17,19 @@
 }
 
 impl RequestRun {
-    /// Asks whether it may be sent to a target that has named a limit over all boxes.
-    pub(super) async fn ask_permit(&mut self, pick: &SteerPick) -> Result<SendPermit, NoPermit> {
+    /// Asks whether it may be sent to a target that has named a limit over all boxes; any other needs no
+    /// permit.
+    pub(super) async fn ask_permit(
+        &mut self,
+        pick: &SteerPick,
+    ) -> Result<Option<SendPermit>, NoPermit> {
         // Each time: what one box sends by itself the others can't know in time, and boxes that kept a
         // limit each for itself sent many times it together.
         let Some(rate) = pick.limit else {
             return Ok(None);
         };
-        match self.context.permits.ask(&self.context, pick, rate, &mut self.keeper_wait).await {
-            Permit::Granted(under, source) => Ok(Some((under, source))),
-            Permit::Denied => Err(NoPermit),
-        }
+        let desk = &self.context.permits;
+        desk.ask(&self.context, pick, rate, &mut self.keeper_wait).await.map(Some)
     }
 
     /// Judges it by the configuration in force, if that is another one by now.
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -19,12 +19,11 @@
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::held_credit::HeldCredit;
 use crate::open_attempt::{EndedAttempt, OpenAttempt};
-use crate::permit_desk::KeeperWait;
+use crate::permit_desk::{KeeperWait, NoPermit, SendPermit};
 use crate::request_log::RequestTrace;
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
 use crate::suspension::StartMark;
-use allowed::{NoPermit, SendPermit};
 use ends::passed_on;
 
 pub(crate) use ends::deadly_answer;
@@ -181,7 +180,7 @@
 
     /// One attempt, and others beside it while it is open for too long. The first answer
     /// that a caller can have wins, and what is still open then is cancelled.
-    async fn race(&mut self, first: SteerPick, permit: SendPermit) -> NextStep {
+    async fn race(&mut self, first: SteerPick, permit: Option<SendPermit>) -> NextStep {
         let mut running = FuturesUnordered::new();
         let first = self.begin(first, permit);
         let mut hedge_at = self.hedge_time(&first);
@@ -208,7 +207,7 @@
         }
     }
 
-    fn begin(&mut self, pick: SteerPick, permit: SendPermit) -> OpenAttempt {
+    fn begin(&mut self, pick: SteerPick, permit: Option<SendPermit>) -> OpenAttempt {
         self.tried.push(pick.key);
         self.trace.note_pick(&pick, self.since.elapsed());
         if let Some(credit) = &mut self.credit {
