wingbench quota: ways whose boxes tell each other nothing need not say so

Read once more: two of the ways to keep a target's limit each wrote out the same empty sending, taking and size of messages. The trait has them as its defaults.

--- a/crates/bench/src/quota/fleet.rs
+++ b/crates/bench/src/quota/fleet.rs
@@ -40,29 +40,35 @@
     fn admit(&mut self, now: TimePoint, limit: QuotaLimit, is_new: bool) -> Admission;
 
     /// What is to be sent now. `ranks` are the boxes of this one's table, by their rank for the
-    /// customer.
+    /// customer. Boxes of some ways tell each other nothing.
     fn due(
         &mut self,
-        now: TimePoint,
-        limit: QuotaLimit,
-        ranks: &[usize],
-    ) -> Vec<(usize, Self::Message)>;
+        _now: TimePoint,
+        _limit: QuotaLimit,
+        _ranks: &[usize],
+    ) -> Vec<(usize, Self::Message)> {
+        Vec::new()
+    }
 
     /// Takes a message; returns the answer.
     fn take(
         &mut self,
-        now: TimePoint,
-        from: (usize, u64),
-        message: &Self::Message,
-        limit: QuotaLimit,
-        table: &BoxTable,
-    ) -> Option<Self::Message>;
+        _now: TimePoint,
+        _from: (usize, u64),
+        _message: &Self::Message,
+        _limit: QuotaLimit,
+        _table: &BoxTable,
+    ) -> Option<Self::Message> {
+        None
+    }
 
     /// Another box ends as planned, and has told all.
     fn note_ended(&mut self, _: (usize, u64)) {}
 
     /// Bytes of a message without packet headers.
-    fn bytes(message: &Self::Message) -> usize;
+    fn bytes(_message: &Self::Message) -> usize {
+        0
+    }
 }
 
 /// The boxes that one knows.
--- a/crates/bench/src/quota/target_ways.rs
+++ b/crates/bench/src/quota/target_ways.rs
@@ -194,25 +194,6 @@
             PermitAnswer::Denied(wait) => Admission::Refused(wait),
         }
     }
-
-    fn due(&mut self, _: TimePoint, _: QuotaLimit, _: &[usize]) -> Vec<(usize, ())> {
-        Vec::new()
-    }
-
-    fn take(
-        &mut self,
-        _: TimePoint,
-        _: (usize, u64),
-        _: &(),
-        _: QuotaLimit,
-        _: &BoxTable,
-    ) -> Option<()> {
-        None
-    }
-
-    fn bytes(_: &()) -> usize {
-        0
-    }
 }
 
 /// One of a few boxes that hold the whole limit; the others leave the target alone.
@@ -243,19 +224,4 @@
         self.is_holder = ranks.iter().take(HOLDERS).any(|number| *number == self.number);
         Vec::new()
     }
-
-    fn take(
-        &mut self,
-        _: TimePoint,
-        _: (usize, u64),
-        _: &(),
-        _: QuotaLimit,
-        _: &BoxTable,
-    ) -> Option<()> {
-        None
-    }
-
-    fn bytes(_: &()) -> usize {
-        0
-    }
 }
