--- a/crates/bench/src/steer/cost.rs
+++ b/crates/bench/src/steer/cost.rs
@@ -7,7 +7,7 @@
 use wingbridge_decide::steer::ledger::RetryBounds;
 use wingbridge_decide::steer::mechanism::MechanismSet;
 use wingbridge_decide::steer::record::SteerTarget;
-use wingbridge_decide::steer::{PeerSample, SteerCore, SteerRequest, SteerSetup};
+use wingbridge_decide::steer::{HomeRegions, PeerSample, SteerCore, SteerRequest, SteerSetup};
 use wingbridge_decide::{TargetKey, TimePoint};
 use wingctl::output::table;
 
@@ -83,6 +83,9 @@
         data_centre: format!("c{}", number % DATA_CENTRES).into(),
         slots: 3,
         cold_until: TimePoint::default(),
+        region: "region".into(),
+        evacuated: false,
+        cold_rate: None,
     };
     core.set_targets(TimePoint::default(), (0..targets).map(target).collect());
     core.set_boxes(90, 443);
@@ -114,5 +117,6 @@
         goal: Duration::from_millis(1200),
         left: Duration::from_secs(4),
         tried: &[],
+        homes: HomeRegions::Any,
     }
 }
--- a/crates/decide/src/steer/choose.rs
+++ b/crates/decide/src/steer/choose.rs
@@ -53,7 +53,9 @@
     setup: &SteerSetup,
 ) -> Vec<Candidate> {
     let scale = pool.late_scale(request.goal, usual);
-    let untried = pool.in_draw(now).filter(|(key, _)| !request.tried.contains(key));
+    let untried = pool
+        .in_draw(now)
+        .filter(|(key, record)| !request.tried.contains(key) && record.is_in(request.homes));
     let candidate = |(key, record): (TargetKey, &TargetRecord)| {
         let wait = if setup.mechanisms.has(Mechanism::LoadWait) {
             record.wait(now, pool.usual_time())
--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -43,6 +43,28 @@
     pub left: Duration,
     /// Targets that were tried for it.
     pub tried: &'a [TargetKey],
+    /// The regions that it may be served in.
+    pub homes: HomeRegions<'a>,
+}
+
+/// The regions that a request may be served in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum HomeRegions<'a> {
+    /// All of them.
+    #[default]
+    Any,
+    /// These alone; with none it can't be served at all.
+    Only(&'a [Name]),
+}
+
+impl HomeRegions<'_> {
+    /// Whether a request may be served in `region`.
+    pub fn allow(self, region: &str) -> bool {
+        match self {
+            HomeRegions::Any => true,
+            HomeRegions::Only(homes) => homes.iter().any(|home| **home == *region),
+        }
+    }
 }
 
 /// A chosen target, with what decided it.
@@ -64,6 +86,8 @@
     pub trial: bool,
     /// The limit over all boxes that it has: nothing may be sent there without a permit.
     pub limit: Option<RequestRate>,
+    /// Whether it is cold, and has that limit while it is.
+    pub is_cold: bool,
 }
 
 /// What a retry is for. The budget is one for all, and some uses are worth more.
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -49,8 +49,8 @@
 
 pub use limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
 pub use messages::{
-    AttemptNews, LoadReport, NoPick, PeerSample, RetryUse, SteerOutcome, SteerPick, SteerRequest,
-    SteerSetup, SuspicionChange,
+    AttemptNews, HomeRegions, LoadReport, NoPick, PeerSample, RetryUse, SteerOutcome, SteerPick,
+    SteerRequest, SteerSetup, SuspicionChange,
 };
 pub use notice::{LeftOut, NoticeBar, NoticeChange, TargetNotice};
 pub use open::{AttemptMark, OpenAge};
@@ -204,7 +204,8 @@
         let usual = self.routes.usual_time(request.route).unwrap_or(pool.usual_time());
         let candidates = candidates(now, pool, request, usual, &self.setup);
         if candidates.is_empty() {
-            return Err(pool.time_to_first(now).map_or(NoPick::NoTarget, NoPick::Resting));
+            let first = pool.time_to_first(now, request.homes);
+            return Err(first.map_or(NoPick::NoTarget, NoPick::Resting));
         }
         if candidates.iter().all(|candidate| candidate.wait >= request.left) {
             return Err(NoPick::Overloaded);
@@ -221,6 +222,22 @@
 
     /// An attempt of a request on `route` begins at a target.
     pub fn begin(&mut self, now: TimePoint, key: TargetKey, route: &Name) -> AttemptMark {
+        self.begin_as(now, key, route, true)
+    }
+
+    /// The same of a request that its caller still sends: how long that takes says nothing of the
+    /// target.
+    pub fn begin_untimed(&mut self, now: TimePoint, key: TargetKey, route: &Name) -> AttemptMark {
+        self.begin_as(now, key, route, false)
+    }
+
+    fn begin_as(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+        route: &Name,
+        timed: bool,
+    ) -> AttemptMark {
         let pool = self.pool_of(key);
         let usual = pool.map_or(ASSUMED_TIME, TargetPool::usual_time);
         let mark = AttemptMark {
@@ -228,7 +245,8 @@
             started: now,
             due_from: pool.map_or(now, |pool| pool.due_from(now, key)),
             usual: self.routes.usual_time(route).unwrap_or(usual),
-            telling: self.routes.is_telling(route),
+            telling: timed && self.routes.is_telling(route),
+            timed,
         };
         if let Some(pool) = self.pool_mut(key) {
             pool.begin(now, mark);
@@ -250,15 +268,17 @@
         let known = self.routes.usual_time(route);
         let worked = worked_time(now, mark);
         match outcome {
-            SteerOutcome::Good(_) => self.routes.note_answer(route, worked),
-            SteerOutcome::OutOfTime => self.routes.note_out_of_time(route),
+            SteerOutcome::Good(_) if mark.timed => self.routes.note_answer(route, worked),
+            SteerOutcome::OutOfTime if mark.timed => self.routes.note_out_of_time(route),
             _ => {}
         }
         let Some(pool) = self.pool_mut(mark.key) else {
             return AttemptNews::default();
         };
         let mut multiple = None;
-        if let SteerOutcome::Good(time) = outcome {
+        if let SteerOutcome::Good(time) = outcome
+            && mark.timed
+        {
             pool.note_answer(time, bytes);
             multiple = known.map(|usual| worked.as_secs_f64() / usual.as_secs_f64().max(0.001));
         }
@@ -402,6 +422,7 @@
         risk: pool.risk(now, record),
         busy: record.busy(now),
         trial,
-        limit: record.limit(),
+        limit: record.limit(now),
+        is_cold: record.cold_rate(now).is_some(),
     }
 }
--- a/crates/decide/src/steer/notice.rs
+++ b/crates/decide/src/steer/notice.rs
@@ -59,6 +59,8 @@
     pub replaced: usize,
     /// Those whose limit over all boxes is used up for now.
     pub limited: usize,
+    /// Those whose data centres operators want nothing sent to.
+    pub evacuated: usize,
 }
 
 /// All that one target has said of itself.
--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -5,6 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::SteerCore;
 use crate::steer::limit::{LimitChange, LimitSaid, LimitWord, RequestRate};
+use crate::steer::messages::HomeRegions;
 use crate::steer::notice::{LeftOut, NoticeBar, NoticeChange, NoticeState, TargetNotice};
 use crate::steer::record::TargetRecord;
 use crate::time::TimePoint;
@@ -55,9 +56,26 @@
         self.pool_of(key)?[key].notices.limit_word()
     }
 
-    /// The limit of a target, if it has one now.
-    pub fn limit(&self, key: TargetKey) -> Option<RequestRate> {
-        self.limit_word(key)?.rate
+    /// The limit of a target over all boxes, if it has one now, by its own word or since it is cold.
+    pub fn limit(&self, now: TimePoint, key: TargetKey) -> Option<RequestRate> {
+        self.pool_of(key)?[key].limit(now)
+    }
+
+    /// The limit of a target that is cold; `None` if it is not, or not known.
+    pub fn cold_rate(&self, now: TimePoint, key: TargetKey) -> Option<RequestRate> {
+        self.pool_of(key)?[key].cold_rate(now)
+    }
+
+    /// Takes a peer's word that a target is cold and takes `rate` from all boxes together.
+    pub fn note_cold(&mut self, now: TimePoint, key: TargetKey, rate: RequestRate) {
+        if let Some(record) = self.record_mut(key) {
+            record.note_cold(now, rate);
+        }
+    }
+
+    /// Whether operators want nothing sent to a target's data centre.
+    pub fn is_evacuated(&self, key: TargetKey) -> bool {
+        self.pool_of(key).is_some_and(|pool| pool[key].is_evacuated())
     }
 
     /// Notes that there is no permit for a target until then.
@@ -85,10 +103,19 @@
         Some(self.pool_of(key)?[key].setup.data_centre.clone())
     }
 
-    /// Whether a target could be chosen for a request of `service` beside those that were tried.
-    pub fn has_choice(&self, now: TimePoint, service: &str, tried: &[TargetKey]) -> bool {
-        let pool = self.pools.get(service);
-        pool.is_some_and(|pool| pool.in_draw(now).any(|(key, _)| !tried.contains(&key)))
+    /// Whether a target in the regions `homes` could be chosen for a request of `service` beside those
+    /// that were tried.
+    pub fn has_choice(
+        &self,
+        now: TimePoint,
+        service: &str,
+        tried: &[TargetKey],
+        homes: HomeRegions<'_>,
+    ) -> bool {
+        let Some(pool) = self.pools.get(service) else {
+            return false;
+        };
+        pool.in_draw(now).any(|(key, record)| !tried.contains(&key) && record.is_in(homes))
     }
 
     /// Why a target wants nothing at `now`, by its own word; `None` if it does, or is not known.
@@ -138,6 +165,10 @@
             out.replaced += 1;
             continue;
         }
+        if record.is_evacuated() {
+            out.evacuated += 1;
+            continue;
+        }
         match record.notices.bar(now) {
             Some(NoticeBar::Leaving(_)) => out.leaving += 1,
             Some(NoticeBar::Resting { .. }) => out.resting += 1,
--- a/crates/decide/src/steer/open.rs
+++ b/crates/decide/src/steer/open.rs
@@ -28,6 +28,8 @@
     /// Whether its age speaks of the target. That of a route whose requests run out of
     /// their time wherever they go does not.
     pub telling: bool,
+    /// Whether its time is the target's. That of a request whose caller still sends it is not.
+    pub timed: bool,
 }
 
 /// The open attempts at one target.
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -9,7 +9,7 @@
 use crate::steer::belief::{BeliefSample, SpellHabits};
 use crate::steer::mechanism::{Mechanism, MechanismSet};
 use crate::steer::messages::{
-    AttemptNews, PeerSample, SteerOutcome, SteerRequest, SuspicionChange,
+    AttemptNews, HomeRegions, PeerSample, SteerOutcome, SteerRequest, SuspicionChange,
 };
 use crate::steer::notice::NoticeBar;
 use crate::steer::open::{AttemptMark, OpenAge};
@@ -237,8 +237,11 @@
 
     /// Time until the first target takes requests again, if all of them have said that they want none, or
     /// no more than they get, and one of them only for a while.
-    pub(crate) fn time_to_first(&self, now: TimePoint) -> Option<Duration> {
-        let present = self.records.values().filter(|record| !record.is_replaced());
+    pub(crate) fn time_to_first(&self, now: TimePoint, homes: HomeRegions<'_>) -> Option<Duration> {
+        let is_there = |record: &TargetRecord| {
+            !record.is_replaced() && !record.is_evacuated() && record.is_in(homes)
+        };
+        let present = self.records.values().filter(|record| is_there(record));
         let mut first: Option<Duration> = None;
         for record in present {
             let left = match record.notices.bar(now) {
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -5,7 +5,7 @@
 use crate::names::{Name, TargetKey};
 use crate::steer::belief::{BeliefSample, SpellHabits, TargetBelief};
 use crate::steer::limit::RequestRate;
-use crate::steer::messages::{SteerOutcome, SuspicionChange};
+use crate::steer::messages::{HomeRegions, SteerOutcome, SuspicionChange};
 use crate::steer::notice::NoticeState;
 use crate::steer::open::{AttemptMark, OpenAge, OpenAttempts};
 use crate::time::TimePoint;
@@ -26,6 +26,8 @@
 /// A target up to this many times slower than usual counts as no slower: chance alone does
 /// as much.
 const SLOW_FROM: f64 = 1.3;
+/// A peer's word that a target is cold counts for this long: the listing reaches each box sooner.
+const COLD_TOLD_FOR: Duration = Duration::from_secs(3);
 /// A cold target takes this many times as long. Source: the users' pages, twice.
 const COLD_FACTOR: f64 = 2.0;
 /// A suspect is trusted again below this probability of failure.
@@ -50,6 +52,13 @@
     pub slots: u32,
     /// Until when it is slow from its start.
     pub cold_until: TimePoint,
+    /// The region of its data centre.
+    pub region: Name,
+    /// Whether operators want nothing sent to its data centre.
+    pub evacuated: bool,
+    /// The requests a second that it takes from all boxes together while it is cold, if it says that it
+    /// is and its service has such a bound.
+    pub cold_rate: Option<RequestRate>,
 }
 
 impl SteerTarget {
@@ -76,6 +85,8 @@
     pub(crate) notices: NoticeState,
     /// Until when there is no permit for it.
     used_up_until: Option<TimePoint>,
+    /// What a peer told of it that knew sooner than this box that it is cold, and until when that counts.
+    told_cold: Option<ToldCold>,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
     /// What this box and its peers have open here.
@@ -86,6 +97,12 @@
     slowness: f64,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct ToldCold {
+    rate: RequestRate,
+    until: TimePoint,
+}
+
 impl TargetRecord {
     /// A record of a target that is listed now, and has said `notices` before.
     pub(crate) fn new(
@@ -104,6 +121,7 @@
             replaced: false,
             notices,
             used_up_until: None,
+            told_cold: None,
             path_failed_at: None,
             full_at: None,
             open: OpenAttempts::default(),
@@ -131,6 +149,16 @@
         self.path_failed_at.is_none_or(|failed| now.since(failed) >= PATH_AVOIDED)
     }
 
+    /// Whether it stands in one of the regions that a request may be served in.
+    pub(crate) fn is_in(&self, homes: HomeRegions<'_>) -> bool {
+        homes.allow(&self.setup.region)
+    }
+
+    /// Whether operators want nothing sent to its data centre.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.setup.evacuated
+    }
+
     /// Whether another instance has its address.
     pub(crate) fn is_replaced(&self) -> bool {
         self.replaced
@@ -142,17 +170,33 @@
     /// refusal as a price alone three resting targets were sent 18 to 53 requests a second, all
     /// refused, of the 50 to 84 that their service got (counts of the targets over six seconds).
     pub(crate) fn is_in_draw(&self, now: TimePoint) -> bool {
-        !self.replaced && self.notices.bar(now).is_none() && self.used_up_for(now).is_none()
+        !self.replaced
+            && !self.setup.evacuated
+            && self.notices.bar(now).is_none()
+            && self.used_up_for(now).is_none()
+    }
+
+    /// The limit over all boxes that it has now: the one that it names in its answers, or the one that
+    /// holds while it is cold, whichever is lower.
+    pub(crate) fn limit(&self, now: TimePoint) -> Option<RequestRate> {
+        let named = self.notices.limit();
+        named.into_iter().chain(self.cold_rate(now)).min()
+    }
+
+    /// The limit that holds since it is cold, if it is.
+    pub(crate) fn cold_rate(&self, now: TimePoint) -> Option<RequestRate> {
+        let told = self.told_cold.filter(|told| now < told.until).map(|told| told.rate);
+        self.setup.cold_rate.into_iter().chain(told).min()
     }
 
-    /// The limit over all boxes that it has now.
-    pub(crate) fn limit(&self) -> Option<RequestRate> {
-        self.notices.limit()
+    /// Takes a peer's word that it is cold and takes `rate`; the listing says so as well soon.
+    pub(crate) fn note_cold(&mut self, now: TimePoint, rate: RequestRate) {
+        self.told_cold = Some(ToldCold { rate, until: now + COLD_TOLD_FOR });
     }
 
     /// For how long yet there is no permit for it, if so.
     pub(crate) fn used_up_for(&self, now: TimePoint) -> Option<Duration> {
-        self.limit()?;
+        self.limit(now)?;
         let until = self.used_up_until.filter(|until| now < *until)?;
         Some(until.since(now))
     }
--- a/crates/decide/tests/steering/mod.rs
+++ b/crates/decide/tests/steering/mod.rs
@@ -8,7 +8,9 @@
 use wingbridge_decide::steer::ledger::RetryBounds;
 use wingbridge_decide::steer::mechanism::MechanismSet;
 use wingbridge_decide::steer::record::SteerTarget;
-use wingbridge_decide::steer::{PeerSample, SteerCore, SteerOutcome, SteerRequest, SteerSetup};
+use wingbridge_decide::steer::{
+    HomeRegions, PeerSample, SteerCore, SteerOutcome, SteerRequest, SteerSetup,
+};
 use wingbridge_decide::{TargetKey, TimePoint};
 
 /// The service of all targets.
@@ -46,6 +48,9 @@
         data_centre: data_centre.into(),
         slots: 3,
         cold_until: TimePoint::default(),
+        region: "region".into(),
+        evacuated: false,
+        cold_rate: None,
     }
 }
 
@@ -59,6 +64,7 @@
         goal: Duration::from_secs(1),
         left: Duration::from_secs(3),
         tried,
+        homes: HomeRegions::Any,
     }
 }
 
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -169,7 +169,22 @@
     wait.mul_f64(1.0 + part * rand::rng().random::<f64>())
 }
 
-fn write_length(bytes: &mut Vec<u8>, length: u64) {
+/// The end of a body in chunks.
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A part of a body as a chunk; nothing of an empty one, which would end the body.
+pub(crate) fn as_chunk(piece: &[u8]) -> Vec<u8> {
+    if piece.is_empty() {
+        return Vec::new();
+    }
+    let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
+    bytes.extend_from_slice(piece);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+/// Writes the header that tells the length of a body.
+pub(crate) fn write_length(bytes: &mut Vec<u8>, length: u64) {
     write_field(bytes, "Content-Length", length.to_string().as_bytes());
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,9 +18,10 @@
 use wingbridge_http::raw::head::write_field;
 use wingbridge_http::raw::{AnswerStart, BodyDecoder, BodyLength, HeaderList, RawReader};
 
-use crate::answers::{AnswerBody, WaitingBody};
+use crate::answers::{AnswerBody, LAST_CHUNK, WaitingBody, as_chunk, write_length};
 use crate::notices::{NoticeLink, UnreadHead};
 use crate::ports::HeaderNames;
+use crate::streamed_body::{BodyRest, NextPiece};
 
 /// Time to connect. Between data centres a round trip takes some 3 ms; a connection that
 /// takes longer than this meets a cut path or a target that takes no more.
@@ -38,20 +39,31 @@
 /// elsewhere if they break off; longer ones are passed on as they come.
 const HELD_BYTES: usize = 1 << 20;
 
-/// A request as it goes to targets. It is sent again as it stands.
+/// A request as it goes to targets. It is sent again as it stands, as long as all of it is held.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
     pub(crate) method: String,
     pub(crate) target: String,
     pub(crate) headers: HeaderList,
+    /// Its body, or the beginning of a long one.
     pub(crate) body: Vec<u8>,
-    pub(crate) has_body: bool,
+    /// What is still to come of a long one.
+    pub(crate) rest: Option<BodyRest>,
+    /// How long its caller said that the body is.
+    pub(crate) announced: BodyLength,
     /// The caller's id of it, which a target's answer must repeat.
     pub(crate) request_id: Option<String>,
     /// By which it is known when it comes again.
     pub(crate) fingerprint: Fingerprint,
 }
 
+impl OutgoingRequest {
+    /// Whether an attempt has taken a part of it that is not held.
+    pub(crate) fn is_spent(&self) -> bool {
+        self.rest.as_ref().is_some_and(BodyRest::is_begun)
+    }
+}
+
 /// A target's whole or waiting answer.
 #[derive(Debug)]
 pub(crate) struct TargetAnswer {
@@ -77,6 +89,8 @@
     Broken(String),
     /// Bytes were sent, the connection closed without an answer, and the target takes no more.
     TargetEnded(String),
+    /// A part of it was sent, and its caller left before the rest.
+    CallerLeft,
 }
 
 /// Where an attempt goes.
@@ -121,12 +135,12 @@
         UnreadHead { stream: stream.clone(), method: &request.method, link: &plan.notices };
     let mut reader = RawReader::new(stream.clone());
     let answer = {
-        let write = std::pin::pin!(stream.write_all(&bytes));
+        let write = std::pin::pin!(send(&mut stream, &bytes, request));
         let read = std::pin::pin!(read_answer(&mut reader, request, &plan.notices));
         match select(write, read).await {
-            Either::Left((Ok(()), read)) => read.await,
-            // The target may have answered before it stopped reading.
-            Either::Left((Err(_), read)) => read.await,
+            Either::Left((SentRequest::BrokenOff, _)) => return AttemptEnd::CallerLeft,
+            // Where it was not taken whole the target may have answered before it stopped reading.
+            Either::Left((SentRequest::Whole | SentRequest::NotTaken, read)) => read.await,
             Either::Right((answer, _)) => answer,
         }
     };
@@ -137,6 +151,48 @@
     }
 }
 
+/// How far a request came on its way to a target.
+enum SentRequest {
+    /// All of it was written.
+    Whole,
+    /// The target took no more.
+    NotTaken,
+    /// Its caller left before all of it had come.
+    BrokenOff,
+}
+
+/// Writes `beginning`, and what is still to come of the body as it comes.
+async fn send(stream: &mut TcpStream, beginning: &[u8], request: &OutgoingRequest) -> SentRequest {
+    if stream.write_all(beginning).await.is_err() {
+        return SentRequest::NotTaken;
+    }
+    let Some(rest) = &request.rest else {
+        return SentRequest::Whole;
+    };
+    let is_chunked = is_chunked(request);
+    loop {
+        let bytes = match rest.next().await {
+            NextPiece::Bytes(piece) if is_chunked => as_chunk(&piece),
+            NextPiece::Bytes(piece) => piece,
+            NextPiece::End if is_chunked => LAST_CHUNK.to_vec(),
+            NextPiece::End => return SentRequest::Whole,
+            NextPiece::BrokenOff => return SentRequest::BrokenOff,
+        };
+        let is_last = bytes == LAST_CHUNK;
+        if stream.write_all(&bytes).await.is_err() {
+            return SentRequest::NotTaken;
+        }
+        if is_last {
+            return SentRequest::Whole;
+        }
+    }
+}
+
+/// Whether a request goes in chunks: its caller sends a long body so, and its length is not known.
+fn is_chunked(request: &OutgoingRequest) -> bool {
+    request.rest.is_some() && !matches!(request.announced, BodyLength::Known(_))
+}
+
 /// Whether the target that closed a connection has ended: then its address refuses others.
 async fn has_ended(plan: &AttemptPlan<'_>) -> bool {
     let left = plan.until.saturating_duration_since(Instant::now());
@@ -227,12 +283,19 @@
     if let Some(customer) = plan.customer {
         write_field(&mut bytes, &plan.names.customer, customer.as_bytes());
     }
-    if request.has_body {
-        write_field(&mut bytes, "Content-Length", request.body.len().to_string().as_bytes());
+    match request.announced {
+        BodyLength::None => {}
+        _ if is_chunked(request) => write_field(&mut bytes, "Transfer-Encoding", b"chunked"),
+        BodyLength::Known(length) if request.rest.is_some() => write_length(&mut bytes, length),
+        _ => write_length(&mut bytes, request.body.len() as u64),
     }
     write_field(&mut bytes, "Connection", b"close");
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&request.body);
+    if is_chunked(request) {
+        bytes.extend_from_slice(&as_chunk(&request.body));
+    } else {
+        bytes.extend_from_slice(&request.body);
+    }
     bytes
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,5 +1,6 @@
 //! What every task of a box shares.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,7 +9,7 @@
 use wingbridge_decide::steer::record::SteerTarget;
 use wingbridge_decide::steer::split::WeightedSplit;
 use wingbridge_decide::steer::{SteerCore, SteerSetup, SuspicionChange};
-use wingbridge_decide::{Fingerprint, TimePoint};
+use wingbridge_decide::{Fingerprint, Name, TimePoint};
 use wingbridge_wire::gossip::ConfigStep;
 
 use crate::change_budget::ChangeBudget;
@@ -17,6 +18,7 @@
 use crate::credit_desk::CreditDesk;
 use crate::gate::OpenGate;
 use crate::newer_config::NewerConfig;
+use crate::odd_entries::OddEntry;
 use crate::peers::PeerTable;
 use crate::permit_desk::PermitDesk;
 use crate::policies::PolicySet;
@@ -26,11 +28,14 @@
 use crate::sightings::SightingBuffer;
 use crate::stopping::StopState;
 use crate::suspension::{StartMark, SuspensionWatch};
-use crate::view::{ConfigText, KnownView, StoreView, ViewChange};
+use crate::view::{ConfigText, KnownView, StoreView, TargetEntry, ViewChange};
 
 /// Targets that join at once and are named in the log each; of more, as at a start, only the count is.
 const JOINED_NAMED: usize = 20;
 
+/// Homes that are no regions and are named in the log each, of one configuration.
+const HOMES_NAMED: usize = 16;
+
 /// How duties hear of what others took.
 pub(crate) struct DutyNotices {
     pub(crate) credit: CreditDesk,
@@ -216,7 +221,7 @@
         let change = {
             let mut known = self.view();
             let change = known.take(view, as_of, &*self.port);
-            if change.targets {
+            if change.targets || change.config.is_some() {
                 self.publish_targets(&known);
             }
             change
@@ -253,6 +258,10 @@
             let mut known = self.view();
             let change = known.take_config_alone(config, &*self.port);
             known.confirm_config(revision, as_of);
+            if change.config.is_some() {
+                // What cold targets take stands there.
+                self.publish_targets(&known);
+            }
             change
         };
         let heard = self.settle_config(steps);
@@ -280,11 +289,18 @@
             log::info!(source = from.source, revision = from.revision, age_ms; "ready");
         }
         note_change(change, from);
+        for name in &change.evacuated {
+            if !self.settings.regions.is_empty() && !self.settings.regions.contains_key(&**name) {
+                log::warn!(data_centre:% = name; "evacuated-data-centre-unknown");
+            }
+        }
         for target in &change.ended {
             self.crashes.note_gone(*target);
         }
         if let Some(config) = self.config().filter(|_| change.config.is_some()) {
             note_customers(&config);
+            note_odd_entries(&config);
+            self.note_unknown_homes(&config);
             // Its duty waits by what was held before: one that came with the targets left a box
             // without a reading of its own for a minute. Full: a notice already waits.
             let _ = self.newer_heard.try_send(());
@@ -293,10 +309,24 @@
         let _ = self.view_changed.try_send(());
     }
 
+    /// Says which homes of a configuration are no region of this deployment: nothing is served there.
+    fn note_unknown_homes(&self, config: &RouteConfig) {
+        let regions = &self.settings.regions;
+        let is_unknown = |home: &&Name| !regions.values().any(|region| region == *home);
+        let unknown: BTreeSet<&Name> = config.homes().filter(is_unknown).collect();
+        for home in unknown.into_iter().take(HOMES_NAMED) {
+            log::warn!(version = config.version, home:% = home; "home-unknown");
+        }
+    }
+
     /// Hands the targets that take work to the core. The view must be held by the caller,
     /// so that no older one can overtake it.
     pub(crate) fn publish_targets(&self, known: &KnownView) {
         let now = self.now();
+        let cold_rate = |target: &TargetEntry| {
+            let rates = known.config().map(|config| &config.cold_rates);
+            rates.filter(|_| target.is_cold)?.get(&target.service).copied()
+        };
         let targets = known.usable(Instant::now()).into_iter().map(|target| SteerTarget {
             id: target.id.clone(),
             born_ms: target.born_ms,
@@ -305,6 +335,9 @@
             data_centre: target.data_centre.clone(),
             slots: target.slots,
             cold_until: now + target.cold_time,
+            region: self.settings.region_of(&target.data_centre),
+            evacuated: known.view().evacuated.contains(&target.data_centre),
+            cold_rate: cold_rate(target),
         });
         let targets = targets.collect();
         self.core().set_targets(now, targets);
@@ -372,6 +405,20 @@
     }
 }
 
+/// Says which entries of a configuration that came into force can't be used, and what holds instead.
+fn note_odd_entries(config: &RouteConfig) {
+    let version = config.version;
+    metrics::gauge!("wingbridge_odd_entries").set(config.odd_entries.count() as f64);
+    for entry in config.odd_entries.told() {
+        let OddEntry { table, name, reason, instead } = entry;
+        log::warn!(version, table, name = name.as_str(), reason = reason.as_str(), instead; "entry-odd");
+    }
+    let untold = config.odd_entries.count() - config.odd_entries.told().len();
+    if untold > 0 {
+        log::warn!(version, untold; "more-entries-odd");
+    }
+}
+
 /// Where something that was taken came from, for the log.
 struct TakenFrom<'a> {
     revision: u64,
@@ -391,6 +438,12 @@
     if let Some(reason) = &change.refused {
         log::error!(revision, reason = reason.as_str(), source; "configuration-refused");
     }
+    for name in &change.evacuated {
+        log::info!(data_centre:% = name, revision, age_ms, source; "data-centre-evacuated");
+    }
+    for name in &change.taken_back {
+        log::info!(data_centre:% = name, revision, age_ms, source; "data-centre-taken-back");
+    }
     for id in &change.restarted {
         log::info!(target:% = id, revision, age_ms, source; "target-restarted");
     }
--- a/crates/gateway/src/customers.rs
+++ b/crates/gateway/src/customers.rs
@@ -50,6 +50,8 @@
     pub priority: Option<u32>,
     /// What it may ask over all boxes together; without one there is no limit.
     pub quota: Option<QuotaLimit>,
+    /// The regions that its requests may be served in; `None` for all.
+    pub homes: Option<Arc<[Name]>>,
 }
 
 /// A customer with the keys that its requests may carry.
@@ -101,6 +103,11 @@
         self.quotas.get(name).copied()
     }
 
+    /// The regions that customers name as their homes.
+    pub fn homes(&self) -> impl Iterator<Item = &Name> {
+        self.by_key.values().filter_map(|customer| customer.homes.as_deref()).flatten()
+    }
+
     /// How many customers there are.
     pub fn len(&self) -> usize {
         self.customers
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,5 +1,6 @@
 //! Connections of callers: requests read, answers written, hang-ups seen.
 
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -7,14 +8,15 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::future::{Either, select};
-use futures::io::AsyncWriteExt;
-use wingbridge_http::raw::{BodyDecoder, BodyLength, RawReader, RequestStart};
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use wingbridge_http::raw::{BodyDecoder, BodyLength, RawReader};
 use wingbridge_http::{ErrorKind, HttpError};
 
-use crate::answers::{AnswerBody, CallerAnswer, CallerOutcome, WaitingBody};
+use crate::answers::{AnswerBody, CallerAnswer, CallerOutcome, LAST_CHUNK, WaitingBody, as_chunk};
 use crate::context::BoxContext;
 use crate::routes::CallerLimits;
 use crate::routing::{CallerRequest, answer_request};
+use crate::streamed_body::{BodyPump, PumpEnd, STREAM_BYTES, body_stream};
 
 /// Wait after a failed accept, and while all connections are taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -24,8 +26,16 @@
 const WRITE_TIME: Duration = Duration::from_secs(10);
 /// Bytes of an answer that are written at once.
 const PIECE_BYTES: usize = 64 * 1024;
-/// Wait for room while too many bodies are held.
+/// Longest part of a request's body that is held, in bytes. A request that is held whole can go to
+/// another target after the first one has refused it; the rest of a longer one is passed on as it comes.
+const HELD_BYTES: usize = 1 << 20;
+/// Time between two looks for room while too many bodies are held.
 const ROOM_PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for room: others of its kind are through by then, or this box can't serve it.
+const ROOM_TIME: Duration = Duration::from_secs(1);
+/// How long a caller may go on sending a body that nobody wants any more, after its answer: closed
+/// before it has read that, the connection would be reset under it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Takes callers' connections, until the task is dropped.
 pub(crate) async fn take_callers(listener: TcpListener, context: Arc<BoxContext>) {
@@ -97,7 +107,7 @@
     /// Serves one request; returns whether the connection goes on.
     async fn serve_one(&mut self, context: &Arc<BoxContext>) -> bool {
         let since = Instant::now();
-        let (start, body, room) = match self.read_request(context, since).await {
+        let read = match self.read_request(context, since).await {
             Ok(Some(read)) => read,
             Ok(None) => return false,
             Err(error) => {
@@ -105,31 +115,57 @@
                 return false;
             }
         };
-        let closes = start.closes;
-        let request = CallerRequest { start, body, since, caller: self.caller.clone() };
-        let answer = {
+        let ReadRequest { request, mut pump, room } = read;
+        let closes = request.start.closes;
+        let outcome = {
             let work = std::pin::pin!(answer_request(context, request));
-            let closed = std::pin::pin!(self.reader.wait_closed(AHEAD_BYTES));
-            match select(work, closed).await {
-                Either::Left((answer, _)) => answer,
-                Either::Right(_) => {
-                    let taken_ms = crate::context::millis(since.elapsed());
-                    log::info!(taken_ms; "caller-hung-up");
-                    metrics::counter!("wingbridge_hang_ups").increment(1);
-                    return false;
-                }
+            let gone = std::pin::pin!(wait_gone(&mut self.reader, pump.as_mut()));
+            match select(work, gone).await {
+                Either::Left((answer, _)) => Ok(answer),
+                Either::Right((gone, _)) => Err(gone),
+            }
+        };
+        let answer = match outcome {
+            Ok(answer) => answer,
+            Err(CallerGone::Left) => {
+                let taken_ms = crate::context::millis(since.elapsed());
+                log::info!(taken_ms; "caller-hung-up");
+                metrics::counter!("wingbridge_hang_ups").increment(1);
+                return false;
+            }
+            Err(CallerGone::BadBody(error)) => {
+                self.reject(context, &error).await;
+                return false;
             }
         };
         drop(room);
-        let closes = closes || context.stopping.is_stopping();
-        self.write_answer(answer, closes).await && !closes
+        let unread = pump.is_some_and(|pump| !pump.is_done());
+        let closes = closes || unread || context.stopping.is_stopping();
+        let written = self.write_answer(answer, closes).await;
+        if written && unread {
+            self.linger().await;
+        }
+        written && !closes
+    }
+
+    /// Reads on, and drops what it reads, until the caller has seen its answer and closes.
+    async fn linger(&mut self) {
+        // A connection that can't be closed on this side is gone already.
+        let _ = self.stream.shutdown(Shutdown::Write);
+        let mut dropped = [0; 8 * 1024];
+        let drain = async {
+            while matches!(self.stream.read(&mut dropped).await, Ok(count) if count > 0) {}
+        };
+        if async_std::future::timeout(LINGER_TIME, drain).await.is_err() {
+            log::debug!("caller-sends-on");
+        }
     }
 
     async fn read_request<'a>(
         &mut self,
         context: &'a BoxContext,
         since: Instant,
-    ) -> Result<Option<(RequestStart, Vec<u8>, BodyRoom<'a>)>, HttpError> {
+    ) -> Result<Option<ReadRequest<'a>>, HttpError> {
         let limits = limits(context);
         let read = self.reader.request_start(limits.head_bytes);
         let Ok(start) = async_std::future::timeout(limits.head_time, read).await else {
@@ -149,8 +185,8 @@
         let mut room = BodyRoom::new(context);
         let mut decoder = BodyDecoder::new(start.length);
         let mut body = Vec::new();
-        while !decoder.is_done() {
-            room.wait_for(body.len(), since + limits.idle_time).await?;
+        while !decoder.is_done() && body.len() <= HELD_BYTES {
+            room.wait_for(body.len(), Instant::now() + ROOM_TIME).await?;
             let read = self.reader.read_body(&mut decoder, &mut body);
             let Ok(read) = async_std::future::timeout(limits.idle_time, read).await else {
                 return Err(HttpError::new(
@@ -163,8 +199,17 @@
                 return Err(too_long(&limits));
             }
         }
-        room.take(body.len());
-        Ok(Some((start, body, room)))
+        let (pump, rest) = if decoder.is_done() {
+            room.take(body.len());
+            (None, None)
+        } else {
+            room.wait_for(body.len() + STREAM_BYTES, Instant::now() + ROOM_TIME).await?;
+            let left = limits.body_bytes - body.len();
+            let (pump, rest) = body_stream(decoder, left, limits.idle_time);
+            (Some(pump), Some(rest))
+        };
+        let request = CallerRequest { start, body, rest, since, caller: self.caller.clone() };
+        Ok(Some(ReadRequest { request, pump, room }))
     }
 
     async fn reject(&mut self, context: &BoxContext, error: &HttpError) {
@@ -210,7 +255,7 @@
             }
             piece.clear();
             if waiting.decoder.is_done() {
-                return !chunked || self.write(b"0\r\n\r\n").await;
+                return !chunked || self.write(LAST_CHUNK).await;
             }
             if !self.read_piece(&mut waiting, &mut piece).await {
                 return false;
@@ -252,15 +297,37 @@
     }
 }
 
-fn as_chunk(piece: &[u8]) -> Vec<u8> {
-    if piece.is_empty() {
-        // An empty chunk would end the body.
-        return Vec::new();
+/// Why a request is not worth its work any more.
+enum CallerGone {
+    /// Its caller closed the connection.
+    Left,
+    /// What its caller sends is no body, or too long.
+    BadBody(HttpError),
+}
+
+/// Passes on what is still to come of a request's body, and waits until its caller has gone.
+async fn wait_gone(reader: &mut RawReader<TcpStream>, pump: Option<&mut BodyPump>) -> CallerGone {
+    if let Some(pump) = pump {
+        match pump.run(reader).await {
+            Ok(PumpEnd::Whole) => {}
+            // The answer is about to come.
+            Ok(PumpEnd::Unwanted) => return futures::future::pending().await,
+            Err(error) if matches!(error.kind(), ErrorKind::Io | ErrorKind::CutShort) => {
+                return CallerGone::Left;
+            }
+            Err(error) => return CallerGone::BadBody(error),
+        }
     }
-    let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
-    bytes.extend_from_slice(piece);
-    bytes.extend_from_slice(b"\r\n");
-    bytes
+    reader.wait_closed(AHEAD_BYTES).await;
+    CallerGone::Left
+}
+
+/// A request as it was read from its caller.
+struct ReadRequest<'a> {
+    request: CallerRequest,
+    /// What passes the rest of a long body on.
+    pump: Option<BodyPump>,
+    room: BodyRoom<'a>,
 }
 
 fn limits(context: &BoxContext) -> CallerLimits {
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -106,11 +106,13 @@
     /// Whether the target may be sent the request, now that a connection to it is up.
     pub(crate) fn may_send(&self) -> bool {
         let now = self.context.now();
-        let (bar, limit) = {
+        let (bar, limit, is_evacuated) = {
             let core = self.context.core();
-            (core.notice_bar(now, self.key), core.limit(self.key))
+            let key = self.key;
+            (core.notice_bar(now, key), core.limit(now, key), core.is_evacuated(key))
         };
         let (notice, since) = match bar {
+            _ if is_evacuated => ("evacuated", Duration::ZERO),
             Some(NoticeBar::Leaving(since)) => ("leaves", since),
             Some(NoticeBar::Resting { since, .. }) => ("rests", since),
             None => match limit {
@@ -174,10 +176,11 @@
 /// Sets the gauges of targets that want nothing now.
 pub(crate) fn show_left_out(context: &BoxContext) {
     let core = context.core();
-    let LeftOut { leaving, resting, .. } = core.all_left_out(context.now());
+    let LeftOut { leaving, resting, evacuated, .. } = core.all_left_out(context.now());
     let limited = core.limited_targets().count();
     drop(core);
     metrics::gauge!("wingbridge_targets_limited").set(limited as f64);
+    metrics::gauge!("wingbridge_targets_evacuated").set(evacuated as f64);
     metrics::gauge!("wingbridge_targets_leaving").set(leaving as f64);
     metrics::gauge!("wingbridge_targets_resting").set(resting as f64);
 }
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -28,6 +28,18 @@
     ended: bool,
 }
 
+/// The request of an attempt, as far as it is noted with it.
+pub(crate) struct AttemptRequest {
+    /// Its permit, if the target has a limit.
+    pub(crate) permit: Option<SendPermit>,
+    pub(crate) route: Name,
+    /// The customer whose request it is.
+    pub(crate) customer: Option<Name>,
+    pub(crate) fingerprint: Fingerprint,
+    /// Whether all of it is there to be sent: how long it takes then is up to the target alone.
+    pub(crate) sends_whole: bool,
+}
+
 /// An attempt that is over, as far as this box waits for it.
 pub(crate) struct EndedAttempt {
     pub(crate) open: OpenAttempt,
@@ -36,16 +48,19 @@
 }
 
 impl OpenAttempt {
-    /// Begins an attempt at the chosen target, for a request of `customer` on `route`.
+    /// Begins an attempt at the chosen target.
     pub(crate) fn begin(
         context: Arc<BoxContext>,
         pick: SteerPick,
-        permit: Option<SendPermit>,
-        route: Name,
-        customer: Option<Name>,
-        fingerprint: Fingerprint,
+        request: AttemptRequest,
     ) -> OpenAttempt {
-        let mark = context.core().begin(context.now(), pick.key, &route);
+        let AttemptRequest { permit, route, customer, fingerprint, sends_whole } = request;
+        let now = context.now();
+        let mark = if sends_whole {
+            context.core().begin(now, pick.key, &route)
+        } else {
+            context.core().begin_untimed(now, pick.key, &route)
+        };
         context.sightings.note_open(pick.key);
         let started = Instant::now();
         OpenAttempt {
--- a/crates/gateway/src/permit_desk.rs
+++ b/crates/gateway/src/permit_desk.rs
@@ -128,7 +128,11 @@
             PermitAnswer::Granted => Ok(SendPermit { under: rate, source }),
             PermitAnswer::Denied(wait) => {
                 let by = source.as_str();
-                log::info!(target:% = pick.id, per_second:% = rate, by, wait_ms = millis(wait); "permit-denied");
+                log::info!(
+                    target:% = pick.id, per_second:% = rate, cold = pick.is_cold, by,
+                    wait_ms = millis(wait);
+                    "permit-denied"
+                );
                 metrics::counter!("wingbridge_permits_denied", "by" => by).increment(1);
                 context.core().note_used_up(pick.key, context.now() + wait);
                 Err(NoPermit)
@@ -159,7 +163,7 @@
                 let _ = waiting.try_send(decode_reply(reply));
             }
         }
-        let replies = news.asks.iter().filter_map(|ask| self.reply(context, peer, ask));
+        let replies = news.asks.iter().map(|ask| self.reply(context, peer, ask));
         let replies: Vec<PermitReply> = replies.collect();
         (!replies.is_empty()).then(|| PermitNews { asks: Vec::new(), replies })
     }
@@ -196,6 +200,7 @@
         wait: &mut KeeperWait,
     ) -> Option<PeerWord> {
         let limit = limit_of(context, key);
+        let cold = context.core().cold_rate(context.now(), key);
         let (answered, answer) = async_channel::bounded(1);
         let number = {
             let mut state = lock(&self.state);
@@ -204,7 +209,9 @@
             }
             state.note_waiting(answered)
         };
-        let news = PermitNews { asks: vec![PermitAsk { number, limit }], replies: Vec::new() };
+        let cold_plus_one = cold.map_or(0, |rate| rate.millionths() + 1);
+        let ask = PermitAsk { number, limit, target: key.0, cold_plus_one };
+        let news = PermitNews { asks: vec![ask], replies: Vec::new() };
         let word = match self.outgoing.try_send((host, news)) {
             Ok(()) => timeout(ASK_TIME, answer.recv()).await.ok().and_then(Result::ok),
             // Full: so much is on its way that the answer would be late.
@@ -223,10 +230,16 @@
     }
 
     /// The answer to a peer's ask.
-    fn reply(&self, context: &BoxContext, peer: &str, ask: &PermitAsk) -> Option<PermitReply> {
-        let told = ask.limit.as_ref()?;
-        take_limit(context, told, peer);
-        let key = TargetKey(told.target);
+    fn reply(&self, context: &BoxContext, peer: &str, ask: &PermitAsk) -> PermitReply {
+        let key = TargetKey(ask.target);
+        if let Some(told) = &ask.limit {
+            take_limit(context, told, peer);
+        }
+        if let Some(millionths) = ask.cold_plus_one.checked_sub(1) {
+            // The listing by which the asker knows it may be on its way here.
+            let rate = RequestRate::from_millionths(millionths);
+            context.core().note_cold(context.now(), key, rate);
+        }
         let (limit, number) = (limit_of(context, key), ask.number);
         let passed = |keeper: String| PermitReply {
             number,
@@ -238,14 +251,14 @@
         // One that does not know the target, or has just started, does not know who keeps its permits.
         let data_centre = context.core().data_centre_of(key).filter(|_| is_settled(context));
         let Some(data_centre) = data_centre else {
-            return Some(passed(String::new()));
+            return passed(String::new());
         };
         let seat = context.peers().permit_keeper(&data_centre, key);
         if let KeeperSeat::Peer(host) = seat {
             // With two keepers for a moment, twice the limit would be given out.
-            return Some(passed(host.to_string()));
+            return passed(host.to_string());
         }
-        let rate = context.core().limit(key);
+        let rate = context.core().limit(context.now(), key);
         let answer = match rate {
             Some(rate) => self.keep(context, key, rate),
             // It has ended, which the asker learns by this.
@@ -256,7 +269,7 @@
             PermitAnswer::Denied(wait) => (false, wait),
         };
         let wait_ms = u32::try_from(millis(wait)).unwrap_or(u32::MAX);
-        Some(PermitReply { number, granted, wait_ms, limit, ..PermitReply::default() })
+        PermitReply { number, granted, wait_ms, limit, ..PermitReply::default() }
     }
 
     /// The answer to an ask for a target whose permits this box keeps.
--- a/crates/gateway/src/policies.rs
+++ b/crates/gateway/src/policies.rs
@@ -56,7 +56,7 @@
     ) -> Result<PolicyDecision, PolicyFault> {
         let program = match route.kind {
             RouteKind::Repeatable => &self.repeatable,
-            RouteKind::AtMostOnce => &self.at_most_once,
+            RouteKind::AtMostOnce | RouteKind::Upload => &self.at_most_once,
             RouteKind::Download => &self.download,
         };
         let offer = RouteOffer {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use wingbridge_decide::Name;
 use wingbridge_process::suspension::suspended_time;
 
 use crate::routes::RouteConfig;
@@ -56,6 +57,8 @@
     pub revision: u64,
     /// The targets, in the order of their names.
     pub targets: Vec<TargetEntry>,
+    /// Data centres whose targets operators want nothing sent to, in the order of their names.
+    pub evacuated: Vec<Name>,
 }
 
 /// What the store says of a configuration that is known.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -83,10 +83,10 @@
 
     /// Notes which targets could not be chosen.
     pub(crate) fn note_left_out(&mut self, out: &LeftOut) {
-        let LeftOut { leaving, resting, replaced, limited } = out;
+        let LeftOut { leaving, resting, replaced, limited, evacuated } = out;
         if *out != LeftOut::default() {
             self.left_out = format!(
-                "leaving {leaving}, resting {resting}, replaced {replaced}, limited {limited}"
+                "leaving {leaving}, resting {resting}, replaced {replaced}, limited {limited}, evacuated {evacuated}"
             );
         }
     }
--- a/crates/gateway/src/requests/allowed.rs
+++ b/crates/gateway/src/requests/allowed.rs
@@ -45,7 +45,10 @@
             return Err(TurnedAway::NoRoute);
         };
         match config.entrance(route, self.plan.key) {
-            Entrance::Open(customer) => self.plan.customer = customer,
+            Entrance::Open(customer) => {
+                self.plan.homes = route.homes_of(customer.as_deref());
+                self.plan.customer = customer;
+            }
             Entrance::Closed(why) => return Err(TurnedAway::NoEntrance(why)),
         }
         self.plan.config = config;
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -11,14 +11,14 @@
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, REPEATED_BELOW};
 use wingbridge_decide::steer::{
-    LoadReport, NoPick, RetryUse, SteerOutcome, SteerPick, SteerRequest,
+    HomeRegions, LoadReport, NoPick, RetryUse, SteerOutcome, SteerPick, SteerRequest,
 };
 
 use crate::answers::CallerAnswer;
 use crate::attempt::{AttemptEnd, CONNECTION_REFUSED, OutgoingRequest, TargetAnswer};
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::held_credit::HeldCredit;
-use crate::open_attempt::{EndedAttempt, OpenAttempt};
+use crate::open_attempt::{AttemptRequest, EndedAttempt, OpenAttempt};
 use crate::permit_desk::{KeeperWait, NoPermit, SendPermit};
 use crate::request_log::RequestTrace;
 use crate::routes::RouteKind;
@@ -168,6 +168,7 @@
             goal: self.plan.route.goal,
             left,
             tried: &self.tried,
+            homes: home_regions(&self.plan),
         };
         let now = self.context.now();
         let mut core = self.context.core();
@@ -220,7 +221,9 @@
         let route = self.plan.route.name.clone();
         let customer = self.plan.customer.as_ref().map(|customer| customer.name.clone());
         let fingerprint = self.outgoing.fingerprint;
-        OpenAttempt::begin(Arc::clone(&self.context), pick, permit, route, customer, fingerprint)
+        let sends_whole = self.outgoing.rest.is_none();
+        let request = AttemptRequest { permit, route, customer, fingerprint, sends_whole };
+        OpenAttempt::begin(Arc::clone(&self.context), pick, request)
     }
 
     fn start(&self, open: OpenAttempt) -> impl Future<Output = EndedAttempt> + use<> {
@@ -239,7 +242,9 @@
     /// Another target for a request whose attempt is open for too long, if the request may
     /// have one and the budget has a retry for it.
     fn pick_hedge(&mut self) -> Option<SteerPick> {
-        let allowed = self.runs + self.open < self.plan.policy.attempts;
+        // A long body that was not held can't go to two targets.
+        let allowed =
+            self.runs + self.open < self.plan.policy.attempts && self.outgoing.rest.is_none();
         // Two targets at once would be lost before the first one tells.
         let is_clear =
             self.context.crashes.verdict(self.outgoing.fingerprint) == CrashVerdict::Clear;
@@ -306,6 +311,11 @@
                 open.end(SteerOutcome::Broken, None, 0);
                 self.go_on(&reason)
             }
+            AttemptEnd::CallerLeft => {
+                self.note_sent();
+                open.end(SteerOutcome::Dropped, None, 0);
+                self.go_on("its caller left before all of it had come")
+            }
             AttemptEnd::TargetEnded(reason) => {
                 self.note_sent();
                 log_ended(&open.pick.id, self.outgoing.fingerprint);
@@ -355,7 +365,7 @@
         if self.tried.len() as u32 >= SENDS_MOST {
             return NextStep::Answer(self.give_up("each target that was asked failed or refused"));
         }
-        if self.arrivals == 0 || self.may_repeat() {
+        if (self.arrivals == 0 && !self.outgoing.is_spent()) || self.may_repeat() {
             return NextStep::Again;
         }
         NextStep::Answer(self.give_up("no further attempt is allowed"))
@@ -378,6 +388,9 @@
         if self.runs >= self.plan.policy.attempts {
             return Some("its attempts are used up");
         }
+        if self.outgoing.is_spent() {
+            return Some("a part of its long body is gone");
+        }
         if Instant::now() >= self.until() {
             return Some("its time is over");
         }
@@ -385,7 +398,8 @@
             return Some(ENDS_TARGETS);
         }
         let (context, service) = (&self.context, &self.plan.service);
-        if !context.core().has_choice(context.now(), service, &self.tried) {
+        let homes = home_regions(&self.plan);
+        if !context.core().has_choice(context.now(), service, &self.tried, homes) {
             return Some("there is no other target");
         }
         let spent = context.core().spend_retry(context.now(), service, RetryUse::Repeat);
@@ -406,6 +420,10 @@
     }
 }
 
+fn home_regions(plan: &RequestPlan) -> HomeRegions<'_> {
+    plan.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only)
+}
+
 /// The next of the `running` attempts that ends, or the time of a second attempt.
 async fn next_event<F>(running: &mut FuturesUnordered<F>, hedge_at: Option<Instant>) -> RaceEvent
 where
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -6,8 +6,10 @@
 
 use wingbridge_decide::Name;
 use wingbridge_decide::quota::QuotaLimit;
+use wingbridge_decide::steer::RequestRate;
 
 use crate::customers::{Customer, CustomerTable, PresentedKey};
+use crate::odd_entries::OddEntries;
 
 /// Whether and how a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,12 +20,14 @@
     AtMostOnce,
     /// It may run again, and its answers are large.
     Download,
+    /// It runs once at most, and its bodies are large.
+    Upload,
 }
 
 impl RouteKind {
     /// Whether requests may run again.
     pub fn is_repeatable(self) -> bool {
-        self != RouteKind::AtMostOnce
+        matches!(self, RouteKind::Repeatable | RouteKind::Download)
     }
 
     /// The kind's name in logs.
@@ -32,6 +36,7 @@
             RouteKind::Repeatable => "repeatable",
             RouteKind::AtMostOnce => "at-most-once",
             RouteKind::Download => "download",
+            RouteKind::Upload => "upload",
         }
     }
 }
@@ -61,6 +66,41 @@
     pub priority: u32,
     /// Who may ask.
     pub access: RouteAccess,
+    /// The regions that its requests may be served in; `None` for all.
+    pub homes: Option<Arc<[Name]>>,
+}
+
+impl Route {
+    /// A route of which no more is known than its requests: it serves none of them, and anybody may
+    /// hear that.
+    pub fn blocked(name: Name, host: String, prefix: String) -> Route {
+        Route {
+            name,
+            host,
+            prefix,
+            kind: RouteKind::AtMostOnce,
+            services: Vec::new(),
+            weights: Vec::new(),
+            attempts: 1,
+            timeout: Duration::ZERO,
+            goal: Duration::ZERO,
+            priority: 0,
+            access: RouteAccess::Public,
+            homes: None,
+        }
+    }
+
+    /// The regions that a request of `customer` on this route may be served in: where both have homes, both
+    /// bind. `None` for all.
+    pub fn homes_of(&self, customer: Option<&Customer>) -> Option<Arc<[Name]>> {
+        let theirs = customer.and_then(|customer| customer.homes.as_ref());
+        match (self.homes.as_ref(), theirs) {
+            (None, homes) | (homes, None) => homes.cloned(),
+            (Some(own), Some(theirs)) => {
+                Some(own.iter().filter(|home| theirs.contains(home)).cloned().collect())
+            }
+        }
+    }
 }
 
 /// Who may ask on a route.
@@ -117,6 +157,11 @@
     pub limits: CallerLimits,
     /// The customers; `None` if the configuration doesn't know of any.
     pub customers: Option<CustomerTable>,
+    /// What targets of a service take from all boxes together while they are cold, in requests a second,
+    /// for services that have such a bound.
+    pub cold_rates: HashMap<Name, RequestRate>,
+    /// Entries that can't be used as they stand.
+    pub odd_entries: OddEntries,
     routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
@@ -131,7 +176,7 @@
             // The longest prefix wins, so it is looked at first.
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        RouteConfig { version, limits, customers: None, routes: hosts }
+        RouteConfig { version, limits, routes: hosts, ..RouteConfig::default() }
     }
 
     /// The same with customers.
@@ -139,6 +184,16 @@
         RouteConfig { customers: Some(customers), ..self }
     }
 
+    /// The same with what cold targets take.
+    pub fn with_cold_rates(self, cold_rates: HashMap<Name, RequestRate>) -> RouteConfig {
+        RouteConfig { cold_rates, ..self }
+    }
+
+    /// The same with what is odd about it.
+    pub fn with_odd_entries(self, odd_entries: OddEntries) -> RouteConfig {
+        RouteConfig { odd_entries, ..self }
+    }
+
     /// Whether a request with that key may go on by `route`.
     pub fn entrance(&self, route: &Route, key: PresentedKey) -> Entrance {
         let customer = match key {
@@ -166,6 +221,13 @@
         self.customers.as_ref()?.quota_of(customer)
     }
 
+    /// The regions that routes or customers name as their homes.
+    pub fn homes(&self) -> impl Iterator<Item = &Name> {
+        let routes = self.routes.values().flatten().filter_map(|route| route.homes.as_deref());
+        let customers = self.customers.iter().flat_map(CustomerTable::homes);
+        routes.flatten().chain(customers)
+    }
+
     /// Whether there are routes that nobody may use, since no customer is known.
     pub fn shuts_all_out(&self) -> bool {
         let closed = |route: &Arc<Route>| route.access == RouteAccess::Closed;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use wingbridge_decide::Name;
 use wingbridge_decide::crashes::CrashVerdict;
-use wingbridge_http::raw::{BodyLength, RequestStart};
+use wingbridge_http::raw::RequestStart;
 use wingbridge_policy::{PolicyDecision, PolicyPlan};
 
 use crate::answers::{CallerAnswer, CallerOutcome};
@@ -19,6 +19,7 @@
 use crate::request_log::{RequestTrace, log_request};
 use crate::requests::{RequestRun, deadly_answer};
 use crate::routes::{Entrance, Route, RouteConfig};
+use crate::streamed_body::BodyRest;
 
 /// Time kept back from the caller's deadline for the answer's way to it.
 const WAY_BACK: Duration = Duration::from_millis(40);
@@ -35,11 +36,14 @@
 /// Time between two looks for it.
 const NEWER_STEP: Duration = Duration::from_millis(20);
 
-/// A caller's request, whole. Its key was taken out of its headers.
+/// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) start: RequestStart,
+    /// Its body, or the beginning of a long one.
     pub(crate) body: Vec<u8>,
+    /// What is still to come of a long one.
+    pub(crate) rest: Option<BodyRest>,
     /// When its first byte was read.
     pub(crate) since: Instant,
     /// Whose it is, as far as the connection tells.
@@ -56,6 +60,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Name,
     pub(crate) policy: PolicyPlan,
+    /// The regions that it may be served in; `None` for all.
+    pub(crate) homes: Option<Arc<[Name]>>,
     /// When the caller must have its answer.
     pub(crate) until: Instant,
 }
@@ -153,7 +159,7 @@
         }
     };
     let Some(part) = context.next_part(&route.weights) else {
-        return Err(not_run(context, &route.name, "the route has no service"));
+        return Err(not_run(context, &route.name, "its route leads to no service"));
     };
     let service = &route.services[part];
     let priority = customer.as_ref().and_then(|customer| customer.priority);
@@ -178,7 +184,8 @@
         return Err(not_run(context, &route.name, "this box ends before it could answer"));
     }
     let service = Name::from(policy.service.as_str());
-    Ok(RequestPlan { config, key, customer, route, service, policy, until })
+    let homes = route.homes_of(customer.as_deref());
+    Ok(RequestPlan { config, key, customer, route, service, policy, homes, until })
 }
 
 fn not_allowed(
@@ -282,13 +289,14 @@
     let fingerprint = identity.fingerprint();
     let names = &context.headers;
     let own = [names.time_left.as_str(), names.wanted_target.as_str()];
-    let CallerRequest { start, body, .. } = request;
+    let CallerRequest { start, body, rest, .. } = request;
     OutgoingRequest {
         headers: start.headers.passed_on(&own),
-        has_body: start.length != BodyLength::None,
+        announced: start.length,
         method: start.method,
         target: start.target,
         body,
+        rest,
         request_id,
         fingerprint,
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,8 +1,10 @@
 //! Settings of a box, already checked.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use wingbridge_decide::Name;
 use wingbridge_decide::quota::QuotaSlack;
 use wingbridge_decide::steer::mechanism::MechanismSet;
 
@@ -13,6 +15,8 @@
     pub box_id: String,
     /// Its data centre.
     pub data_centre: String,
+    /// The region of each data centre.
+    pub regions: HashMap<String, Name>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks for readiness, and metrics are.
@@ -53,6 +57,11 @@
 }
 
 impl GatewaySettings {
+    /// The region of a data centre; no name if it is not known, so that no request with homes goes there.
+    pub fn region_of(&self, data_centre: &str) -> Name {
+        self.regions.get(data_centre).cloned().unwrap_or_default()
+    }
+
     /// This box's IP number among its peers.
     pub fn host(&self) -> IpAddr {
         self.exchange.ip()
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -38,6 +38,8 @@
     pub draining: bool,
     /// For how long it was still slow from its start, when it was read.
     pub cold_time: Duration,
+    /// Whether it said so.
+    pub is_cold: bool,
     /// When this life of it began, in milliseconds since 1970; 0 if it did not tell.
     pub born_ms: u64,
 }
@@ -67,6 +69,8 @@
     pub config: Option<ConfigText>,
     /// All targets, in the order of their names.
     pub targets: Vec<TargetEntry>,
+    /// Data centres whose targets operators want nothing sent to, in the order of their names.
+    pub evacuated: Vec<Name>,
     /// Notes of requests that end targets, of all data centres.
     pub crash_notes: Vec<Vec<u8>>,
 }
@@ -91,12 +95,12 @@
     /// A hash over all that matters to requests of the targets, to see whether two views
     /// differ in them. Never 0.
     pub fn digest(&self) -> u64 {
-        listing_digest(&self.targets)
+        listing_digest(&self.targets, &self.evacuated)
     }
 }
 
-/// A hash over a listing in the order of its names. Never 0, which stands for no listing.
-pub(crate) fn listing_digest(targets: &[TargetEntry]) -> u64 {
+/// A hash over a listing, both parts in the order of their names. Never 0, which stands for no listing.
+pub(crate) fn listing_digest(targets: &[TargetEntry], evacuated: &[Name]) -> u64 {
     let mut hash = Xxh3::new();
     for target in targets {
         for text in [&target.id, &target.address, &target.service, &target.data_centre] {
@@ -104,9 +108,13 @@
             hash.update(&[0]);
         }
         hash.update(&target.slots.to_le_bytes());
-        hash.update(&[u8::from(target.draining)]);
+        hash.update(&[u8::from(target.draining), u8::from(target.is_cold)]);
         hash.update(&target.born_ms.to_le_bytes());
     }
+    for name in evacuated {
+        hash.update(name.as_bytes());
+        hash.update(&[0]);
+    }
     hash.digest().max(1)
 }
 
@@ -127,6 +135,10 @@
     pub joined: Vec<Name>,
     /// Instances that started again under their names.
     pub restarted: Vec<Name>,
+    /// Data centres whose targets get nothing from now on.
+    pub evacuated: Vec<Name>,
+    /// Those that were taken back.
+    pub taken_back: Vec<Name>,
 }
 
 /// The newest view, and what follows from the views before it.
@@ -231,12 +243,13 @@
             return change;
         }
         // Notes of requests that end targets are taken apart before.
-        let StoreView { revision, config_revision, config, targets, crash_notes: _ } = view;
+        let StoreView { revision, config_revision, config, targets, evacuated, crash_notes: _ } =
+            view;
         if let Some(text) = config {
             self.take_config(text, port, &mut change);
         }
         self.confirm_config(config_revision, as_of);
-        let listing = TargetListing { revision, targets };
+        let listing = TargetListing { revision, targets, evacuated };
         let listed = self.take_listing(listing, as_of);
         ViewChange { config: change.config, refused: change.refused, ..listed }
     }
@@ -248,12 +261,13 @@
             return change;
         }
         self.note_time(as_of);
-        let digest = listing_digest(&listing.targets);
+        let digest = listing_digest(&listing.targets, &listing.evacuated);
         change.targets = digest != self.digest;
         if change.targets {
             self.history.note(self.digest, &self.view.targets, &listing.targets);
         }
         self.take_targets(listing.targets, as_of, &mut change);
+        self.take_evacuated(listing.evacuated, &mut change);
         self.view.revision = listing.revision;
         self.digest = digest;
         change
@@ -346,6 +360,15 @@
         self.view.config = Some(text);
     }
 
+    fn take_evacuated(&mut self, evacuated: Vec<Name>, change: &mut ViewChange) {
+        let before = std::mem::replace(&mut self.view.evacuated, evacuated);
+        let others = |of: &[Name], than: &[Name]| -> Vec<Name> {
+            of.iter().filter(|name| !than.contains(name)).cloned().collect()
+        };
+        change.evacuated = others(&self.view.evacuated, &before);
+        change.taken_back = others(&before, &self.view.evacuated);
+    }
+
     fn take_targets(&mut self, targets: Vec<TargetEntry>, as_of: Instant, change: &mut ViewChange) {
         let listed = listed_now(&targets);
         let returning = self.return_until.filter(|until| as_of < *until);
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -112,7 +112,7 @@
         return Ok(FetchedTargets::Taken);
     };
     let as_of = context.correct(&start, as_of);
-    let Some(targets) = decode_targets(context, reply, &mark, as_of) else {
+    let Some(listing) = decode_targets(context, reply, &mark, as_of) else {
         return Ok(FetchedTargets::OtherBase);
     };
     log::info!(
@@ -120,7 +120,7 @@
         taken_ms = millis(began.elapsed());
         "targets-fetched"
     );
-    context.take_listing(TargetListing { revision: mark.revision, targets }, as_of, "peer");
+    context.take_listing(listing, as_of, "peer");
     Ok(FetchedTargets::Taken)
 }
 
@@ -158,20 +158,24 @@
         draining: target.draining,
         cold_ms: millis(target.cold_time.saturating_sub(age)),
         born_ms: target.born_ms,
+        is_cold: target.is_cold,
     };
     let mark = view_mark(known);
+    let evacuated = known.view().evacuated.iter().map(Name::to_string).collect();
     match known.difference_to(request.digest) {
         Some(ListingDifference { changed, gone }) => TargetsReply {
             mark,
             base: request.digest,
             targets: changed.iter().map(record).collect(),
             gone: gone.iter().map(Name::to_string).collect(),
+            evacuated,
         },
         None => TargetsReply {
             mark,
             base: 0,
             targets: known.view().targets.iter().map(record).collect(),
             gone: Vec::new(),
+            evacuated,
         },
     }
 }
@@ -183,7 +187,7 @@
     reply: TargetsReply,
     mark: &ViewMark,
     as_of: Instant,
-) -> Option<Vec<TargetEntry>> {
+) -> Option<TargetListing> {
     let target = |target: TargetRecord| TargetEntry {
         id: target.id.into(),
         address: target.address.into(),
@@ -193,15 +197,19 @@
         draining: target.draining,
         cold_time: Duration::from_millis(target.cold_ms),
         born_ms: target.born_ms,
+        is_cold: target.is_cold,
     };
+    let revision = mark.revision;
+    let evacuated: Vec<Name> = reply.evacuated.into_iter().map(Name::from).collect();
     let changed: Vec<TargetEntry> = reply.targets.into_iter().map(target).collect();
     if reply.base == 0 {
-        return Some(changed);
+        return Some(TargetListing { revision, targets: changed, evacuated });
     }
     let known = context.view();
     let older = known.as_of().map(|held| as_of.saturating_duration_since(held));
     let gone = reply.gone.into_iter().map(Name::from).collect();
     let difference = ListingDifference { changed, gone };
     let targets = difference.apply(&known.view().targets, older.unwrap_or_default());
-    (listing_digest(&targets) == mark.digest).then_some(targets)
+    let is_told = listing_digest(&targets, &evacuated) == mark.digest;
+    is_told.then_some(TargetListing { revision, targets, evacuated })
 }
--- a/crates/gateway/tests/harness/caller.rs
+++ b/crates/gateway/tests/harness/caller.rs
@@ -22,6 +22,11 @@
 }
 
 impl CallerStandin {
+    /// Its connection.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Sends a request with the id "id-1" and reads the answer.
     pub fn ask(&mut self, method: &str, path: &str, more_headers: &str) -> CallerReply {
         self.send(method, path, more_headers, "");
--- a/crates/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/tests/harness/gateway.rs
@@ -121,6 +121,7 @@
     GatewaySettings {
         box_id: format!("box-{host}"),
         data_centre: "centre".into(),
+        regions: Default::default(),
         callers: SocketAddr::new(host, CALLERS),
         readiness: SocketAddr::new(host, READINESS),
         readiness_path: "/ready".into(),
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -10,6 +10,7 @@
 use futures::future::BoxFuture;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use wingbridge_decide::Name;
 use wingbridge_gateway::ports::{
     ConfigNews, EnvironmentPort, HeaderNames, StoreError, StoreFault, TargetListing,
 };
@@ -72,6 +73,13 @@
         state.view.targets = targets;
     }
 
+    /// Has nothing more sent to the targets of those data centres, and of no others.
+    pub fn put_evacuated(&self, data_centres: &[&str]) {
+        let mut state = lock(&self.state);
+        state.view.revision += 1;
+        state.view.evacuated = data_centres.iter().map(|name| Name::from(*name)).collect();
+    }
+
     /// Whether calls fail from now on.
     pub fn set_away(&self, away: bool) {
         lock(&self.state).away = away;
@@ -161,6 +169,7 @@
         let listing = self.ask(|state| TargetListing {
             revision: state.view.revision,
             targets: state.view.targets.clone(),
+            evacuated: state.view.evacuated.clone(),
         });
         Box::pin(async { listing })
     }
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -179,6 +179,7 @@
         slots: 3,
         draining: false,
         cold_time: Duration::ZERO,
+        is_cold: false,
         born_ms: 0,
     }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -342,6 +342,9 @@
     /// Names of targets that are gone.
     #[prost(string, repeated, tag = "4")]
     pub gone: Vec<String>,
+    /// Data centres whose targets get nothing, in the order of their names.
+    #[prost(string, repeated, tag = "5")]
+    pub evacuated: Vec<String>,
 }
 
 /// Asks for a configuration.
@@ -428,4 +431,7 @@
     /// When it started, in milliseconds of its own clock since 1970; 0 if it did not tell.
     #[prost(uint64, tag = "8")]
     pub born_ms: u64,
+    /// Whether it said that it is slow from its start.
+    #[prost(bool, tag = "9")]
+    pub is_cold: bool,
 }
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -37,9 +37,16 @@
     /// Another number for each ask of a box.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// The limit that the sender knows.
+    /// What the sender knows of the limit that the target names; absent if it never named one.
     #[prost(message, optional, tag = "2")]
     pub limit: Option<TargetLimit>,
+    /// The target's key.
+    #[prost(fixed64, tag = "3")]
+    pub target: u64,
+    /// One more than what the target takes since it is cold, in millionths of a request a second; 0 if the
+    /// sender doesn't know it to be cold.
+    #[prost(uint64, tag = "4")]
+    pub cold_plus_one: u64,
 }
 
 /// The answer to a [`PermitAsk`].
