Requests that may run again are worked on beside those that their caller sent before

Cause: requests sent ahead on a connection were worked on one after the other, so that the last of four waited four times as long. Change: up to eight of one connection, without a body, are worked on beside each other and answered in order; what may run once only, has a body or ends the connection waits until all before it is answered. No answer that closes a connection stands before one that is worked on.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,9 +7,10 @@
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::future::{Either, select};
+use futures::future::{BoxFuture, Either, select};
 use futures::io::{AsyncReadExt, AsyncWriteExt};
-use wingbridge_http::raw::{BodyDecoder, BodyLength, RawReader};
+use futures::stream::{FuturesOrdered, StreamExt};
+use wingbridge_http::raw::{BodyDecoder, BodyLength, RawReader, RequestStart};
 use wingbridge_http::{ErrorKind, HttpError};
 
 use crate::answers::{AnswerBody, CallerAnswer, CallerOutcome, LAST_CHUNK, WaitingBody, as_chunk};
@@ -22,6 +23,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bytes that a caller may send ahead while its request is answered.
 const AHEAD_BYTES: usize = 64 * 1024;
+/// Requests of one connection that are worked on beside each other at most.
+const ANSWERED_BESIDE: usize = 8;
 /// Time that a caller has to take a piece of its answer before it counts as gone.
 const WRITE_TIME: Duration = Duration::from_secs(10);
 /// Bytes of an answer that are written at once.
@@ -117,6 +120,9 @@
         };
         let ReadRequest { request, mut pump, room } = read;
         let closes = request.start.closes;
+        if may_go_beside(context, &request.start) {
+            return self.answer_in_order(context, request).await;
+        }
         let outcome = {
             let work = std::pin::pin!(answer_request(context, request));
             let gone = std::pin::pin!(wait_gone(&mut self.reader, pump.as_mut()));
@@ -148,6 +154,55 @@
         written && !closes
     }
 
+    /// Answers a request that may run again, and those like it that its caller sends before it has the answer:
+    /// all are worked on beside each other, and answered in their order. Returns whether the connection goes on.
+    ///
+    /// Nothing that is worked on stands behind an answer that closes the connection: its caller would take it
+    /// for unread.
+    async fn answer_in_order(&mut self, context: &Arc<BoxContext>, first: CallerRequest) -> bool {
+        let mut answers = FuturesOrdered::new();
+        answers.push_back(started(context, first));
+        loop {
+            let has_room = answers.len() < ANSWERED_BESIDE;
+            let event = {
+                let next = std::pin::pin!(answers.next());
+                let accepts = |start: &RequestStart| {
+                    has_room && !context.stopping.is_stopping() && may_go_beside(context, start)
+                };
+                let ahead = std::pin::pin!(self.reader.request_ahead(AHEAD_BYTES, accepts));
+                match select(next, ahead).await {
+                    Either::Left((answer, _)) => OrderedEvent::Answer(answer),
+                    Either::Right((start, _)) => OrderedEvent::Ahead(start),
+                }
+            };
+            match event {
+                OrderedEvent::Answer(None) => return true,
+                OrderedEvent::Answer(Some(answer)) => {
+                    let is_last = answers.is_empty();
+                    let closes = is_last && context.stopping.is_stopping();
+                    if !self.write_answer(answer, closes).await || closes {
+                        return false;
+                    }
+                    if is_last {
+                        return true;
+                    }
+                }
+                OrderedEvent::Ahead(Some(start)) => {
+                    metrics::counter!("wingbridge_requests_ahead").increment(1);
+                    let (since, caller) = (Instant::now(), self.caller.clone());
+                    let request =
+                        CallerRequest { start, body: Vec::new(), rest: None, since, caller };
+                    answers.push_back(started(context, request));
+                }
+                OrderedEvent::Ahead(None) => {
+                    log::info!(open = answers.len(); "caller-hung-up");
+                    metrics::counter!("wingbridge_hang_ups").increment(1);
+                    return false;
+                }
+            }
+        }
+    }
+
     /// Reads on, and drops what it reads, until the caller has seen its answer and closes.
     async fn linger(&mut self) {
         // A connection that can't be closed on this side is gone already.
@@ -297,6 +352,35 @@
     }
 }
 
+/// What comes next while requests of one connection are worked on.
+enum OrderedEvent {
+    /// The answer to the first of them; `None` if there is none left.
+    Answer(Option<CallerAnswer>),
+    /// Another request; `None` if the caller has gone.
+    Ahead(Option<RequestStart>),
+}
+
+/// The answer to a request, which counts as busy until it is there.
+fn started(context: &Arc<BoxContext>, request: CallerRequest) -> BoxFuture<'static, CallerAnswer> {
+    let context = Arc::clone(context);
+    Box::pin(async move {
+        let _busy = context.stopping.hold_request();
+        answer_request(&context, request).await
+    })
+}
+
+/// Whether a request may be worked on beside others of its connection: it has no body, may run again, and
+/// does not end the connection.
+fn may_go_beside(context: &BoxContext, start: &RequestStart) -> bool {
+    let Some(config) = context.config() else {
+        return false;
+    };
+    let route = config.find(&start.host(), start.path());
+    start.length == BodyLength::None
+        && !start.closes
+        && route.is_some_and(|route| route.kind.is_repeatable())
+}
+
 /// Why a request is not worth its work any more.
 enum CallerGone {
     /// Its caller closed the connection.
--- /dev/null
+++ b/crates/gateway/tests/requests_ahead.rs
@@ -0,0 +1,151 @@
+//! Requests that a caller sends before it has the answer to the one before.
+//!
+//! They were worked on one after the other, so that the last of four waited four times as long as each takes.
+
+mod harness;
+
+use std::io::Read;
+use std::thread;
+use std::time::Duration;
+
+use harness::{
+    BoxUnderTest, CallerStandin, Script, StoreStandin, TargetStandin, config, eventually, header,
+    route,
+};
+use wingbridge_gateway::routes::RouteKind;
+
+struct World {
+    _store: StoreStandin,
+    targets: Vec<TargetStandin>,
+    gateway: BoxUnderTest,
+}
+
+fn world(script: Script, kind: RouteKind) -> World {
+    let store = StoreStandin::default();
+    let targets: Vec<TargetStandin> =
+        (0..4).map(|n| TargetStandin::start(&format!("t{n}"), "service", script)).collect();
+    let other = route("other", "service", RouteKind::AtMostOnce);
+    store.put_config(config(1, vec![route("r", "service", kind), other]));
+    store.put_targets(targets.iter().map(|target| target.entry.clone()).collect());
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    gateway.wait_ready();
+    World { _store: store, targets, gateway }
+}
+
+impl World {
+    fn seen(&self) -> usize {
+        self.targets.iter().map(|target| target.seen().len()).sum()
+    }
+}
+
+fn head(id: usize, route: &str, more: &str) -> String {
+    format!("GET /{route}/x HTTP/1.1\r\nHost: host.example\r\nX-Id: id-{id}\r\n{more}\r\n")
+}
+
+/// Answers on one connection, of which several may come at once.
+struct Answers {
+    caller: CallerStandin,
+    bytes: Vec<u8>,
+}
+
+impl Answers {
+    fn new(caller: CallerStandin) -> Answers {
+        Answers { caller, bytes: Vec::new() }
+    }
+
+    /// The head of the next answer; `None` if the connection closes before one.
+    fn next_head(&mut self) -> Option<String> {
+        loop {
+            let text = String::from_utf8_lossy(&self.bytes).into_owned();
+            if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+                let length: usize = header(head, "content-length")?.parse().ok()?;
+                if rest.len() >= length {
+                    self.bytes = rest.as_bytes()[length..].to_vec();
+                    return Some(head.to_string());
+                }
+            }
+            let mut chunk = [0; 4096];
+            match self.caller.stream().read(&mut chunk) {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => self.bytes.extend_from_slice(&chunk[..count]),
+            }
+        }
+    }
+}
+
+fn is_served(head: &str) -> bool {
+    head.starts_with("HTTP/1.1 200")
+}
+
+#[test]
+fn requests_sent_ahead_are_worked_on_beside_each_other_and_answered_in_order() {
+    let world = world(Script::Gated, RouteKind::Repeatable);
+    let mut caller = world.gateway.connect();
+    let heads: String = (0..4).map(|id| head(id, "r", "")).collect();
+    caller.send_raw(&heads);
+    eventually("all four have reached targets", || world.seen() >= 4);
+    world.targets.iter().for_each(TargetStandin::open_gate);
+    let mut answers = Answers::new(caller);
+    for id in 0..4 {
+        let head = answers.next_head().expect("an answer");
+        assert!(is_served(&head) && head.contains(&format!("id-{id}")), "{id}: {head}");
+    }
+}
+
+#[test]
+fn what_may_run_once_only_waits_for_the_answers_before_it() {
+    let world = world(Script::Gated, RouteKind::Repeatable);
+    let mut caller = world.gateway.connect();
+    caller.send_raw(&format!("{}{}{}", head(0, "r", ""), head(1, "other", ""), head(2, "r", "")));
+    eventually("the first has reached a target", || world.seen() >= 1);
+    thread::sleep(Duration::from_millis(200));
+    let once = |target: &TargetStandin| target.seen().iter().any(|seen| seen.contains("/other/"));
+    assert!(!world.targets.iter().any(once), "it could stand behind an answer that closes");
+    world.targets.iter().for_each(TargetStandin::open_gate);
+    let mut answers = Answers::new(caller);
+    for id in 0..3 {
+        let head = answers.next_head().expect("an answer");
+        assert!(head.contains(&format!("id-{id}")), "{id}: {head}");
+    }
+}
+
+#[test]
+fn nothing_behind_a_request_that_ends_its_connection_is_run() {
+    let world = world(Script::Good, RouteKind::Repeatable);
+    let mut caller = world.gateway.connect();
+    caller.send_raw(&format!("{}{}", head(0, "r", "Connection: close\r\n"), head(1, "r", "")));
+    let mut answers = Answers::new(caller);
+    assert!(is_served(&answers.next_head().expect("an answer")));
+    assert!(answers.next_head().is_none(), "it is unread");
+    assert_eq!(world.seen(), 1);
+}
+
+#[test]
+fn a_planned_stop_loses_none_of_those_it_works_on() {
+    let world = world(Script::Gated, RouteKind::Repeatable);
+    let mut caller = world.gateway.connect();
+    let heads: String = (0..3).map(|id| head(id, "r", "")).collect();
+    caller.send_raw(&heads);
+    eventually("all three have reached targets", || world.seen() >= 3);
+    world.gateway.begin_stop();
+    eventually("it stops", || !world.gateway.is_ready());
+    caller.send_raw(&head(3, "r", ""));
+    thread::sleep(Duration::from_millis(100));
+    world.targets.iter().for_each(TargetStandin::open_gate);
+    let mut answers = Answers::new(caller);
+    let heads: Vec<String> = std::iter::from_fn(|| answers.next_head()).collect();
+    assert_eq!(heads.iter().filter(|head| is_served(head)).count(), 3);
+    assert!(heads[2].to_lowercase().contains("connection: close"), "{}", heads[2]);
+}
+
+#[test]
+fn a_caller_that_leaves_frees_all_of_them() {
+    let world = world(Script::Hangs, RouteKind::Repeatable);
+    let mut caller = world.gateway.connect();
+    let heads: String = (0..3).map(|id| head(id, "r", "")).collect();
+    caller.send_raw(&heads);
+    eventually("all three have reached targets", || world.seen() >= 3);
+    drop(caller);
+    let hang_ups = || world.targets.iter().map(TargetStandin::hang_ups).sum::<usize>();
+    eventually("all three are free", || hang_ups() >= 3);
+}
--- a/crates/http/src/raw/reader.rs
+++ b/crates/http/src/raw/reader.rs
@@ -105,6 +105,31 @@
         futures::future::pending::<()>().await
     }
 
+    /// Waits for the head of a next request that `accepts` takes; `None` if the peer closes or the
+    /// connection fails instead. Whatever else it sends is kept; at `limit` bytes no more is read, and the wait
+    /// does not end. It can be dropped while it waits.
+    pub async fn request_ahead(
+        &mut self,
+        limit: usize,
+        accepts: impl Fn(&RequestStart) -> bool,
+    ) -> Option<RequestStart> {
+        loop {
+            if !self.buffer.is_empty()
+                && let Ok(Some((start, end))) = RequestStart::parse(&self.buffer)
+                && accepts(&start)
+            {
+                self.buffer.drain(..end);
+                return Some(start);
+            }
+            if self.buffer.len() >= limit {
+                futures::future::pending::<()>().await;
+            }
+            if !matches!(self.fill().await, Ok(count) if count > 0) {
+                return None;
+            }
+        }
+    }
+
     async fn start<T>(
         &mut self,
         limit: usize,
