--- a/crates/gateway/src/change_budget.rs
+++ b/crates/gateway/src/change_budget.rs
@@ -21,11 +21,8 @@
 const READ_SHARE: f64 = 0.35;
 /// How much older the view may be at each further rank, as a share of the same.
 const RANK_SHARE: f64 = 0.08;
-/// Ranks that are told apart one by one. Of the further ones twice as many read after each of the steps
-/// below, so that a view that comes late to a data centre of hundreds doesn't have them all read at once.
+/// Ranks that are told apart; all further ones read at the same age, with the spread below.
 const RANKS: usize = 4;
-/// How much older the view may be where twice as many ranks have read, as a share of the time.
-const DOUBLED_SHARE: f64 = 0.04;
 /// Ages are spread by up to this share, so that boxes of a rank do not read in step.
 const SPREAD: f64 = 0.1;
 /// Part of the time for one question to one peer: one that takes longer is overloaded, and
@@ -63,8 +60,7 @@
 
     /// The age of the view at which the box of `rank` reads; `spread` is from 0 to 1.
     pub(crate) fn reading_age(self, rank: usize, spread: f64) -> Duration {
-        let doubled = (rank.max(RANKS) as f64 / RANKS as f64).log2();
-        let share = READ_SHARE + RANK_SHARE * rank.min(RANKS) as f64 + DOUBLED_SHARE * doubled;
+        let share = READ_SHARE + RANK_SHARE * rank.min(RANKS) as f64;
         let spread = if rank == 0 { 0.0 } else { SPREAD * spread };
         self.part(share * (1.0 + spread))
     }
