A piece of an upload that has the bytes of a last chunk is no end of it

Cause: found by reading. Whether a long body was over was told by the bytes just written: a piece of a body with a length that was '0\r\n\r\n' counted as the last one, and the target waited for the rest. Change: the piece itself says whether it is the end; one type for pieces in place of two.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::answers::{AnswerBody, LAST_CHUNK, WaitingBody, as_chunk, write_length};
 use crate::notices::{NoticeLink, UnreadHead};
 use crate::ports::HeaderNames;
-use crate::streamed_body::{BodyRest, NextPiece};
+use crate::streamed_body::{BodyPiece, BodyRest};
 
 /// Time to connect. Between data centres a round trip takes some 3 ms; a connection that
 /// takes longer than this meets a cut path or a target that takes no more.
@@ -171,14 +171,16 @@
     };
     let is_chunked = is_chunked(request);
     loop {
-        let bytes = match rest.next().await {
-            NextPiece::Bytes(piece) if is_chunked => as_chunk(&piece),
-            NextPiece::Bytes(piece) => piece,
-            NextPiece::End if is_chunked => LAST_CHUNK.to_vec(),
-            NextPiece::End => return SentRequest::Whole,
-            NextPiece::BrokenOff => return SentRequest::BrokenOff,
+        let Some(piece) = rest.next().await else {
+            return SentRequest::BrokenOff;
+        };
+        let is_last = matches!(piece, BodyPiece::End);
+        let bytes = match piece {
+            BodyPiece::Bytes(piece) if is_chunked => as_chunk(&piece),
+            BodyPiece::Bytes(piece) => piece,
+            BodyPiece::End if is_chunked => LAST_CHUNK.to_vec(),
+            BodyPiece::End => Vec::new(),
         };
-        let is_last = bytes == LAST_CHUNK;
         if stream.write_all(&bytes).await.is_err() {
             return SentRequest::NotTaken;
         }
--- a/crates/gateway/src/streamed_body.rs
+++ b/crates/gateway/src/streamed_body.rs
@@ -22,22 +22,11 @@
 
 /// A part of a body, or its end.
 #[derive(Debug)]
-enum BodyPiece {
+pub(crate) enum BodyPiece {
     Bytes(Vec<u8>),
     End,
 }
 
-/// What comes next of a body.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum NextPiece {
-    /// These bytes.
-    Bytes(Vec<u8>),
-    /// Nothing: it is whole.
-    End,
-    /// Nothing: its caller left, or sent something that is no body.
-    BrokenOff,
-}
-
 /// What is still to come of a body, for the attempt that sends it.
 #[derive(Debug)]
 pub(crate) struct BodyRest {
@@ -78,14 +67,11 @@
 }
 
 impl BodyRest {
-    /// The next piece, once it is there.
-    pub(crate) async fn next(&self) -> NextPiece {
+    /// The next piece, once it is there; `None` if the caller left before the end, or sent something that is no
+    /// body.
+    pub(crate) async fn next(&self) -> Option<BodyPiece> {
         self.begun.store(true, Ordering::Release);
-        match self.pieces.recv().await {
-            Ok(BodyPiece::Bytes(bytes)) => NextPiece::Bytes(bytes),
-            Ok(BodyPiece::End) => NextPiece::End,
-            Err(_) => NextPiece::BrokenOff,
-        }
+        self.pieces.recv().await.ok()
     }
 
     /// Whether an attempt has begun to take it, so that no other one can have it whole.
--- a/crates/gateway/tests/uploads.rs
+++ b/crates/gateway/tests/uploads.rs
@@ -216,3 +216,23 @@
     assert_eq!(caller.read().expect("an answer").status, 200);
     assert_eq!(harness::counted("wingbridge_hang_ups"), 0);
 }
+
+/// A piece of a body with a length that had the bytes of a last chunk counted as the end of the body.
+#[test]
+fn bytes_of_a_last_chunk_within_a_body_are_no_end_of_it() {
+    let world = world(&[Script::Good]);
+    let mut body = long_body(LONG_BYTES);
+    let at = 2 << 20;
+    body.replace_range(at..at + 5, "0\r\n\r\n");
+    let mut caller = world.gateway.connect();
+    caller.send_raw(&head(&format!("Content-Length: {LONG_BYTES}\r\n")));
+    // Each part is a piece of its own: the one before has been read when it is sent.
+    for part in [&body[..at], &body[at..at + 5], &body[at + 5..]] {
+        caller.send_raw(part);
+        thread::sleep(Duration::from_millis(300));
+    }
+    assert_eq!(caller.read().expect("an answer").status, 200);
+    let seen = world.targets[0].seen();
+    let (_, got) = seen[0].split_once("\r\n\r\n").expect("a head and a body");
+    assert!(got == body, "{} bytes came, not the same", got.len());
+}
