One way to change the targets of the core, and one filter of what is open to a request

Cause: set_targets and change_targets had one loop twice, and which targets a request may go to (in the draw, not tried, at home) stood in the choice, the kept targets, the trials and has_choice. Change: set_targets works out what is gone and calls change_targets; TargetPool::open_to; the kept targets use the place that trials have; TargetPool::take_all is gone.

--- a/crates/decide/src/steer/choose.rs
+++ b/crates/decide/src/steer/choose.rs
@@ -55,9 +55,6 @@
     kept: Option<Vec<(TargetKey, &TargetRecord)>>,
 ) -> Vec<Candidate> {
     let scale = pool.late_scale(request.goal, usual);
-    let untried = pool
-        .in_draw(now)
-        .filter(|(key, record)| !request.tried.contains(key) && record.is_in(request.homes));
     let candidate = |(key, record): (TargetKey, &TargetRecord)| {
         let wait = if setup.mechanisms.has(Mechanism::LoadWait) {
             record.wait(now, pool.usual_time())
@@ -69,7 +66,7 @@
     };
     match kept {
         Some(kept) => kept.into_iter().map(candidate).collect(),
-        None => untried.map(candidate).collect(),
+        None => pool.open_to(now, request.tried, request.homes).map(candidate).collect(),
     }
 }
 
--- a/crates/decide/src/steer/kept.rs
+++ b/crates/decide/src/steer/kept.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 
 use crate::names::TargetKey;
+use crate::steer::mechanism::Mechanism;
 use crate::steer::messages::SteerRequest;
 use crate::steer::pool::TargetPool;
 use crate::steer::record::TargetRecord;
+use crate::steer::trial::TrialPlace;
 use crate::time::TimePoint;
 
 /// Targets that are kept to have this many times the slots that requests of the service take on average:
@@ -28,21 +30,17 @@
 /// again sooner than one of which nothing is known.
 const LEFT_OUT_FOR: Duration = Duration::from_secs(30);
 
-/// Where a box stands, as far as this depends on it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct KeptPlace<'a> {
-    pub(crate) data_centre: &'a str,
-    pub(crate) near_boxes: usize,
-}
-
 /// The targets that a request may go to of those that are kept to; `None` where the data centre has no more
 /// than its requests need, or where each of them has requests waiting.
 pub(crate) fn kept_targets<'p>(
     now: TimePoint,
     pool: &'p TargetPool,
     request: &SteerRequest<'_>,
-    place: KeptPlace<'_>,
+    place: &TrialPlace<'_>,
 ) -> Option<Vec<(TargetKey, &'p TargetRecord)>> {
+    if !place.mechanisms.has(Mechanism::KeptTargets) {
+        return None;
+    }
     let rate = pool.request_rate(now) * place.near_boxes as f64;
     let listed = pool.listed_in(place.data_centre) as f64;
     let reaches_all = rate * REACH_TIME.as_secs_f64() >= listed * REACH;
@@ -50,13 +48,11 @@
         return None;
     }
     let needed = needed_targets(pool, rate);
-    let is_kept = |(key, record): &(TargetKey, &TargetRecord)| {
-        *record.setup.data_centre == *place.data_centre
-            && record.failed_before(now, LEFT_OUT_FOR)
-            && record.is_in(request.homes)
-            && !request.tried.contains(key)
+    let is_kept = |(_, record): &(TargetKey, &TargetRecord)| {
+        *record.setup.data_centre == *place.data_centre && record.is_unfailed_for(now, LEFT_OUT_FOR)
     };
-    let kept: Vec<_> = pool.in_draw(now).filter(is_kept).take(needed).collect();
+    let open = pool.open_to(now, request.tried, request.homes);
+    let kept: Vec<_> = open.filter(is_kept).take(needed).collect();
     let usual = pool.usual_time();
     let has_room = |(_, record): &(TargetKey, &TargetRecord)| record.wait(now, usual).is_zero();
     (kept.len() >= needed && kept.iter().any(has_room)).then_some(kept)
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -29,7 +29,7 @@
 pub mod times;
 mod trial;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -37,7 +37,7 @@
 
 use crate::names::{Name, TargetKey};
 use crate::steer::choose::{candidates, draw};
-use crate::steer::kept::{KeptPlace, kept_targets};
+use crate::steer::kept::kept_targets;
 use crate::steer::ledger::{RetryBounds, RetryLedger, RetryTally};
 use crate::steer::listeners::heard_boxes;
 use crate::steer::mechanism::Mechanism;
@@ -114,31 +114,10 @@
 
     /// Takes all targets that take work. Those that stay keep what is known of them.
     pub fn set_targets(&mut self, now: TimePoint, targets: Vec<SteerTarget>) {
-        let mut known: HashMap<TargetKey, TargetRecord> = HashMap::new();
-        let first = self.services.is_empty();
-        for pool in self.pools.values_mut() {
-            known.extend(pool.take_all());
-        }
-        self.services.clear();
-        let mechanisms = &self.setup.mechanisms;
-        for target in targets {
-            let key = target.key();
-            let service = target.service.clone();
-            let record = match known.remove(&key) {
-                Some(record) => record.with_setup(target),
-                None => {
-                    let in_use = self.pools.get(&service).is_some_and(TargetPool::is_in_use);
-                    TargetRecord::new(target, now, first, in_use, self.parted.restore(key))
-                }
-            };
-            self.services.insert(key, service.clone());
-            let pool = self.pools.entry(service);
-            pool.or_insert_with(|| TargetPool::new(mechanisms)).insert(key, record);
-        }
-        for (key, record) in known {
-            self.parted.keep(now, key, record.notices);
-        }
-        self.pools.retain(|_, pool| !pool.is_empty());
+        let kept: HashSet<TargetKey> = targets.iter().map(SteerTarget::key).collect();
+        let gone = self.services.keys().filter(|key| !kept.contains(key));
+        let gone: Vec<TargetKey> = gone.copied().collect();
+        self.change_targets(now, &gone, targets);
     }
 
     /// Takes what is new among the targets that take work: lives that take none any more, and targets that are
@@ -230,11 +209,10 @@
             return Err(NoPick::NoTarget);
         };
         let drawn: f64 = self.random.random();
-        let place = KeptPlace { data_centre: &self.setup.data_centre, near_boxes: self.near_boxes };
-        let keeps = self.setup.mechanisms.has(Mechanism::KeptTargets);
-        let kept = keeps.then(|| kept_targets(now, pool, request, place)).flatten();
-        let trial_place = TrialPlace { only_fresh: kept.is_some(), ..self.trial_place() };
-        if let Some(key) = draw_trial(now, pool, request, &trial_place, drawn) {
+        let place = self.trial_place();
+        let kept = kept_targets(now, pool, request, &place);
+        let place = TrialPlace { only_fresh: kept.is_some(), ..place };
+        if let Some(key) = draw_trial(now, pool, request, &place, drawn) {
             return Ok(make_pick(key, pool, now, true));
         }
         let usual = self.routes.usual_time(request.route).unwrap_or(pool.usual_time());
--- a/crates/decide/src/steer/notices.rs
+++ b/crates/decide/src/steer/notices.rs
@@ -112,10 +112,8 @@
         tried: &[TargetKey],
         homes: HomeRegions<'_>,
     ) -> bool {
-        let Some(pool) = self.pools.get(service) else {
-            return false;
-        };
-        pool.in_draw(now).any(|(key, record)| !tried.contains(&key) && record.is_in(homes))
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.open_to(now, tried, homes).next().is_some())
     }
 
     /// Why a target wants nothing at `now`, by its own word; `None` if it does, or is not known.
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -227,11 +227,6 @@
         record.note_suspicion(now)
     }
 
-    pub(crate) fn take_all(&mut self) -> BTreeMap<TargetKey, TargetRecord> {
-        self.centres.clear();
-        std::mem::take(&mut self.records)
-    }
-
     pub(crate) fn insert(&mut self, key: TargetKey, record: TargetRecord) {
         *self.centres.entry(record.setup.data_centre.clone()).or_default() += 1;
         if let Some(before) = self.records.insert(key, record) {
@@ -264,12 +259,16 @@
         self.records.is_empty()
     }
 
-    /// All targets that can be chosen now.
-    pub(crate) fn in_draw(
-        &self,
+    /// The targets in the regions `homes` that can be chosen now beside those that were `tried`.
+    pub(crate) fn open_to<'p, 'r>(
+        &'p self,
         now: TimePoint,
-    ) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
-        let records = self.records.iter().filter(move |(_, record)| record.is_in_draw(now));
+        tried: &'r [TargetKey],
+        homes: HomeRegions<'r>,
+    ) -> impl Iterator<Item = (TargetKey, &'p TargetRecord)> {
+        let records = self.records.iter().filter(move |(key, record)| {
+            record.is_in_draw(now) && !tried.contains(key) && record.is_in(homes)
+        });
         records.map(|(key, record)| (*key, record))
     }
 
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -228,7 +228,7 @@
     }
 
     /// Whether no attempt at it has failed within `time`.
-    pub(crate) fn failed_before(&self, now: TimePoint, time: Duration) -> bool {
+    pub(crate) fn is_unfailed_for(&self, now: TimePoint, time: Duration) -> bool {
         self.path_clear(now) && self.failed_at.is_none_or(|failed| now.since(failed) >= time)
     }
 
--- a/crates/decide/src/steer/trial.rs
+++ b/crates/decide/src/steer/trial.rs
@@ -109,11 +109,11 @@
     let spared = few_fail && !request.repeatable;
     let in_use = pool.in_use_for(now);
     let mut due = Vec::new();
-    for (key, record) in pool.in_draw(now) {
+    for (key, record) in pool.open_to(now, request.tried, request.homes) {
         let away = *record.setup.data_centre != *place.data_centre;
         let left_to_others = away && (request.large || (few_fail && !record.is_fresh()));
         let rests = place.only_fresh && !record.is_fresh();
-        if rests || left_to_others || !record.path_clear(now) || !record.is_in(request.homes) {
+        if rests || left_to_others || !record.path_clear(now) {
             continue;
         }
         let factor = if away { AWAY_TRIAL_FACTOR } else { 1.0 };
