The test of silent keepers goes on until it has met two of them

Change: the rounds go on until a second keeper was asked, 40 at most; each has the check that it had, and the last assertion is as it was.

--- a/crates/gateway/tests/silent_keepers.rs
+++ b/crates/gateway/tests/silent_keepers.rs
@@ -25,7 +25,10 @@
 const ASKS_AGAIN: Duration = Duration::from_millis(1300);
 /// Time between two signs of life.
 const BEAT: Duration = Duration::from_millis(300);
+/// Rounds, and the most of them: which target is asked first is drawn, and four rounds met one keeper alone in 6 of 60
+/// plays.
 const ROUNDS: usize = 4;
+const MOST_ROUNDS: usize = 40;
 
 /// A peer that gives signs of life and answers no ask for a permit.
 struct SilentPeer {
@@ -90,11 +93,15 @@
         targets.iter().all(|target| !target.seen().is_empty())
     });
     let asks = || peers.iter().map(SilentPeer::asks).sum::<usize>();
-    for round in 0..ROUNDS {
+    let asked = || peers.iter().filter(|peer| peer.asks() > 0).count();
+    for round in 0..MOST_ROUNDS {
+        if round >= ROUNDS && asked() > 1 {
+            break;
+        }
         thread::sleep(ASKS_AGAIN);
         let before = asks();
         assert_eq!(gateway.ask("GET", "/r/x").status, 503, "there is no room");
         assert!(asks() <= before + 1, "round {round}: {} were asked", asks() - before);
     }
-    assert!(peers.iter().filter(|peer| peer.asks() > 0).count() > 1, "keepers are different ones");
+    assert!(asked() > 1, "keepers are different ones");
 }
