One piece of code for what is sent long, what is packed and how the view is changed

`ListingSource` counted the peers it sends to as `ConfigSource` does, with the same constants. `encode_targets` worked out the difference to a peer's listing for each peer that asks, also where the packed one was held already. Five functions each locked the view, changed it and published it. `BodyPump` kept a flag that its decoder knows.

Change: `SendPlaces` serves both sources; what a peer lacks is looked up by its hash and worked out only when it is packed; `BoxContext::change_view` is the one way to change the view; the flag is derived.

No figure of speed was taken: the difference is spared, not weighed.

Conclusion: behaviour as before, with one copy of each.

--- a/crates/gateway/src/config_duty.rs
+++ b/crates/gateway/src/config_duty.rs
@@ -22,14 +22,13 @@
 use crate::gossip::GossipDuty;
 use crate::ports::{ConfigNews, StoreError};
 use crate::retry_pause::RetryPause;
+use crate::send_places::BUSY_PAUSE;
 use crate::suspension::StartMark;
 use crate::view::ConfigText;
 
 /// Configurations over this are not read with each listing of the targets, in bytes: at
 /// 10 Mbit/s this one takes 26 ms.
 const LARGE_CONFIG_BYTES: usize = 32 * 1024;
-/// Wait before a peer is asked again that sends to others, at least; twice that at most.
-const BUSY_PAUSE: Duration = Duration::from_millis(30);
 /// A box that reads for its data centre does so with its listing of targets; the duty by
 /// itself reads when that is this late.
 const READER_LAG: Duration = Duration::from_millis(150);
--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -7,21 +7,15 @@
 use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use wingbridge_wire::gossip::{ConfigReply, ConfigRequest, ConfigStep};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::context::lock;
+use crate::send_places::{SendPlace, SendPlaces};
 use crate::text_patch::make_patch;
 use crate::view::ConfigText;
 
-/// Boxes to which a large reply is sent at once, at least. With three the holders grow fourfold
-/// in the time of three transfers, which is near the best that one link can do.
-const SENT_AT_ONCE: usize = 3;
-/// One more for each such part of the link, in megabits a second: boxes with less room than
-/// this are the ones for which sending one after the other is too slow.
-const MBPS_EACH: u32 = 15;
 /// Replies up to this are sent to everybody at once, in bytes: 30 of them take a link with
 /// 10 Mbit/s a fifth of a second.
 const SMALL_REPLY: usize = 8 * 1024;
@@ -34,8 +28,7 @@
 #[derive(Debug)]
 pub struct ConfigSource {
     state: Mutex<SourceState>,
-    sending: AtomicUsize,
-    sent_at_once: usize,
+    places: SendPlaces,
 }
 
 #[derive(Debug, Default)]
@@ -53,7 +46,7 @@
 #[derive(Debug)]
 pub struct SourceReply<'a> {
     reply: ConfigReply,
-    sending: Option<&'a AtomicUsize>,
+    _place: Option<SendPlace<'a>>,
 }
 
 impl SourceReply<'_> {
@@ -63,22 +56,10 @@
     }
 }
 
-impl Drop for SourceReply<'_> {
-    fn drop(&mut self) {
-        if let Some(sending) = self.sending {
-            sending.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
-}
-
 impl ConfigSource {
     /// What a box with a link of `link_mbps` hands on: nothing yet.
     pub fn new(link_mbps: u32) -> ConfigSource {
-        ConfigSource {
-            state: Mutex::default(),
-            sending: AtomicUsize::new(0),
-            sent_at_once: SENT_AT_ONCE + (link_mbps / MBPS_EACH) as usize,
-        }
+        ConfigSource { state: Mutex::default(), places: SendPlaces::new(link_mbps) }
     }
 
     /// Holds `text` from now on. `steps` are those by which it came here from the one before;
@@ -119,24 +100,23 @@
     pub fn reply(&self, request: ConfigRequest, age_ms: u64) -> SourceReply<'_> {
         let mut state = lock(&self.state);
         let Some(text) = state.text.clone() else {
-            return SourceReply { reply: ConfigReply::default(), sending: None };
+            return SourceReply { reply: ConfigReply::default(), _place: None };
         };
         let reply = ConfigReply { revision: text.revision, age_ms, ..ConfigReply::default() };
         if text.revision <= request.revision {
-            return SourceReply { reply, sending: None };
+            return SourceReply { reply, _place: None };
         }
         let steps = state.steps_from(request.revision, &text);
         let bytes: usize = steps.iter().map(|step| step.patch.len()).sum();
         if bytes <= SMALL_REPLY {
-            return SourceReply { reply: ConfigReply { steps, ..reply }, sending: None };
+            return SourceReply { reply: ConfigReply { steps, ..reply }, _place: None };
         }
-        if self.sending.load(Ordering::Relaxed) >= self.sent_at_once {
+        let Some(place) = self.places.take() else {
             let holders = state.holders.iter().rev().map(IpAddr::to_string).collect();
             let reply = ConfigReply { busy: true, holders, ..reply };
-            return SourceReply { reply, sending: None };
-        }
-        self.sending.fetch_add(1, Ordering::Relaxed);
-        SourceReply { reply: ConfigReply { steps, ..reply }, sending: Some(&self.sending) }
+            return SourceReply { reply, _place: None };
+        };
+        SourceReply { reply: ConfigReply { steps, ..reply }, _place: Some(place) }
     }
 
     /// Notes that the box at `host` has the configuration of `revision` from here.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -224,12 +224,7 @@
         let revision = view.revision;
         // Before it opens the box to callers, who may ask for such a request first.
         self.crashes.take_notes(std::mem::take(&mut view.crash_notes));
-        let change = {
-            let mut known = self.view();
-            let change = known.take(view, as_of, &*self.port);
-            self.publish_targets(&mut known);
-            change
-        };
+        let change = self.change_view(|known| known.take(view, as_of, &*self.port));
         let heard = self.settle_config(Vec::new());
         self.note_taken(&change, &TakenFrom { revision, as_of, source, heard });
     }
@@ -237,12 +232,7 @@
     /// Takes a listing of targets and puts it in force.
     pub(crate) fn take_listing(&self, listing: TargetListing, as_of: Instant, source: &str) {
         let revision = listing.revision;
-        let change = {
-            let mut known = self.view();
-            let change = known.take_listing(listing, as_of);
-            self.publish_targets(&mut known);
-            change
-        };
+        let change = self.change_view(|known| known.take_listing(listing, as_of));
         self.note_taken(&change, &TakenFrom { revision, as_of, source, heard: None });
     }
 
@@ -250,13 +240,8 @@
     /// held.
     pub(crate) fn take_difference(&self, told: ToldDifference, as_of: Instant) -> bool {
         let revision = told.revision;
-        let change = {
-            let mut known = self.view();
-            let Some(change) = known.take_difference(told, as_of) else {
-                return false;
-            };
-            self.publish_targets(&mut known);
-            change
+        let Some(change) = self.change_view(|known| known.take_difference(told, as_of)) else {
+            return false;
         };
         let source = "peer";
         self.note_taken(&change, &TakenFrom { revision, as_of, source, heard: None });
@@ -266,12 +251,7 @@
     /// Takes what was written in the store since a revision that this box knew, and puts it in force.
     pub(crate) fn take_news(&self, news: StoreChanges, as_of: Instant) {
         let revision = news.revision;
-        let change = {
-            let mut known = self.view();
-            let change = known.take_news(news, as_of, &*self.port);
-            self.publish_targets(&mut known);
-            change
-        };
+        let change = self.change_view(|known| known.take_news(news, as_of, &*self.port));
         let heard = self.settle_config(Vec::new());
         self.note_taken(&change, &TakenFrom { revision, as_of, source: "store", heard });
     }
@@ -286,14 +266,11 @@
         source: &str,
     ) {
         let revision = config.revision;
-        let change = {
-            let mut known = self.view();
+        let change = self.change_view(|known| {
             let change = known.take_config_alone(config, &*self.port);
             known.confirm_config(revision, as_of);
-            // What cold targets take stands there.
-            self.publish_targets(&mut known);
             change
-        };
+        });
         let heard = self.settle_config(steps);
         self.note_taken(&change, &TakenFrom { revision, as_of, source, heard });
     }
@@ -349,9 +326,16 @@
         }
     }
 
-    /// Hands what is new among the targets that take work to the core. The view must be held by the
-    /// caller, so that no older one can overtake it.
-    pub(crate) fn publish_targets(&self, known: &mut KnownView) {
+    /// Changes what is known of the store, and hands what is new by it among the targets that take work to the
+    /// core. The view is held meanwhile, so that no older one can overtake it.
+    pub(crate) fn change_view<T>(&self, change: impl FnOnce(&mut KnownView) -> T) -> T {
+        let mut known = self.view();
+        let changed = change(&mut known);
+        self.publish_targets(&mut known);
+        changed
+    }
+
+    fn publish_targets(&self, known: &mut KnownView) {
         let TargetUpdate { gone, set } = known.take_update();
         if gone.is_empty() && set.is_empty() {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod routes;
 mod routing;
 pub mod run;
+mod send_places;
 pub mod settings;
 mod sightings;
 mod stopping;
--- a/crates/gateway/src/listing_history.rs
+++ b/crates/gateway/src/listing_history.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Where the changes begin that led from the listing with the hash `from` to the newest one.
+    pub(crate) fn position(&self, from: u64) -> Option<usize> {
+        self.changes.iter().rposition(|change| change.from == from)
+    }
+
     /// What makes `now`, the listing that the last change led to, of the one with the hash
     /// `from`; `None` if that one is not known any more.
     pub(crate) fn since(
@@ -59,7 +64,7 @@
         from: u64,
         now: &BTreeMap<Name, TargetEntry>,
     ) -> Option<ListingDifference> {
-        let first = self.changes.iter().rposition(|change| change.from == from)?;
+        let first = self.position(from)?;
         let later = self.changes.iter().skip(first);
         let names: HashSet<&Name> = later.flat_map(|change| &change.names).collect();
         let mut difference = ListingDifference::default();
--- a/crates/gateway/src/listing_source.rs
+++ b/crates/gateway/src/listing_source.rs
@@ -7,7 +7,6 @@
 //! those that have it then hand it on.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use lz4_flex::block::{compress_prepend_size, decompress_size_prepended};
@@ -15,16 +14,13 @@
 use wingbridge_wire::gossip::{TargetRecord, TargetRecords};
 
 use crate::context::lock;
+use crate::send_places::{SendPlace, SendPlaces};
 
 /// Targets in a part: packing one takes some hundred kilobytes of memory for a moment.
 const PART_TARGETS: usize = 500;
 /// Replies up to this are sent to everybody at once, in bytes: 40 of them take a link with
 /// 10 Mbit/s half a second.
 const SMALL_REPLY: usize = 16 * 1024;
-/// Boxes to which a longer one is sent at once, at least, and one more for each such part of the link,
-/// in megabits a second.
-const SENT_AT_ONCE: usize = 3;
-const MBPS_EACH: u32 = 15;
 /// Replies that are kept packed: boxes lack the last listing, one of those before, or all.
 const KEPT: usize = 4;
 /// A part that says that it unpacks to more than this is none, in bytes.
@@ -48,23 +44,14 @@
 #[derive(Debug)]
 pub(crate) struct ListingSource {
     packed: Mutex<VecDeque<(ListingStep, Arc<PackedTargets>)>>,
-    sending: AtomicUsize,
-    sent_at_once: usize,
+    places: SendPlaces,
 }
 
 /// A reply that counts as being sent until this is dropped.
 #[derive(Debug)]
 pub(crate) struct SentTargets<'a> {
     pub(crate) targets: Arc<PackedTargets>,
-    sending: Option<&'a AtomicUsize>,
-}
-
-impl Drop for SentTargets<'_> {
-    fn drop(&mut self) {
-        if let Some(sending) = self.sending {
-            sending.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
+    _place: Option<SendPlace<'a>>,
 }
 
 impl PackedTargets {
@@ -90,11 +77,7 @@
 impl ListingSource {
     /// Nothing to hand on yet, by a link of `link_mbps`.
     pub(crate) fn new(link_mbps: u32) -> ListingSource {
-        ListingSource {
-            packed: Mutex::default(),
-            sending: AtomicUsize::new(0),
-            sent_at_once: SENT_AT_ONCE + (link_mbps / MBPS_EACH) as usize,
-        }
+        ListingSource { packed: Mutex::default(), places: SendPlaces::new(link_mbps) }
     }
 
     /// What makes the step, packed by `pack` unless it is known; `None` while as many long replies are sent
@@ -106,13 +89,10 @@
     ) -> Option<SentTargets<'_>> {
         let targets = self.packed(step, pack);
         if targets.bytes() <= SMALL_REPLY {
-            return Some(SentTargets { targets, sending: None });
-        }
-        if self.sending.fetch_add(1, Ordering::Relaxed) >= self.sent_at_once {
-            self.sending.fetch_sub(1, Ordering::Relaxed);
-            return None;
+            return Some(SentTargets { targets, _place: None });
         }
-        Some(SentTargets { targets, sending: Some(&self.sending) })
+        let place = self.places.take()?;
+        Some(SentTargets { targets, _place: Some(place) })
     }
 
     fn packed(
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -274,10 +274,11 @@
     }
 
     fn drop_lapsed(&self) {
-        let mut known = self.context.view();
-        if known.drop_lapsed(Instant::now()) {
-            log::info!(revision = known.revision(); "lapsed-targets-dropped");
-            self.context.publish_targets(&mut known);
+        let dropped = self
+            .context
+            .change_view(|known| known.drop_lapsed(Instant::now()).then(|| known.revision()));
+        if let Some(revision) = dropped {
+            log::info!(revision; "lapsed-targets-dropped");
         }
     }
 }
--- a/crates/gateway/src/streamed_body.rs
+++ b/crates/gateway/src/streamed_body.rs
@@ -43,7 +43,6 @@
     left: usize,
     /// The longest time without a byte.
     idle_time: Duration,
-    ended: bool,
 }
 
 /// What became of a body at its caller's end.
@@ -63,7 +62,7 @@
 ) -> (BodyPump, BodyRest) {
     let (sender, receiver) = async_channel::bounded(WAITING_PIECES);
     let rest = BodyRest { pieces: receiver, begun: AtomicBool::new(false) };
-    (BodyPump { decoder, pieces: sender, left, idle_time, ended: false }, rest)
+    (BodyPump { decoder, pieces: sender, left, idle_time }, rest)
 }
 
 impl BodyRest {
@@ -104,13 +103,12 @@
                 return Ok(PumpEnd::Unwanted);
             }
         }
-        self.ended = true;
         let taken = self.pieces.send(BodyPiece::End).await.is_ok();
         Ok(if taken { PumpEnd::Whole } else { PumpEnd::Unwanted })
     }
 
     /// Whether the body was read to its end, so that a next request may follow it.
     pub(crate) fn is_done(&self) -> bool {
-        self.ended
+        self.decoder.is_done()
     }
 }
--- a/crates/gateway/src/target_table.rs
+++ b/crates/gateway/src/target_table.rs
@@ -5,7 +5,7 @@
 //! several times its size in memory and the more processor time the more targets there were.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wingbridge_decide::{Name, TargetKey};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
@@ -48,7 +48,7 @@
     update: TargetUpdate,
 }
 
-/// What the listing before lapsed by, and when it was read.
+/// When a listing was read, and what that means for targets that are missing in it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ListingTime {
     pub(crate) as_of: Instant,
@@ -57,7 +57,7 @@
 }
 
 impl TargetTable {
-    /// The hash over the listing; 0 before the first.
+    /// The hash over the listing.
     pub(crate) fn digest(&self) -> u64 {
         digest_of(self.sum, &self.evacuated)
     }
@@ -79,9 +79,8 @@
 
     /// Targets that take work at `now`.
     pub(crate) fn usable(&self, now: Instant) -> impl Iterator<Item = &TargetEntry> {
-        let listed = self.entries.values().filter_map(|target| self.in_force(target));
         let lapsed = self.lapsed.values().filter(move |(_, until)| now < *until);
-        listed.chain(lapsed.map(|(target, _)| target))
+        self.listed_in_force().chain(lapsed.map(|(target, _)| target))
     }
 
     /// What makes this listing of the one with the hash `digest`; `None` if that one is not known.
@@ -89,6 +88,11 @@
         self.history.since(digest, &self.entries)
     }
 
+    /// Whether it is known what makes this listing of the one with the hash `digest`.
+    pub(crate) fn remembers(&self, digest: u64) -> bool {
+        self.history.position(digest).is_some()
+    }
+
     /// What makes a whole listing of this one.
     pub(crate) fn difference_from(&self, targets: Vec<TargetEntry>) -> ListingDifference {
         let gone = {
@@ -169,7 +173,7 @@
     }
 
     /// Ends what targets may yet be used for sooner, by `time` that the clock did not count.
-    pub(crate) fn grow_older(&mut self, time: std::time::Duration) {
+    pub(crate) fn grow_older(&mut self, time: Duration) {
         for (_, until) in self.lapsed.values_mut() {
             *until = until.checked_sub(time).unwrap_or(*until);
         }
@@ -179,9 +183,12 @@
     /// another.
     pub(crate) fn renew(&mut self, is_concerned: impl Fn(&TargetEntry) -> bool) {
         let concerned: Vec<TargetEntry> = {
-            let listed = self.entries.values().filter_map(|target| self.in_force(target));
             let lapsed = self.lapsed.values().map(|(target, _)| target);
-            listed.chain(lapsed).filter(|target| is_concerned(target)).cloned().collect()
+            self.listed_in_force()
+                .chain(lapsed)
+                .filter(|target| is_concerned(target))
+                .cloned()
+                .collect()
         };
         self.update.set.extend(concerned);
     }
@@ -270,6 +277,10 @@
         listed.or_else(|| self.lapsed.get(id).map(|(target, _)| target))
     }
 
+    fn listed_in_force(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.entries.values().filter_map(|target| self.in_force(target))
+    }
+
     fn in_force<'a>(&'a self, listed: &'a TargetEntry) -> Option<&'a TargetEntry> {
         self.lives.in_force(listed).filter(|target| !target.draining)
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -359,6 +359,11 @@
         self.targets.difference_to(digest)
     }
 
+    /// Whether it is known what makes this listing of the one with the hash `digest`.
+    pub(crate) fn remembers(&self, digest: u64) -> bool {
+        self.targets.remembers(digest)
+    }
+
     /// When the next lapsed target is to be dropped, if there is one.
     pub fn next_lapse(&self) -> Option<Instant> {
         self.targets.next_lapse()
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -18,12 +18,11 @@
 use crate::context::{BoxContext, millis};
 use crate::listing_source::{ListingStep, PackedTargets, SentTargets, unpack};
 use crate::ports::TargetListing;
+use crate::send_places::BUSY_PAUSE;
 use crate::view::{KnownView, ListingDifference, TargetEntry, ToldDifference};
 
 /// Time for a connection to a peer: within a data centre it takes a millisecond or two.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
-/// Wait before a peer is asked again that sends to others, at least; twice that at most.
-const BUSY_PAUSE: Duration = Duration::from_millis(30);
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -128,8 +127,7 @@
     if reply.busy {
         return Ok(FetchedTargets::Busy);
     }
-    let told = decode_targets(reply, &mark)?;
-    let fits = match told {
+    let fits = match decode_targets(reply, &mark)? {
         ToldTargets::All(listing) => {
             context.take_listing(listing, as_of, "peer");
             true
@@ -178,28 +176,26 @@
     let known = context.view();
     let evacuated = known.evacuated().iter().map(Name::to_string).collect();
     let reply = TargetsReply { mark: view_mark(&known), evacuated, ..TargetsReply::default() };
-    let (base, sent) = match known.difference_to(request.digest) {
-        Some(ListingDifference { changed, gone }) => {
-            let step = ListingStep { from: request.digest, to: known.digest() };
-            let records = changed.iter().map(|target| record(&known, target));
-            let gone = gone.iter().map(Name::to_string).collect();
-            let sent = context.listing_source.send(step, || PackedTargets::pack(records, gone));
-            (request.digest, sent)
-        }
-        None => {
-            let step = ListingStep { from: 0, to: known.digest() };
-            let records = known.listed().map(|target| record(&known, target));
-            let pack = || PackedTargets::pack(records, Vec::new());
-            (0, context.listing_source.send(step, pack))
-        }
-    };
-    let Some(sent) = sent else {
+    let base = if known.remembers(request.digest) { request.digest } else { 0 };
+    let step = ListingStep { from: base, to: known.digest() };
+    let Some(sent) = context.listing_source.send(step, || pack_targets(&known, base)) else {
         return (TargetsReply { busy: true, ..reply }, None);
     };
     let PackedTargets { parts, gone } = &*sent.targets;
     (TargetsReply { base, parts: parts.clone(), gone: gone.clone(), ..reply }, Some(sent))
 }
 
+/// What makes the listing that is held of the one with the hash `base`, or all of it.
+fn pack_targets(known: &KnownView, base: u64) -> PackedTargets {
+    match known.difference_to(base) {
+        Some(ListingDifference { changed, gone }) => {
+            let gone = gone.iter().map(Name::to_string).collect();
+            PackedTargets::pack(changed.iter().map(|target| record(known, target)), gone)
+        }
+        None => PackedTargets::pack(known.listed().map(|target| record(known, target)), Vec::new()),
+    }
+}
+
 fn record(known: &KnownView, target: &TargetEntry) -> TargetRecord {
     TargetRecord {
         id: target.id.to_string(),
