Tests: questions between boxes and boxes under steady requests stand in the harness once

Change: `harness/peer.rs` and `harness/load.rs`. What a caller does is given by the test, so that the one of cold targets still fails if a box takes no connection, and that of limits still passes over one that is being started.

Conclusion: the assertions are as they were.

--- a/crates/gateway/tests/cold_targets.rs
+++ b/crates/gateway/tests/cold_targets.rs
@@ -6,12 +6,12 @@
 
 mod harness;
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use harness::{
-    BoxUnderTest, Script, StoreStandin, TargetStandin, config, eventually, own_host, route,
+    BoxUnderTest, Script, StoreStandin, TargetStandin, ask_while, config, eventually, most_within,
+    own_host, route,
 };
 use wingbridge_decide::steer::RequestRate;
 use wingbridge_gateway::routes::RouteKind;
@@ -64,45 +64,21 @@
         entry.cold_time = if is_cold { Duration::from_secs(3) } else { Duration::ZERO };
         self.store.put_targets(vec![entry, self.warm.entry.clone()]);
     }
-
-    fn ask_all_while(&self, meanwhile: impl FnOnce()) {
-        let is_over = AtomicBool::new(false);
-        thread::scope(|scope| {
-            for asked in &self.boxes {
-                let is_over = &is_over;
-                scope.spawn(move || {
-                    while !is_over.load(Ordering::Acquire) {
-                        asked.ask("POST", "/r/x");
-                        thread::sleep(PAUSE);
-                    }
-                });
-            }
-            meanwhile();
-            is_over.store(true, Ordering::Release);
-        });
-    }
-}
-
-fn most_in_a_second(arrivals: &[Instant], from: Instant) -> usize {
-    let late: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
-    let within = |first: Instant| {
-        move |at: &&Instant| **at >= first && **at < first + Duration::from_secs(1)
-    };
-    late.iter().map(|first| late.iter().filter(within(*first)).count()).max().unwrap_or(0)
 }
 
 #[test]
 fn six_boxes_keep_to_what_a_cold_target_takes_and_use_it() {
     let world = World::start();
-    let mut from = Instant::now();
-    world.ask_all_while(|| {
+    let ask = |gateway: &BoxUnderTest| drop(gateway.ask("POST", "/r/x"));
+    let from = ask_while(&world.boxes, ask, PAUSE, || {
         world.list(true);
         thread::sleep(NEWS_TIME);
-        from = Instant::now();
+        let from = Instant::now();
         thread::sleep(ASKED_FOR);
+        from
     });
     let arrivals = world.cold.arrivals();
-    let most = most_in_a_second(&arrivals, from);
+    let most = most_within(&arrivals, from, Duration::from_secs(1));
     assert!(most <= MOST, "{most} in a second");
     let used = arrivals.iter().filter(|at| **at >= from).count();
     assert!(used >= ASKED_FOR.as_secs() as usize, "{used}: it is to be used all the same");
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -8,11 +8,11 @@
 use std::thread;
 use std::time::Duration;
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
 use harness::{
-    BoxUnderTest, EXCHANGE, GOSSIP, Script, StoreStandin, TargetStandin, config, eventually,
-    own_host, packed, route, unpacked,
+    BoxUnderTest, EXCHANGE, GOSSIP, Script, StoreStandin, TargetStandin, ask_on, ask_targets,
+    config, connect_exchange, eventually, own_host, packed, route, unpacked,
 };
 use prost::Message;
 use rand::rngs::SmallRng;
@@ -23,7 +23,7 @@
 use wingbridge_gateway::view::ConfigText;
 use wingbridge_wire::gossip::{
     Beacon, ConfigReply, ConfigRequest, ConfigStep, Datagram, DatagramBody, ExchangeQuestion,
-    ExchangeRequest, TargetRecord, TargetsReply, TargetsRequest, ViewMark,
+    ExchangeRequest, TargetRecord, TargetsReply, ViewMark,
 };
 use wingbridge_wire::{WireError, receive_message, send_message};
 
@@ -33,28 +33,9 @@
     store
 }
 
-fn connect(host: IpAddr) -> TcpStream {
-    task::block_on(TcpStream::connect(SocketAddr::new(host, EXCHANGE))).expect("it listens")
-}
-
-fn ask_on<M: Message + Default>(
-    stream: &TcpStream,
-    question: Option<ExchangeQuestion>,
-) -> Result<M, WireError> {
-    task::block_on(async {
-        send_message(stream, &ExchangeRequest { question }).await?;
-        receive_message(stream).await
-    })
-}
-
 fn ask_config(host: IpAddr, revision: u64) -> ConfigReply {
     let question = ExchangeQuestion::Config(ConfigRequest { revision });
-    ask_on(&connect(host), Some(question)).expect("it answers")
-}
-
-fn ask_targets(host: IpAddr, digest: u64) -> TargetsReply {
-    let question = ExchangeQuestion::Targets(TargetsRequest { digest });
-    ask_on(&connect(host), Some(question)).expect("it answers")
+    ask_on(&connect_exchange(host), Some(question)).expect("it answers")
 }
 
 #[test]
@@ -156,7 +137,7 @@
 fn a_question_of_no_kind_ends_its_connection_alone() {
     let gateway = BoxUnderTest::start(store().port(true), &[]);
     gateway.wait_ready();
-    assert!(ask_on::<TargetsReply>(&connect(gateway.host()), None).is_err());
+    assert!(ask_on::<TargetsReply>(&connect_exchange(gateway.host()), None).is_err());
     assert!(ask_targets(gateway.host(), 0).mark.is_some());
 }
 
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -8,6 +8,8 @@
 
 mod caller;
 mod gateway;
+mod load;
+mod peer;
 mod store;
 mod target;
 
@@ -17,14 +19,14 @@
 use std::thread;
 use std::time::Duration;
 
-use prost::Message;
 use wingbridge_gateway::customers::{Customer, CustomerSetup, KeyDigest};
 use wingbridge_gateway::routes::{CallerLimits, Route, RouteAccess, RouteConfig, RouteKind};
 use wingbridge_process::metrics::render_metrics;
-use wingbridge_wire::gossip::{TargetRecord, TargetRecords, TargetsReply};
 
 pub use caller::{CallerReply, CallerStandin};
 pub use gateway::{BoxUnderTest, EXCHANGE, GOSSIP};
+pub use load::{ask_while, most_within};
+pub use peer::{ask_on, ask_targets, connect_exchange, packed, unpacked};
 pub use store::StoreStandin;
 pub use target::{BEGUN, DEADLY, LONG, Script, TargetStandin, entry};
 
@@ -94,20 +96,6 @@
     }
 }
 
-/// Targets as boxes send them to each other.
-pub fn packed(targets: Vec<TargetRecord>) -> Vec<Vec<u8>> {
-    vec![lz4_flex::block::compress_prepend_size(&TargetRecords { targets }.encode_to_vec())]
-}
-
-/// The targets of a reply.
-pub fn unpacked(reply: &TargetsReply) -> Vec<TargetRecord> {
-    let unpack = |part: &Vec<u8>| {
-        let bytes = lz4_flex::block::decompress_size_prepended(part).expect("it was packed");
-        TargetRecords::decode(&bytes[..]).expect("it holds targets").targets
-    };
-    reply.parts.iter().flat_map(unpack).collect()
-}
-
 /// A customer without a limit, with its keys.
 pub fn customer(name: &str, keys: &[&str]) -> CustomerSetup {
     CustomerSetup {
--- /dev/null
+++ b/crates/gateway/tests/harness/peer.rs
@@ -0,0 +1,49 @@
+//! Questions to a box as its peers ask them, and what they tell each other of targets.
+
+use std::net::{IpAddr, SocketAddr};
+
+use async_std::net::TcpStream;
+use async_std::task;
+use prost::Message;
+use wingbridge_wire::gossip::{
+    ExchangeQuestion, ExchangeRequest, TargetRecord, TargetRecords, TargetsReply, TargetsRequest,
+};
+use wingbridge_wire::{WireError, receive_message, send_message};
+
+use super::EXCHANGE;
+
+/// A connection on which a box answers questions.
+pub fn connect_exchange(host: IpAddr) -> TcpStream {
+    task::block_on(TcpStream::connect(SocketAddr::new(host, EXCHANGE))).expect("it listens")
+}
+
+/// Asks a question on a connection.
+pub fn ask_on<M: Message + Default>(
+    stream: &TcpStream,
+    question: Option<ExchangeQuestion>,
+) -> Result<M, WireError> {
+    task::block_on(async {
+        send_message(stream, &ExchangeRequest { question }).await?;
+        receive_message(stream).await
+    })
+}
+
+/// Asks for the targets that lead from the listing with that hash; 0 for all of them.
+pub fn ask_targets(host: IpAddr, digest: u64) -> TargetsReply {
+    let question = ExchangeQuestion::Targets(TargetsRequest { digest });
+    ask_on(&connect_exchange(host), Some(question)).expect("it answers")
+}
+
+/// Targets as boxes send them to each other.
+pub fn packed(targets: Vec<TargetRecord>) -> Vec<Vec<u8>> {
+    vec![lz4_flex::block::compress_prepend_size(&TargetRecords { targets }.encode_to_vec())]
+}
+
+/// The targets of a reply.
+pub fn unpacked(reply: &TargetsReply) -> Vec<TargetRecord> {
+    let unpack = |part: &Vec<u8>| {
+        let bytes = lz4_flex::block::decompress_size_prepended(part).expect("it was packed");
+        TargetRecords::decode(&bytes[..]).expect("it holds targets").targets
+    };
+    reply.parts.iter().flat_map(unpack).collect()
+}
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -10,13 +10,13 @@
 
 mod harness;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::IpAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use harness::{
-    BoxUnderTest, CallerReply, Script, StoreStandin, TargetStandin, config, eventually, header,
-    own_host, route,
+    BoxUnderTest, CallerReply, Script, StoreStandin, TargetStandin, ask_while, config, eventually,
+    header, most_within, own_host, route,
 };
 use wingbridge_gateway::routes::RouteKind;
 
@@ -163,45 +163,18 @@
 
     /// Asks each box again and again, each as soon as it has answered.
     fn ask_all_while<T>(&mut self, meanwhile: impl FnOnce(&mut World) -> T) -> T {
-        let is_over = AtomicBool::new(false);
         let hosts: Vec<_> = self.boxes.iter().map(BoxUnderTest::host).collect();
-        thread::scope(|scope| {
-            for host in hosts {
-                let is_over = &is_over;
-                scope.spawn(move || {
-                    while !is_over.load(Ordering::Acquire) {
-                        // A box that is being started takes no connection.
-                        if let Some(mut caller) = BoxUnderTest::try_connect(host) {
-                            caller.send("GET", "/r/x", "", "");
-                            caller.read();
-                        }
-                        thread::sleep(PAUSE);
-                    }
-                });
+        let ask = |host: &IpAddr| {
+            // A box that is being started takes no connection.
+            if let Some(mut caller) = BoxUnderTest::try_connect(*host) {
+                caller.send("GET", "/r/x", "", "");
+                caller.read();
             }
-            let _ends = OnEnd(&is_over);
-            meanwhile(self)
-        })
+        };
+        ask_while(&hosts, ask, PAUSE, || meanwhile(self))
     }
 }
 
-/// Has the boxes asked no longer, also if the test fails.
-struct OnEnd<'a>(&'a AtomicBool);
-
-impl Drop for OnEnd<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Release);
-    }
-}
-
-/// The most that came within [`WINDOW`] from `from` on.
-fn most_in_window(arrivals: &[Instant], from: Instant) -> usize {
-    let mut late: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
-    late.sort_unstable();
-    let within = |first: Instant| move |at: &&Instant| **at >= first && **at < first + WINDOW;
-    late.iter().map(|first| late.iter().filter(within(*first)).count()).max().unwrap_or(0)
-}
-
 /// What a limit allows within a window: one and a half times, and 5.
 fn allowed(per_second: f64) -> usize {
     (1.5 * per_second * WINDOW.as_secs_f64() + 5.0) as usize
@@ -238,7 +211,7 @@
         }
         from
     });
-    let most = most_in_window(&world.limited.arrivals(), from);
+    let most = most_within(&world.limited.arrivals(), from, WINDOW);
     let most_allowed = allowed(case.per_second);
     assert!(most <= most_allowed, "{}: {most} in 4 s, allowed {most_allowed}", case.name);
 }
--- a/crates/gateway/tests/long_listings.rs
+++ b/crates/gateway/tests/long_listings.rs
@@ -6,17 +6,18 @@
 
 mod harness;
 
-use std::io::{Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::IpAddr;
 
+use async_std::net::TcpStream;
+use async_std::task;
 use harness::{
-    BoxUnderTest, EXCHANGE, Script, StoreStandin, TargetStandin, config, entry, eventually, route,
-    unpacked,
+    BoxUnderTest, Script, StoreStandin, TargetStandin, ask_targets, config, connect_exchange,
+    entry, eventually, route, unpacked,
 };
-use prost::Message;
 use wingbridge_gateway::routes::RouteKind;
 use wingbridge_gateway::view::TargetEntry;
-use wingbridge_wire::gossip::{ExchangeQuestion, ExchangeRequest, TargetsReply, TargetsRequest};
+use wingbridge_wire::gossip::{ExchangeQuestion, ExchangeRequest, TargetsRequest};
+use wingbridge_wire::send_message;
 
 /// More than are listed whole each time, and than go into two parts.
 const TARGETS: usize = 1_200;
@@ -76,23 +77,12 @@
     assert!(target.seen().len() >= 2);
 }
 
-fn ask_all(host: IpAddr) -> TargetsReply {
-    let mut stream = question(host);
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).expect("a reply");
-    let mut reply = vec![0; u32::from_be_bytes(length) as usize];
-    stream.read_exact(&mut reply).expect("a reply");
-    TargetsReply::decode(&reply[..]).expect("a reply")
-}
-
 /// A connection on which all targets were asked for.
 fn question(host: IpAddr) -> TcpStream {
+    let stream = connect_exchange(host);
     let question = ExchangeQuestion::Targets(TargetsRequest { digest: 0 });
-    let bytes = ExchangeRequest { question: Some(question) }.encode_to_vec();
-    let mut stream = TcpStream::connect(SocketAddr::new(host, EXCHANGE)).expect("it listens");
-    let length = u32::try_from(bytes.len()).expect("it is short");
-    stream.write_all(&length.to_be_bytes()).expect("it reads");
-    stream.write_all(&bytes).expect("it reads");
+    let request = ExchangeRequest { question: Some(question) };
+    task::block_on(send_message(&stream, &request)).expect("it reads");
     stream
 }
 
@@ -101,7 +91,7 @@
     let (store, _target) = world();
     let gateway = BoxUnderTest::start(store.port(true), &[]);
     gateway.wait_ready();
-    let reply = ask_all(gateway.host());
+    let reply = ask_targets(gateway.host(), 0);
     assert_eq!((reply.parts.len(), unpacked(&reply).len()), (TARGETS / 500 + 1, TARGETS + 1));
     let bytes: usize = reply.parts.iter().map(Vec::len).sum();
     assert!(bytes < TARGETS * 40, "{bytes}");
@@ -115,9 +105,9 @@
     gateway.wait_ready();
     // Callers that ask and don't read hold the places.
     let holds: Vec<TcpStream> = (0..40).map(|_| question(gateway.host())).collect();
-    let reply = ask_all(gateway.host());
+    let reply = ask_targets(gateway.host(), 0);
     let is_whole = unpacked(&reply).len() == TARGETS + 1;
     assert!(reply.busy != is_whole, "it is either told to come back or has all of it");
     drop(holds);
-    eventually("there is room again", || !ask_all(gateway.host()).busy);
+    eventually("there is room again", || !ask_targets(gateway.host(), 0).busy);
 }
