Logs: the store's era beside its revision, and a line for a reading that is not applied

'view-read' is written whether or not the reading changes the view, and nothing shows that the store came back from a copy: no code reads its Store-Era header.

Change: a revision of the store is one type, StoreRevision, which has the era of the answer that it came in; the adapter reads it (0 for a store that names none, an error for one that is no number). Its order goes by the number, as before, so that nothing is decided otherwise. All lines with a revision that was read have the era too. 'update-outdated' tells of a reading or a peer's listing that was not applied, with what it is and what is held; one a second at most, counted in wingbridge_outdated_updates.

Ruled out: telling it by the age of the view alone, which a failed reading leaves as it is, too.

--- a/crates/gateway/src/config_exchange.rs
+++ b/crates/gateway/src/config_exchange.rs
@@ -31,7 +31,7 @@
     let started_at = Instant::now();
     let sample = context.clock_sample();
     let held = context.view().config_text().cloned();
-    let revision = held.as_ref().map_or(0, |held| held.revision);
+    let revision = held.as_ref().map_or(0, |held| held.revision.number);
     let question = ExchangeQuestion::Config(ConfigRequest { revision });
     let time_limit = context.budget.config_fetch_timeout();
     let reply: ConfigReply = match query_peer(context, host, question, time_limit).await {
@@ -54,7 +54,7 @@
     match apply_deltas(held.as_ref(), &reply.deltas) {
         Ok(text) => {
             log::info!(
-                peer:% = host, revision = text.revision, from = reply.deltas[0].from,
+                peer:% = host, revision:% = text.revision, from = reply.deltas[0].from,
                 bytes = reply.encoded_len(), text_bytes = text.text.len(),
                 taken_ms = millis(started_at.elapsed());
                 "configuration-fetched"
@@ -97,10 +97,10 @@
     let mut text: Vec<u8> = Vec::new();
     let mut revision = 0;
     if let Some(held) =
-        held.filter(|held| deltas.first().is_some_and(|delta| delta.from == held.revision))
+        held.filter(|held| deltas.first().is_some_and(|delta| delta.from == held.revision.number))
     {
         text.extend_from_slice(&held.text);
-        revision = held.revision;
+        revision = held.revision.number;
     }
     for delta in deltas {
         if delta.from != revision || delta.to <= revision {
@@ -113,5 +113,5 @@
         }
         revision = delta.to;
     }
-    Ok(ConfigText { revision, text: text.into() })
+    Ok(ConfigText { revision: revision.into(), text: text.into() })
 }
--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -75,12 +75,12 @@
         };
         let deltas = match previous {
             Some(_) if !deltas.is_empty() => deltas,
-            Some(previous) => vec![make_delta(previous.revision, &previous.text, &text)],
+            Some(previous) => vec![make_delta(previous.revision.number, &previous.text, &text)],
             None => Vec::new(),
         };
         let mut state = lock(&self.state);
-        let current = state.text.as_ref().map(|held| held.revision);
-        if current >= Some(text.revision) {
+        let current = state.text.as_ref().map(|held| held.revision.number);
+        if current >= Some(text.revision.number) {
             return;
         }
         if deltas.first().map(|delta| delta.from) != current {
@@ -103,8 +103,9 @@
         let Some(text) = state.text.clone() else {
             return SourceReply { reply: ConfigReply::default(), _slot: None };
         };
-        let reply = ConfigReply { revision: text.revision, age_ms, ..ConfigReply::default() };
-        if text.revision <= request.revision {
+        let reply =
+            ConfigReply { revision: text.revision.number, age_ms, ..ConfigReply::default() };
+        if text.revision.number <= request.revision {
             return SourceReply { reply, _slot: None };
         }
         let deltas = state.deltas_from(request.revision, &text);
@@ -123,7 +124,7 @@
     /// Records that the box at `host` has received the configuration of `revision` from here.
     pub fn record_seeder(&self, host: IpAddr, revision: u64) {
         let mut state = lock(&self.state);
-        if state.text.as_ref().is_none_or(|text| text.revision != revision) {
+        if state.text.as_ref().is_none_or(|text| text.revision.number != revision) {
             return;
         }
         state.seeders.push_back(host);
@@ -147,7 +148,7 @@
 fn make_delta(from: u64, previous: &[u8], text: &ConfigText) -> ConfigDelta {
     ConfigDelta {
         from,
-        to: text.revision,
+        to: text.revision.number,
         hash: xxh3_64(&text.text),
         patch: make_patch(previous, &text.text),
     }
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -65,7 +65,11 @@
         match outcome {
             Ok(Some(config)) => {
                 let (revision, bytes) = (config.revision, config.text.len());
-                log::info!(revision, bytes, taken_ms = millis(started_at.elapsed()); "configuration-read");
+                log::info!(
+                    revision:% = revision, era = revision.era, bytes,
+                    taken_ms = millis(started_at.elapsed());
+                    "configuration-read"
+                );
                 let as_of = self.context.corrected_time(&sample);
                 self.context.apply_config(config, Vec::new(), as_of, "store");
                 self.gossip.broadcast_view_version().await;
@@ -99,7 +103,7 @@
             }
             ConfigPoll::Changed(config) => Some(config),
             ConfigPoll::HistoryDiscarded => {
-                log::info!(after; "history-forgotten");
+                log::info!(after:%, era = after.era; "history-forgotten");
                 port.read_config().await?
             }
         };
@@ -175,7 +179,7 @@
         match &fetched {
             ConfigFetch::Applied => self.gossip.send_view_version_to_some().await,
             ConfigFetch::Busy(seeders) => {
-                let held = self.context.view().config_revision();
+                let held = self.context.view().config_revision().number;
                 let own = self.context.settings.host();
                 let mut newer = self.context.newer_config();
                 for seeder in seeders.iter().filter(|seeder| **seeder != own) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,6 +28,7 @@
 use crate::routes::RouteConfig;
 use crate::settings::GatewaySettings;
 use crate::stopping::StopState;
+use crate::store_revision::StoreRevision;
 use crate::suspension::{ClockSample, SuspensionWatch};
 use crate::view::{
     CachedView, ConfigText, PeerListingDelta, StoreView, TargetEntry, TargetUpdate, ViewChange,
@@ -39,6 +40,8 @@
 
 /// Number of homes without a region that are logged by name for each configuration.
 const MAX_HOMES_LOGGED: usize = 16;
+/// Minimum time between two lines about updates that are older than the view.
+const OUTDATED_LOG_PERIOD: Duration = Duration::from_secs(1);
 
 /// Handles by which other tasks reach the background tasks.
 pub(crate) struct TaskHandles {
@@ -77,6 +80,8 @@
     newer_config: Mutex<NewerConfig>,
     /// Bytes of request bodies that are in memory now.
     pub(crate) held_body_bytes: AtomicUsize,
+    /// Time of the last line about an update that is older than the view.
+    outdated_logged: Mutex<Option<Instant>>,
     started: Instant,
     suspension: SuspensionWatch,
     view: Mutex<CachedView>,
@@ -127,6 +132,7 @@
             view_changed: handles.view_changed,
             config_changed: handles.config_changed,
             held_body_bytes: AtomicUsize::new(0),
+            outdated_logged: Mutex::default(),
             started: Instant::now(),
             suspension,
             view: Mutex::default(),
@@ -295,7 +301,7 @@
         let learned_at = {
             let mut newer = self.newer_config();
             let learned_at = newer.pending().map(|(learned_at, _)| learned_at);
-            newer.clear_if_held(held.revision);
+            newer.clear_if_held(held.revision.number);
             learned_at
         };
         self.config_source.put(held, deltas);
@@ -306,7 +312,11 @@
         let has_all = self.config().is_some() && self.view_age().is_some();
         if has_all && self.first_view.open() {
             let age_ms = millis(from.as_of.elapsed());
-            log::info!(source = from.source, revision = from.revision, age_ms; "ready");
+            let StoreRevision { era, number } = from.revision;
+            log::info!(source = from.source, revision = number, era, age_ms; "ready");
+        }
+        if change.is_outdated {
+            self.log_outdated(from);
         }
         log_change(change, from);
         for name in &change.evacuated {
@@ -330,6 +340,27 @@
         let _ = self.view_changed.try_send(());
     }
 
+    /// Counts an update that was not applied because the view is newer, and logs it unless another one was
+    /// logged moments ago.
+    fn log_outdated(&self, from: &ChangeOrigin<'_>) {
+        metrics::counter!("wingbridge_outdated_updates").increment(1);
+        let mut logged = lock(&self.outdated_logged);
+        if logged.is_some_and(|logged| logged.elapsed() < OUTDATED_LOG_PERIOD) {
+            return;
+        }
+        *logged = Some(Instant::now());
+        let (held, age_ms) = {
+            let view = self.view();
+            (view.revision(), view.as_of().map_or(0, |as_of| millis(as_of.elapsed())))
+        };
+        let StoreRevision { era, number } = from.revision;
+        log::warn!(
+            revision = number, era, held:%, held_era = held.era, view_age_ms = age_ms,
+            source = from.source;
+            "update-outdated"
+        );
+    }
+
     /// Logs the homes of a configuration that are not a region of this deployment: no request with such a
     /// home is served there.
     fn log_unknown_homes(&self, config: &RouteConfig) {
@@ -455,7 +486,7 @@
 
 /// Origin of a change that was applied, for the log.
 struct ChangeOrigin<'a> {
-    revision: u64,
+    revision: StoreRevision,
     as_of: Instant,
     source: &'a str,
     /// Time at which this box first learned of the change from peers.
@@ -464,31 +495,32 @@
 
 fn log_change(change: &ViewChange, from: &ChangeOrigin<'_>) {
     let ChangeOrigin { revision, as_of, source, learned_at } = *from;
+    let StoreRevision { era, number: revision } = revision;
     let age_ms = millis(as_of.elapsed());
     if let Some(version) = change.config {
         let learned_ms = learned_at.map_or(0, |learned_at| millis(learned_at.elapsed()));
-        log::info!(version, revision, age_ms, heard_ms = learned_ms, source; "configuration-in-force");
+        log::info!(version, revision, era, age_ms, heard_ms = learned_ms, source; "configuration-in-force");
     }
     if let Some(reason) = &change.refused {
-        log::error!(revision, reason = reason.as_str(), source; "configuration-refused");
+        log::error!(revision, era, reason = reason.as_str(), source; "configuration-refused");
     }
     for name in &change.evacuated {
-        log::info!(data_centre:% = name, revision, age_ms, source; "data-centre-evacuated");
+        log::info!(data_centre:% = name, revision, era, age_ms, source; "data-centre-evacuated");
     }
     for name in &change.restored {
-        log::info!(data_centre:% = name, revision, age_ms, source; "data-centre-taken-back");
+        log::info!(data_centre:% = name, revision, era, age_ms, source; "data-centre-taken-back");
     }
     for id in &change.restarted {
-        log::info!(target:% = id, revision, age_ms, source; "target-restarted");
+        log::info!(target:% = id, revision, era, age_ms, source; "target-restarted");
     }
     for id in &change.departed {
-        log::info!(target:% = id, revision, age_ms, source; "target-left");
+        log::info!(target:% = id, revision, era, age_ms, source; "target-left");
     }
     if change.joined.len() > MAX_JOINED_LOGGED {
-        log::info!(count = change.joined.len(), revision, age_ms, source; "targets-joined");
+        log::info!(count = change.joined.len(), revision, era, age_ms, source; "targets-joined");
         return;
     }
     for id in &change.joined {
-        log::info!(target:% = id, revision, age_ms, source; "target-joined");
+        log::info!(target:% = id, revision, era, age_ms, source; "target-joined");
     }
 }
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -226,19 +226,19 @@
         };
         let held = {
             let mut known = self.context.view();
-            known.confirm_config(version.config_revision, config_as_of);
-            known.config_revision()
+            known.confirm_config(version.config_revision.into(), config_as_of);
+            known.config_revision().number
         };
         if version.config_revision > held {
             self.record_newer_config(from, version.config_revision, held);
         }
         let mut known = self.context.view();
         let is_newer = known.as_of().is_none_or(|held| as_of > held);
-        if version.revision < known.revision() || !is_newer {
+        if version.revision < known.revision().number || !is_newer {
             return;
         }
         if version.digest == known.digest() {
-            known.confirm(version.revision, as_of);
+            known.confirm(version.revision.into(), as_of);
             // If the channel is full, a notification is already pending.
             let _ = self.context.view_changed.try_send(());
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod settings;
 mod stopping;
 mod store_backoff;
+pub mod store_revision;
 mod store_sync;
 mod streamed_body;
 mod suspension;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -11,6 +11,7 @@
 use wingbridge_process::suspension::suspended_time;
 
 use crate::routes::RouteConfig;
+use crate::store_revision::StoreRevision;
 use crate::view::{ConfigText, StoreView, TargetEntry};
 
 /// The kind of a [`StoreError`].
@@ -55,7 +56,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetListing {
     /// Revision of the store up to which all changes are included.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The targets, ordered by name.
     pub targets: Vec<TargetEntry>,
     /// Data centres that operators have evacuated, ordered by name.
@@ -75,7 +76,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StoreChanges {
     /// Revision of the store up to which all changes are included.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Entries that were written, including entries that differ only in the heartbeat of their target.
     pub written: Vec<TargetEntry>,
     /// Targets whose entries were deleted or have become unusable.
@@ -108,14 +109,14 @@
     fn read_targets(&self) -> BoxFuture<'_, Result<TargetListing, StoreError>>;
 
     /// Polls for changes after the store's revision `after`, without waiting for one.
-    fn poll_changes(&self, after: u64) -> BoxFuture<'_, Result<StorePoll, StoreError>>;
+    fn poll_changes(&self, after: StoreRevision) -> BoxFuture<'_, Result<StorePoll, StoreError>>;
 
     /// Reads the configuration, if there is one.
     fn read_config(&self) -> BoxFuture<'_, Result<Option<ConfigText>, StoreError>>;
 
     /// Polls for a change of the configuration after the store's revision `after`, without waiting for
     /// one.
-    fn poll_config(&self, after: u64) -> BoxFuture<'_, Result<ConfigPoll, StoreError>>;
+    fn poll_config(&self, after: StoreRevision) -> BoxFuture<'_, Result<ConfigPoll, StoreError>>;
 
     /// Reads the addresses of boxes that were written to the store as bootstrap addresses.
     fn read_bootstrap_addresses(&self) -> BoxFuture<'_, Result<Vec<IpAddr>, StoreError>>;
--- a/crates/gateway/src/revision_history.rs
+++ b/crates/gateway/src/revision_history.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::store_revision::StoreRevision;
+
 /// Time by which the revision after which the store is polled precedes the last reading: a store may
 /// omit the changes of the last second before it discards its history.
 const POLL_LAG: Duration = Duration::from_millis(1500);
@@ -14,15 +16,16 @@
 /// Revisions with the times at which they were current, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct RevisionHistory {
-    records: VecDeque<(Instant, u64)>,
+    records: VecDeque<(Instant, StoreRevision)>,
 }
 
 impl RevisionHistory {
     /// Records that `revision` was held at `at`.
-    pub(crate) fn record(&mut self, at: Instant, revision: u64) {
+    pub(crate) fn record(&mut self, at: Instant, revision: StoreRevision) {
         let last = self.records.back();
-        let soon =
-            |(last, _): &(Instant, u64)| at.saturating_duration_since(*last) < MIN_RECORD_INTERVAL;
+        let soon = |(last, _): &(Instant, StoreRevision)| {
+            at.saturating_duration_since(*last) < MIN_RECORD_INTERVAL
+        };
         // While the history is full, an older revision is returned instead of this one, which is safe.
         if last.is_some_and(soon) || self.records.len() >= MAX_RECORDS {
             return;
@@ -37,13 +40,13 @@
         }
     }
 
-    /// Returns the newest revision that was held [`POLL_LAG`] before `confirmed`; 0 if there is none.
-    pub(crate) fn revision_before(&self, confirmed: Instant) -> u64 {
+    /// Returns the newest revision that was held [`POLL_LAG`] before `confirmed`, if there is one.
+    pub(crate) fn revision_before(&self, confirmed: Instant) -> Option<StoreRevision> {
         let old = self.records.iter().rev().find(|entry| precedes(entry, confirmed));
-        old.map_or(0, |(_, revision)| *revision)
+        old.map(|(_, revision)| *revision).filter(|revision| *revision > StoreRevision::NONE)
     }
 }
 
-fn precedes((at, _): &(Instant, u64), confirmed: Instant) -> bool {
+fn precedes((at, _): &(Instant, StoreRevision), confirmed: Instant) -> bool {
     confirmed.saturating_duration_since(*at) >= POLL_LAG
 }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -21,6 +21,7 @@
 use crate::gossip::Gossip;
 use crate::ports::{StoreError, StorePoll};
 use crate::store_backoff::StoreBackoff;
+use crate::store_revision::StoreRevision;
 use crate::suspension::ClockSample;
 
 /// Time for which a listing that was read waits for the poll of the configuration, so that peers are
@@ -128,7 +129,10 @@
             Ok(()) => {
                 let revision = self.context.view().revision();
                 if self.backoff.failures() > 0 {
-                    log::info!(failures = self.backoff.failures(), revision; "store-regained");
+                    log::info!(
+                        failures = self.backoff.failures(), revision:%, era = revision.era;
+                        "store-regained"
+                    );
                 }
                 self.backoff.reset();
                 metrics::counter!("wingbridge_store_reads", "outcome" => "good").increment(1);
@@ -163,7 +167,7 @@
         if !is_large(self.context.view().config_text()) {
             let view = port.read_all().await?;
             log::info!(
-                revision = view.revision, with_config = true, taken_ms = millis(started_at.elapsed());
+                revision:% = view.revision, era = view.revision.era, with_config = true, taken_ms = millis(started_at.elapsed());
                 "view-read"
             );
             self.context.apply_view(view, self.context.corrected_time(&sample), "store");
@@ -173,7 +177,7 @@
         let reading = task::spawn(async move { reader.refresh().await });
         let listing = port.read_targets().await?;
         log::info!(
-            revision = listing.revision, with_config = false, taken_ms = millis(started_at.elapsed());
+            revision:% = listing.revision, era = listing.revision.era, with_config = false, taken_ms = millis(started_at.elapsed());
             "view-read"
         );
         // Targets don't wait for a configuration that takes long: they are in force from here on, and
@@ -190,7 +194,7 @@
     ///
     /// The revision may be of a listing from a peer, from which polling continues as from an own
     /// listing.
-    fn poll_revision(&mut self) -> Option<u64> {
+    fn poll_revision(&mut self) -> Option<StoreRevision> {
         let now = Instant::now();
         let takes_over = self.read_at.replace(now).is_none_or(|read| now - read >= READER_GAP);
         if takes_over {
@@ -208,16 +212,16 @@
     /// store has discarded its history since then.
     async fn poll_changes(
         &self,
-        after: u64,
+        after: StoreRevision,
         started_at: Instant,
         sample: &ClockSample,
     ) -> Result<bool, StoreError> {
         let StorePoll::Changed(changes) = self.context.port.poll_changes(after).await? else {
-            log::info!(after; "history-forgotten");
+            log::info!(after:%, era = after.era; "history-forgotten");
             return Ok(false);
         };
         log::info!(
-            revision = changes.revision, after, written = changes.written.len(),
+            revision:% = changes.revision, era = changes.revision.era, after:%, written = changes.written.len(),
             gone = changes.removed.len(), taken_ms = millis(started_at.elapsed());
             "news-read"
         );
@@ -292,7 +296,7 @@
             .context
             .change_view(|view| view.drop_lapsed(Instant::now()).then(|| view.revision()));
         if let Some(revision) = dropped {
-            log::info!(revision; "lapsed-targets-dropped");
+            log::info!(revision:%; "lapsed-targets-dropped");
         }
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,6 +11,7 @@
 use crate::ports::{EnvironmentPort, StoreChanges, TargetListing};
 use crate::revision_history::RevisionHistory;
 use crate::routes::RouteConfig;
+use crate::store_revision::StoreRevision;
 pub use crate::target_table::TargetUpdate;
 use crate::target_table::{ListingTime, TargetTable, listing_digest};
 
@@ -61,9 +62,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct StoreView {
     /// Revision of the store up to which all changes are included.
-    pub revision: u64,
-    /// Revision at which the configuration was last written; 0 if there is no configuration.
-    pub config_revision: u64,
+    pub revision: StoreRevision,
+    /// Revision at which the configuration was last written; `NONE` if there is no configuration.
+    pub config_revision: StoreRevision,
     /// The configuration in its stored form; `None` if it was not read.
     pub config: Option<ConfigText>,
     /// All targets, ordered by name.
@@ -79,7 +80,7 @@
 #[derive(Clone, PartialEq, Eq)]
 pub struct ConfigText {
     /// Revision of the store at which the configuration was written.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The stored bytes.
     pub text: Arc<[u8]>,
 }
@@ -105,6 +106,8 @@
     pub config: Option<u64>,
     /// Reason for which a new configuration was refused. The previous one stays in force.
     pub refused: Option<String>,
+    /// Whether the update was older than the view and was not applied.
+    pub is_outdated: bool,
     /// Whether the set of targets that take requests has changed.
     pub targets_changed: bool,
     /// Instances that were removed from the listing or began to drain.
@@ -122,11 +125,18 @@
     pub restored: Vec<Name>,
 }
 
+impl ViewChange {
+    /// Returns the effects of an update that is older than the view: none.
+    fn outdated() -> ViewChange {
+        ViewChange { is_outdated: true, ..ViewChange::default() }
+    }
+}
+
 /// A change of the listing as a peer sends it.
 #[derive(Debug, Clone, Default)]
 pub struct PeerListingDelta {
     /// Revision of the store that the resulting listing is of.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Hash over the resulting listing.
     pub digest: u64,
     /// The change from the listing that this box holds to the resulting one.
@@ -141,12 +151,12 @@
 /// transfer does not delay changes of targets.
 #[derive(Debug, Default)]
 pub struct CachedView {
-    revision: u64,
+    revision: StoreRevision,
     targets: TargetTable,
     as_of: Option<Instant>,
     history: RevisionHistory,
-    /// Revision of the store at which the configuration was written; 0 before the first.
-    config_revision: u64,
+    /// Revision of the store at which the configuration was written; `NONE` before the first.
+    config_revision: StoreRevision,
     config_text: Option<ConfigText>,
     config: Option<Arc<RouteConfig>>,
     config_as_of: Option<Instant>,
@@ -155,7 +165,7 @@
 
 impl CachedView {
     /// Returns the revision of the store that the listing of targets is of.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -188,10 +198,10 @@
     /// Newer revisions of the targets don't count, because they don't show that the configuration is
     /// current: polled after such a revision, the store would report no change, and the box would
     /// treat an outdated configuration as the newest.
-    pub fn config_poll_revision(&self) -> Option<u64> {
+    pub fn config_poll_revision(&self) -> Option<StoreRevision> {
         let held = self.config_revision;
-        let confirmed = self.config_as_of.filter(|_| held > 0)?;
-        Some(self.history.revision_before(confirmed).max(held))
+        let confirmed = self.config_as_of.filter(|_| held > StoreRevision::NONE)?;
+        Some(self.history.revision_before(confirmed).map_or(held, |before| before.max(held)))
     }
 
     /// Returns the configuration that is in force.
@@ -225,24 +235,24 @@
         self.targets.evacuated()
     }
 
-    /// Returns the revision of the store at which the held configuration was written; 0 if there is
-    /// none.
-    pub fn config_revision(&self) -> u64 {
+    /// Returns the revision of the store at which the held configuration was written; `NONE` if there
+    /// is no configuration.
+    pub fn config_revision(&self) -> StoreRevision {
         self.config_revision
     }
 
     /// Records that the listing of targets was still current at `as_of`, as reported by a peer that
     /// holds the same listing.
-    pub fn confirm(&mut self, revision: u64, as_of: Instant) {
+    pub fn confirm(&mut self, revision: StoreRevision, as_of: Instant) {
         if revision >= self.revision {
             self.record_read(as_of);
             self.revision = revision;
         }
     }
 
-    /// Records that the configuration of `revision` was the newest at `as_of`; `revision` is 0 if
-    /// there was no configuration.
-    pub fn confirm_config(&mut self, revision: u64, as_of: Instant) {
+    /// Records that the configuration of `revision` was the newest at `as_of`; `revision` is
+    /// `NONE` if there was no configuration.
+    pub fn confirm_config(&mut self, revision: StoreRevision, as_of: Instant) {
         if revision == self.config_revision {
             let confirmed = self.config_as_of.map_or(as_of, |before| before.max(as_of));
             self.config_as_of = Some(confirmed);
@@ -259,10 +269,10 @@
         as_of: Instant,
         port: &dyn EnvironmentPort,
     ) -> ViewChange {
-        let mut change = ViewChange::default();
         if view.revision < self.revision {
-            return change;
+            return ViewChange::outdated();
         }
+        let mut change = ViewChange::default();
         // The caller has already applied the crash notes.
         let StoreView { revision, config_revision, config, targets, evacuated, crash_notes: _ } =
             view;
@@ -279,7 +289,7 @@
     pub fn apply_listing(&mut self, listing: TargetListing, as_of: Instant) -> ViewChange {
         let TargetListing { revision, targets, evacuated } = listing;
         if revision < self.revision {
-            return ViewChange::default();
+            return ViewChange::outdated();
         }
         let delta = self.targets.delta_to(targets);
         self.apply_delta(delta, evacuated, revision, as_of)
@@ -290,9 +300,8 @@
     ///
     /// It is a revision from some time before the last reading, because a store may omit the changes
     /// of the last second before it discards its history.
-    pub fn target_poll_revision(&self) -> Option<u64> {
-        let revision = self.history.revision_before(self.as_of?);
-        (revision > 0).then_some(revision)
+    pub fn target_poll_revision(&self) -> Option<StoreRevision> {
+        self.history.revision_before(self.as_of?)
     }
 
     /// Applies the changes that were written to the store after a revision that this box held.
@@ -304,7 +313,7 @@
     ) -> ViewChange {
         let StoreChanges { revision, written, removed, evacuated, restored, config } = changes;
         if revision < self.revision {
-            return ViewChange::default();
+            return ViewChange::outdated();
         }
         let mut change = ViewChange::default();
         if let Some(text) = config {
@@ -329,7 +338,7 @@
     ) -> Option<ViewChange> {
         let PeerListingDelta { revision, digest, delta, evacuated } = received;
         if revision < self.revision {
-            return Some(ViewChange::default());
+            return Some(ViewChange::outdated());
         }
         if self.targets.digest_with(&delta, &evacuated) != digest {
             return None;
@@ -341,7 +350,7 @@
         &mut self,
         delta: ListingDelta,
         evacuated: Vec<Name>,
-        revision: u64,
+        revision: StoreRevision,
         as_of: Instant,
     ) -> ViewChange {
         let mut change = ViewChange::default();
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -72,10 +72,10 @@
     let as_of = view.as_of()?;
     let config_age = view.config_as_of().map(|as_of| as_of.elapsed());
     Some(ViewVersion {
-        revision: view.revision(),
+        revision: view.revision().number,
         age_ms: millis(as_of.elapsed()),
         digest: view.digest(),
-        config_revision: view.config_revision(),
+        config_revision: view.config_revision().number,
         config_age_ms: config_age.map_or(0, millis),
     })
 }
@@ -235,7 +235,7 @@
     version: &ViewVersion,
 ) -> Result<ReceivedTargets, WireError> {
     let evacuated = reply.evacuated.into_iter().map(Name::from).collect();
-    let (revision, digest) = (version.revision, version.digest);
+    let (revision, digest) = (version.revision.into(), version.digest);
     let mut targets = Vec::new();
     for part in &reply.parts {
         let records =
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -87,7 +87,7 @@
     for case in TRANSFERS {
         let source = ConfigSource::new(case.link_mbps);
         let text: Vec<u8> = (0..case.bytes).map(|_| random.random()).collect();
-        source.put(ConfigText { revision: 7, text: text.into() }, Vec::new());
+        source.put(ConfigText { revision: 7.into(), text: text.into() }, Vec::new());
         let request = || source.reply(ConfigRequest { revision: 0 }, 0);
         let mut replies: Vec<_> = (0..20).map(|_| request()).collect();
         let busy = replies.iter().filter(|reply| reply.message().busy).count();
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -16,6 +16,7 @@
     TargetListing,
 };
 use wingbridge_gateway::routes::RouteConfig;
+use wingbridge_gateway::store_revision::StoreRevision;
 use wingbridge_gateway::view::{ConfigText, StoreView, TargetEntry};
 
 use super::lock;
@@ -33,10 +34,21 @@
     state: Arc<Mutex<StoreState>>,
 }
 
+/// The contents of the store at some time.
+#[derive(Clone)]
+struct StoreCopy {
+    view: StoreView,
+    bootstrap_addresses: Vec<IpAddr>,
+    crash_notes: BTreeMap<String, Vec<u8>>,
+}
+
 #[derive(Default)]
 struct StoreState {
     view: StoreView,
-    config: RouteConfig,
+    /// All configurations that were written, by version.
+    configs: BTreeMap<u64, RouteConfig>,
+    /// The copy from which the store comes back.
+    copy: Option<StoreCopy>,
     unreachable: bool,
     bootstrap_addresses: Vec<IpAddr>,
     /// Crash notes by data centre.
@@ -49,7 +61,7 @@
     /// Whether the store has discarded its history.
     history_lost: bool,
     /// Changes of targets with the revisions at which they were written; `None` for removed ones.
-    target_changes: Vec<(u64, Name, Option<TargetEntry>)>,
+    target_changes: Vec<(StoreRevision, Name, Option<TargetEntry>)>,
     /// Number of polls for changes.
     change_polls: usize,
     /// Number of blanks that are added to the next configurations.
@@ -62,19 +74,19 @@
     /// Writes a configuration.
     pub fn put_config(&self, config: RouteConfig) {
         let mut state = lock(&self.state);
-        state.view.revision += 1;
+        state.view.revision.number += 1;
         let mut text = format!("{}{}\n", config.version, " ".repeat(state.padding)).into_bytes();
         let mut random = SmallRng::seed_from_u64(NOISE_SEED);
         text.extend((0..state.noise).map(|_| random.random::<u8>()));
         state.view.config_revision = state.view.revision;
         state.view.config = Some(ConfigText { revision: state.view.revision, text: text.into() });
-        state.config = config;
+        state.configs.insert(config.version, config);
     }
 
     /// Replaces all targets.
     pub fn put_targets(&self, targets: Vec<TargetEntry>) {
         let mut state = lock(&self.state);
-        state.view.revision += 1;
+        state.view.revision.number += 1;
         let revision = state.view.revision;
         let before = std::mem::replace(&mut state.view.targets, targets.clone());
         let removed = before.into_iter().map(|target| (revision, target.id, None));
@@ -86,10 +98,51 @@
     /// Evacuates these data centres, and no others.
     pub fn put_evacuated(&self, data_centres: &[&str]) {
         let mut state = lock(&self.state);
-        state.view.revision += 1;
+        state.view.revision.number += 1;
         state.view.evacuated = data_centres.iter().map(|name| Name::from(*name)).collect();
     }
 
+    /// Copies the contents, for a later [`come_back`](Self::come_back).
+    pub fn copy(&self) {
+        let mut state = lock(&self.state);
+        let StoreState { view, bootstrap_addresses, crash_notes, .. } = &*state;
+        let (view, bootstrap_addresses) = (view.clone(), bootstrap_addresses.clone());
+        let crash_notes = crash_notes.clone();
+        state.copy = Some(StoreCopy { view, bootstrap_addresses, crash_notes });
+    }
+
+    /// Comes back from the copy, in a new era: what was written since then is lost.
+    pub fn come_back(&self) {
+        let mut state = lock(&self.state);
+        let era = state.view.revision.era + 1;
+        let copy = state.copy.clone().expect("the contents were copied");
+        let StoreCopy { mut view, bootstrap_addresses, crash_notes } = copy;
+        view.revision.era = era;
+        if let Some(config) = &mut view.config {
+            config.revision.era = era;
+            view.config_revision.era = era;
+        }
+        state.view = view;
+        state.bootstrap_addresses = bootstrap_addresses;
+        state.crash_notes = crash_notes;
+        state.target_changes.clear();
+    }
+
+    /// Makes the numbers of revisions rise by `changes`, as changes of other keys do.
+    pub fn skip_revisions(&self, changes: u64) {
+        lock(&self.state).view.revision.number += changes;
+    }
+
+    /// Returns the number of crash notes in the store.
+    pub fn crash_notes(&self) -> usize {
+        lock(&self.state).crash_notes.len()
+    }
+
+    /// Returns the number of bootstrap addresses in the store.
+    pub fn bootstrap_addresses(&self) -> usize {
+        lock(&self.state).bootstrap_addresses.len()
+    }
+
     /// Sets whether calls fail from now on.
     pub fn set_unreachable(&self, unreachable: bool) {
         lock(&self.state).unreachable = unreachable;
@@ -147,6 +200,14 @@
     }
 }
 
+impl StoreState {
+    /// Returns whether the store can't report the changes after the revision `after`.
+    fn has_no_history(&self, after: StoreRevision) -> bool {
+        let StoreRevision { era, number } = self.view.revision;
+        self.history_lost || after.era != era || after.number > number
+    }
+}
+
 struct StandinPort {
     store: StoreStandin,
     reachable: bool,
@@ -195,10 +256,10 @@
         Box::pin(async { listing })
     }
 
-    fn poll_changes(&self, after: u64) -> BoxFuture<'_, Result<StorePoll, StoreError>> {
+    fn poll_changes(&self, after: StoreRevision) -> BoxFuture<'_, Result<StorePoll, StoreError>> {
         lock(&self.store.state).change_polls += 1;
         let poll = self.access(|state| {
-            if state.history_lost {
+            if state.has_no_history(after) {
                 return StorePoll::HistoryDiscarded;
             }
             let mut last = BTreeMap::new();
@@ -234,11 +295,11 @@
         Box::pin(self.transfer(config))
     }
 
-    fn poll_config(&self, after: u64) -> BoxFuture<'_, Result<ConfigPoll, StoreError>> {
+    fn poll_config(&self, after: StoreRevision) -> BoxFuture<'_, Result<ConfigPoll, StoreError>> {
         let poll = self.access(|state| {
             state.config_polls += 1;
             match &state.view.config {
-                _ if state.history_lost => ConfigPoll::HistoryDiscarded,
+                _ if state.has_no_history(after) => ConfigPoll::HistoryDiscarded,
                 Some(config) if config.revision > after => ConfigPoll::Changed(config.clone()),
                 _ => ConfigPoll::Unchanged,
             }
@@ -272,7 +333,7 @@
     ) -> BoxFuture<'a, Result<(), StoreError>> {
         let written = self.access(|state| {
             state.crash_notes.insert(data_centre.to_string(), note.to_vec());
-            state.view.revision += 1;
+            state.view.revision.number += 1;
             state.view.crash_notes = state.crash_notes.values().cloned().collect();
         });
         Box::pin(async { written })
@@ -283,14 +344,11 @@
     }
 
     fn decode_config(&self, text: &[u8]) -> Result<RouteConfig, String> {
-        let config = lock(&self.store.state).config.clone();
-        let held = config.version.to_string();
         let line = text.split(|byte| *byte == b'\n').next().unwrap_or_default();
-        if held.as_bytes() == line.trim_ascii_end() {
-            Ok(config)
-        } else {
-            Err("an older configuration".into())
-        }
+        let version = str::from_utf8(line.trim_ascii_end()).ok().and_then(|line| line.parse().ok());
+        let state = lock(&self.store.state);
+        let config = version.and_then(|version: u64| state.configs.get(&version));
+        config.cloned().ok_or_else(|| "not a configuration that was written".into())
     }
 
     fn headers(&self) -> Arc<HeaderNames> {
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -192,12 +192,13 @@
     let port = port.port(true);
     let mut view = CachedView::default();
     let start = Instant::now();
-    let newer = StoreView { revision: 9, ..StoreView::default() };
+    let newer = StoreView { revision: 9.into(), ..StoreView::default() };
     view.apply(newer, start, &*port);
-    let text = ConfigText { revision: 5, text: b"1".as_slice().into() };
+    let text = ConfigText { revision: 5.into(), text: b"1".as_slice().into() };
     let change = view.apply_config(text, &*port);
-    assert_eq!((change.config, view.config_revision(), view.revision()), (Some(1), 5, 9));
-    let newest = StoreView { revision: 10, ..StoreView::default() };
+    let held = (change.config, view.config_revision(), view.revision());
+    assert_eq!(held, (Some(1), 5.into(), 9.into()));
+    let newest = StoreView { revision: 10.into(), ..StoreView::default() };
     view.apply(newest, start, &*port);
     assert!(
         view.config().is_some(),
--- a/crates/gateway/tests/view_deltas.rs
+++ b/crates/gateway/tests/view_deltas.rs
@@ -124,7 +124,7 @@
                 ..entry(&format!("{id:02}"), "s", &format!("10.0.0.{port}:80"))
             };
             let targets: Vec<TargetEntry> = listing.iter().map(target).collect();
-            let listing = TargetListing { revision: number as u64 + 1, targets: targets.clone(), evacuated: Vec::new() };
+            let listing = TargetListing { revision: (number as u64 + 1).into(), targets: targets.clone(), evacuated: Vec::new() };
             cached.apply_listing(listing, start + Duration::from_millis(700 * number as u64));
             held.push((cached.digest(), targets));
         }
@@ -135,7 +135,7 @@
             prop_assert_eq!(digest, newest_digest);
             return Ok(());
         };
-        let listing = TargetListing { revision: 1, targets: old.clone(), evacuated: Vec::new() };
+        let listing = TargetListing { revision: 1.into(), targets: old.clone(), evacuated: Vec::new() };
         let mut peer = CachedView::default();
         peer.apply_listing(listing, start);
         let revision = cached.revision();
@@ -167,7 +167,7 @@
             let targets = listing.iter().map(target).collect();
             // Each third listing is read after an outage, after which missing targets lapse.
             let at = start + Duration::from_secs(number as u64 + number as u64 / 3 * 5);
-            let listing = TargetListing { revision: number as u64 + 1, targets, evacuated: Vec::new() };
+            let listing = TargetListing { revision: (number as u64 + 1).into(), targets, evacuated: Vec::new() };
             cached.apply_listing(listing, at);
             cached.drop_lapsed(at);
             let update = cached.take_update();
@@ -191,10 +191,10 @@
     port.put_config(config(1, vec![route("r", "s", RouteKind::Repeatable)]));
     let port = port.port(true);
     let (mut cached, start) = (CachedView::default(), Instant::now());
-    let config = Some(ConfigText { revision: 5, text: b"1".as_slice().into() });
+    let config = Some(ConfigText { revision: 5.into(), text: b"1".as_slice().into() });
     let view = StoreView {
-        revision: 9,
-        config_revision: 5,
+        revision: 9.into(),
+        config_revision: 5.into(),
         config,
         targets: Vec::new(),
         ..StoreView::default()
@@ -203,19 +203,19 @@
     assert_eq!(cached.oldest(), Some(start));
     let later = start + Duration::from_millis(700);
     cached.apply_listing(
-        TargetListing { revision: 12, targets: Vec::new(), evacuated: Vec::new() },
+        TargetListing { revision: 12.into(), targets: Vec::new(), evacuated: Vec::new() },
         later,
     );
     assert_eq!((cached.as_of(), cached.config_as_of()), (Some(later), Some(start)));
-    cached.confirm_config(4, later);
+    cached.confirm_config(4.into(), later);
     assert_eq!(
         cached.oldest(),
         Some(start),
         "a confirmation of an older configuration does not count"
     );
-    cached.confirm_config(5, later);
+    cached.confirm_config(5.into(), later);
     assert_eq!(cached.oldest(), Some(later));
-    cached.confirm_config(5, start);
+    cached.confirm_config(5.into(), start);
     assert_eq!(cached.oldest(), Some(later), "a late confirmation does not increase the age");
 }
 
@@ -228,20 +228,20 @@
     let port = store.port(true);
     let (mut cached, start) = (CachedView::default(), Instant::now());
     let at = |millis| start + Duration::from_millis(millis);
-    let config = Some(ConfigText { revision: 50, text: b"1".as_slice().into() });
+    let config = Some(ConfigText { revision: 50.into(), text: b"1".as_slice().into() });
     cached.apply(
-        StoreView { revision: 50, config_revision: 50, config, ..Default::default() },
+        StoreView { revision: 50.into(), config_revision: 50.into(), config, ..Default::default() },
         start,
         &*port,
     );
     for (millis, revision) in [(1_400, 60), (2_800, 70), (4_200, 80)] {
-        let listing = TargetListing { revision, ..TargetListing::default() };
+        let listing = TargetListing { revision: revision.into(), ..TargetListing::default() };
         cached.apply_listing(listing, at(millis));
-        cached.confirm_config(50, at(millis + 1_300));
+        cached.confirm_config(50.into(), at(millis + 1_300));
     }
     // The revision that was recorded at 2.8 s is only 1.4 s older than the last reading. The newest one that is old
     // enough was recorded at 1.4 s.
-    assert_eq!(cached.target_poll_revision(), Some(50));
+    assert_eq!(cached.target_poll_revision(), Some(50.into()));
 }
 
 struct PollCase {
@@ -296,10 +296,10 @@
     for case in POLLS {
         let (mut cached, start) = (CachedView::default(), Instant::now());
         assert_eq!(cached.config_poll_revision(), None, "{}", case.name);
-        let config = Some(ConfigText { revision: 50, text: b"1".as_slice().into() });
+        let config = Some(ConfigText { revision: 50.into(), text: b"1".as_slice().into() });
         let view = StoreView {
-            revision: 50,
-            config_revision: 50,
+            revision: 50.into(),
+            config_revision: 50.into(),
             config,
             targets: Vec::new(),
             ..StoreView::default()
@@ -307,11 +307,14 @@
         cached.apply(view, start, &*port);
         let at = |millis| start + Duration::from_millis(millis);
         for (millis, revision) in case.listings {
-            let listing =
-                TargetListing { revision: *revision, targets: Vec::new(), evacuated: Vec::new() };
+            let listing = TargetListing {
+                revision: (*revision).into(),
+                targets: Vec::new(),
+                evacuated: Vec::new(),
+            };
             cached.apply_listing(listing, at(*millis));
         }
-        cached.confirm_config(50, at(case.confirmed));
-        assert_eq!(cached.config_poll_revision(), Some(case.from), "{}", case.name);
+        cached.confirm_config(50.into(), at(case.confirmed));
+        assert_eq!(cached.config_poll_revision(), Some(case.from.into()), "{}", case.name);
     }
 }
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -6,6 +6,7 @@
 
 use harness::{StoreStandin, config, entry, route};
 use wingbridge_gateway::routes::RouteKind;
+use wingbridge_gateway::store_revision::StoreRevision;
 use wingbridge_gateway::view::{CachedView, ConfigText, StoreView, TargetEntry};
 
 /// Gap between two readings that counts as an outage of the store.
@@ -13,8 +14,8 @@
 
 fn view(revision: u64, targets: &[TargetEntry]) -> StoreView {
     StoreView {
-        revision,
-        config_revision: 0,
+        revision: revision.into(),
+        config_revision: StoreRevision::NONE,
         config: None,
         targets: targets.to_vec(),
         ..StoreView::default()
@@ -89,12 +90,15 @@
     let (mut cached, start) = (CachedView::default(), Instant::now());
     let late = start + Duration::from_secs(1);
     cached.apply(view(5, &[named("a")]), late, &*port);
-    cached.confirm(5, start);
+    cached.confirm(5.into(), start);
     assert_eq!(cached.as_of(), Some(late));
-    cached.confirm(4, late + Duration::from_secs(1));
+    cached.confirm(4.into(), late + Duration::from_secs(1));
     assert_eq!(cached.as_of(), Some(late), "a peer with an older listing confirms nothing");
-    cached.confirm(6, late + Duration::from_secs(2));
-    assert_eq!((cached.revision(), cached.as_of()), (6, Some(late + Duration::from_secs(2))));
+    cached.confirm(6.into(), late + Duration::from_secs(2));
+    assert_eq!(
+        (cached.revision(), cached.as_of()),
+        (6.into(), Some(late + Duration::from_secs(2)))
+    );
 }
 
 struct ConfigCase {
@@ -125,7 +129,7 @@
     for (number, case) in CONFIGS.iter().enumerate() {
         store.put_config(config(case.version, vec![route("r", "s", RouteKind::Repeatable)]));
         let text = if case.decodes { case.version.to_string() } else { "cut".into() };
-        let revision = number as u64 + 1;
+        let revision = StoreRevision::from(number as u64 + 1);
         let config = Some(ConfigText { revision, text: text.into_bytes().into() });
         let change = cached.apply(
             StoreView {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -25,10 +25,20 @@
 pub struct HttpReply {
     /// The status code.
     pub status: u16,
+    /// The headers, with their names in lower case.
+    pub headers: Vec<(String, String)>,
     /// The complete body; empty if the response has none.
     pub body: Vec<u8>,
 }
 
+impl HttpReply {
+    /// Returns the value of the first header with `name`, which must be in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
 /// Timeouts of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallLimits {
@@ -120,9 +130,13 @@
         let mut reader = MessageReader::new(stream).with_idle_timeout(idle_timeout);
         let incoming = reader.read_response(method.as_ref(), &limits).await?;
         let status = incoming.response.status() as u16;
+        let pairs = incoming.response.iter().filter_map(|(name, values)| {
+            Some((name.as_str().to_ascii_lowercase(), values.get(0)?.as_str().to_string()))
+        });
+        let headers = pairs.collect();
         match incoming.body {
-            ResponseBody::Complete(body) => Ok(HttpReply { status, body }),
-            ResponseBody::Absent(_) => Ok(HttpReply { status, body: Vec::new() }),
+            ResponseBody::Complete(body) => Ok(HttpReply { status, headers, body }),
+            ResponseBody::Absent(_) => Ok(HttpReply { status, headers, body: Vec::new() }),
             ResponseBody::Unread(length) => {
                 let reason = format!(
                     "the response body of {length} bytes exceeds {MAX_RESPONSE_BYTES} bytes"
