--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -133,6 +133,16 @@
         lock(&self.state).view.revision.number += changes;
     }
 
+    /// Answers with revisions that are lower by `changes`, in the same era, as a replica that lags behind.
+    pub fn rewind(&self, changes: u64) {
+        lock(&self.state).view.revision.number -= changes;
+    }
+
+    /// Returns the current revision.
+    pub fn revision(&self) -> StoreRevision {
+        lock(&self.state).view.revision
+    }
+
     /// Returns the number of crash notes in the store.
     pub fn crash_notes(&self) -> usize {
         lock(&self.state).crash_notes.len()
