Gateway: what is read of a store that came back from a copy is ordered by its era

What callers saw: after the store had been away for two seconds, changes that it acknowledged were not followed for 2 to 8 s. Orders reached a target 2.37 s after it had said that it leaves; requests were handled by version 22, 2.28 s after version 25 was acknowledged.

Cause: the store had come back from a copy and gave out lower revisions. Seven places (view, history, deltas and listings of peers, heartbeats, pending configurations, count of invalid entries) each compared revisions by number, so that all news counted as older until the numbers had passed those that were held. Class: an order of one era applied to two.

Messages between boxes carry the era; an earlier release sends none and is older. Configurations are ordered by the operators' version first (ConfigId): a copy may have an older one at a newer revision, and a box that starts beside the copy must take its peers'. A refused configuration is no longer held or passed on; its revision is remembered. That the store holds no newer one confirms the one in force. 'store-returned' tells of it.

Why it works: the era rises by one with each return and is in all answers, so that no two states of the store compare wrongly.

--- a/crates/gateway/src/config_exchange.rs
+++ b/crates/gateway/src/config_exchange.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::context::{BoxContext, millis};
+use crate::store_revision::{ConfigId, StoreRevision};
 use crate::text_patch::apply_patch;
 use crate::view::ConfigText;
 use crate::view_exchange::query_peer;
@@ -31,8 +32,7 @@
     let started_at = Instant::now();
     let sample = context.clock_sample();
     let held = context.view().config_text().cloned();
-    let revision = held.as_ref().map_or(0, |held| held.revision.number);
-    let question = ExchangeQuestion::Config(ConfigRequest { revision });
+    let question = ExchangeQuestion::Config(config_request(context.view().config_id()));
     let time_limit = context.budget.config_fetch_timeout();
     let reply: ConfigReply = match query_peer(context, host, question, time_limit).await {
         Ok(reply) => reply,
@@ -48,13 +48,14 @@
     let as_of = Instant::now().checked_sub(Duration::from_millis(reply.age_ms));
     let as_of = as_of.map(|as_of| context.correct(&sample, as_of));
     let (Some(as_of), false) = (as_of, reply.deltas.is_empty()) else {
-        log::info!(peer:% = host, revision = reply.revision; "configuration-not-newer");
+        log::info!(peer:% = host, revision = reply.revision, era = reply.era; "configuration-not-newer");
         return ConfigFetch::Failed;
     };
     match apply_deltas(held.as_ref(), &reply.deltas) {
         Ok(text) => {
             log::info!(
-                peer:% = host, revision:% = text.revision, from = reply.deltas[0].from,
+                peer:% = host, revision:% = text.revision, era = text.revision.era,
+                from = reply.deltas[0].from,
                 bytes = reply.encoded_len(), text_bytes = text.text.len(),
                 taken_ms = millis(started_at.elapsed());
                 "configuration-fetched"
@@ -85,25 +86,36 @@
     let time_limit = context.budget.config_fetch_timeout();
     timeout(time_limit, send_message(stream, source.message())).await.map_err(timed_out)??;
     if !source.message().deltas.is_empty() {
-        context.config_source.record_seeder(peer, source.message().revision);
+        context.config_source.record_seeder(peer, source.revision());
     }
     Ok(())
 }
 
+/// Returns the request for what is newer than the configuration `held`.
+fn config_request(held: ConfigId) -> ConfigRequest {
+    let ConfigId { version, revision: StoreRevision { era, number } } = held;
+    ConfigRequest { revision: number, era, version }
+}
+
+/// Returns the revision of the configuration that a delta applies to.
+pub(crate) fn delta_base(delta: &ConfigDelta) -> StoreRevision {
+    StoreRevision { era: delta.from_era, number: delta.from }
+}
+
 fn apply_deltas(
     held: Option<&ConfigText>,
     deltas: &[ConfigDelta],
 ) -> Result<ConfigText, &'static str> {
     let mut text: Vec<u8> = Vec::new();
-    let mut revision = 0;
+    let mut revision = StoreRevision::NONE;
     if let Some(held) =
-        held.filter(|held| deltas.first().is_some_and(|delta| delta.from == held.revision.number))
+        held.filter(|held| deltas.first().is_some_and(|delta| delta_base(delta) == held.revision))
     {
         text.extend_from_slice(&held.text);
-        revision = held.revision.number;
+        revision = held.revision;
     }
     for delta in deltas {
-        if delta.from != revision || delta.to <= revision {
+        if delta_base(delta) != revision {
             return Err("the configuration deltas are not consecutive");
         }
         text = apply_patch(&text, &delta.patch)
@@ -111,7 +123,7 @@
         if xxh3_64(&text) != delta.hash {
             return Err("the hash of a patched configuration does not match its delta");
         }
-        revision = delta.to;
+        revision = StoreRevision { era: delta.to_era, number: delta.to };
     }
-    Ok(ConfigText { revision: revision.into(), text: text.into() })
+    Ok(ConfigText { revision, text: text.into() })
 }
--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -12,7 +12,9 @@
 use wingbridge_wire::gossip::{ConfigDelta, ConfigReply, ConfigRequest};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::config_exchange::delta_base;
 use crate::context::lock;
+use crate::store_revision::{ConfigId, StoreRevision};
 use crate::text_patch::make_patch;
 use crate::transfer_slots::{TransferSlot, TransferSlots};
 use crate::view::ConfigText;
@@ -35,6 +37,8 @@
 #[derive(Debug, Default)]
 struct SourceState {
     text: Option<ConfigText>,
+    /// The operators' version of the text.
+    version: u64,
     /// Deltas that lead from earlier revisions to the current one, oldest first.
     deltas: VecDeque<ConfigDelta>,
     /// Delta from the empty text to the current one, computed on first use.
@@ -51,6 +55,11 @@
 }
 
 impl SourceReply<'_> {
+    /// Returns the revision of the configuration that the reply leads to.
+    pub fn revision(&self) -> StoreRevision {
+        StoreRevision { era: self.reply.era, number: self.reply.revision }
+    }
+
     /// Returns the message to send.
     pub fn message(&self) -> &ConfigReply {
         &self.reply
@@ -63,36 +72,38 @@
         ConfigSource { state: Mutex::default(), slots: TransferSlots::new(link_mbps) }
     }
 
-    /// Replaces the held configuration by `text` if that is newer. `deltas` are the deltas in which
+    /// Replaces the held configuration by `text`, which is of the operators' `version`, if that is newer. `deltas` are the deltas in which
     /// a peer sent it; if they are empty, the delta from the previous text is computed.
-    pub fn put(&self, text: ConfigText, deltas: Vec<ConfigDelta>) {
+    pub fn put(&self, version: u64, text: ConfigText, deltas: Vec<ConfigDelta>) {
+        let id = ConfigId { version, revision: text.revision };
         let previous = {
             let state = lock(&self.state);
-            if state.text.as_ref().is_some_and(|held| held.revision >= text.revision) {
+            if !id.is_newer_than(state.id()) {
                 return;
             }
             state.text.clone()
         };
         let deltas = match previous {
             Some(_) if !deltas.is_empty() => deltas,
-            Some(previous) => vec![make_delta(previous.revision.number, &previous.text, &text)],
+            Some(previous) => vec![make_delta(previous.revision, &previous.text, &text)],
             None => Vec::new(),
         };
         let mut state = lock(&self.state);
-        let current = state.text.as_ref().map(|held| held.revision.number);
-        if current >= Some(text.revision.number) {
+        if !id.is_newer_than(state.id()) {
             return;
         }
-        if deltas.first().map(|delta| delta.from) != current {
+        let current = state.text.as_ref().map(|held| held.revision);
+        if deltas.first().map(delta_base) != current {
             state.deltas.clear();
         }
-        if deltas.first().is_some_and(|delta| delta.from > 0) {
+        if deltas.first().is_some_and(|delta| delta_base(delta) > StoreRevision::NONE) {
             state.deltas.extend(deltas);
         }
         while state.deltas.len() > MAX_DELTAS {
             state.deltas.pop_front();
         }
         state.text = Some(text);
+        state.version = version;
         state.complete = None;
         state.seeders.clear();
     }
@@ -103,12 +114,14 @@
         let Some(text) = state.text.clone() else {
             return SourceReply { reply: ConfigReply::default(), _slot: None };
         };
-        let reply =
-            ConfigReply { revision: text.revision.number, age_ms, ..ConfigReply::default() };
-        if text.revision.number <= request.revision {
+        let StoreRevision { era, number } = text.revision;
+        let reply = ConfigReply { revision: number, era, age_ms, ..ConfigReply::default() };
+        let held = StoreRevision { era: request.era, number: request.revision };
+        let held = ConfigId { version: request.version, revision: held };
+        if !state.id().is_newer_than(held) {
             return SourceReply { reply, _slot: None };
         }
-        let deltas = state.deltas_from(request.revision, &text);
+        let deltas = state.deltas_from(held.revision, &text);
         let bytes: usize = deltas.iter().map(|delta| delta.patch.len()).sum();
         if bytes <= MAX_UNSLOTTED_REPLY_BYTES {
             return SourceReply { reply: ConfigReply { deltas, ..reply }, _slot: None };
@@ -122,9 +135,9 @@
     }
 
     /// Records that the box at `host` has received the configuration of `revision` from here.
-    pub fn record_seeder(&self, host: IpAddr, revision: u64) {
+    pub fn record_seeder(&self, host: IpAddr, revision: StoreRevision) {
         let mut state = lock(&self.state);
-        if state.text.as_ref().is_none_or(|text| text.revision.number != revision) {
+        if state.text.as_ref().is_none_or(|text| text.revision != revision) {
             return;
         }
         state.seeders.push_back(host);
@@ -135,20 +148,30 @@
 }
 
 impl SourceState {
-    fn deltas_from(&mut self, revision: u64, text: &ConfigText) -> Vec<ConfigDelta> {
-        let first = self.deltas.iter().position(|delta| delta.from == revision);
-        if let Some(first) = first.filter(|_| revision > 0) {
+    /// Returns the identity of the current configuration.
+    fn id(&self) -> ConfigId {
+        let version = self.version;
+        let revision = self.text.as_ref().map_or(StoreRevision::NONE, |text| text.revision);
+        ConfigId { version, revision }
+    }
+
+    fn deltas_from(&mut self, revision: StoreRevision, text: &ConfigText) -> Vec<ConfigDelta> {
+        let first = self.deltas.iter().position(|delta| delta_base(delta) == revision);
+        if let Some(first) = first.filter(|_| revision > StoreRevision::NONE) {
             return self.deltas.iter().skip(first).cloned().collect();
         }
-        let complete = self.complete.get_or_insert_with(|| make_delta(0, &[], text));
+        let complete =
+            self.complete.get_or_insert_with(|| make_delta(StoreRevision::NONE, &[], text));
         vec![complete.clone()]
     }
 }
 
-fn make_delta(from: u64, previous: &[u8], text: &ConfigText) -> ConfigDelta {
+fn make_delta(from: StoreRevision, previous: &[u8], text: &ConfigText) -> ConfigDelta {
     ConfigDelta {
-        from,
+        from: from.number,
+        from_era: from.era,
         to: text.revision.number,
+        to_era: text.revision.era,
         hash: xxh3_64(&text.text),
         patch: make_patch(previous, &text.text),
     }
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -22,6 +22,7 @@
 use crate::gossip::Gossip;
 use crate::ports::{ConfigPoll, StoreError};
 use crate::store_backoff::StoreBackoff;
+use crate::store_revision::{ConfigId, StoreRevision};
 use crate::suspension::ClockSample;
 use crate::transfer_slots::BUSY_RETRY_DELAY;
 use crate::view::ConfigText;
@@ -88,29 +89,27 @@
     /// that is newer than the one of this box.
     async fn read(&self, sample: &ClockSample) -> Result<Option<ConfigText>, StoreError> {
         let port = &self.context.port;
-        let (held, after) = {
-            let cached = self.context.view();
-            (cached.config_revision(), cached.config_poll_revision())
-        };
-        let Some(after) = after else {
-            return port.read_config().await;
+        let after = self.context.view().config_poll_revision();
+        let poll = match after {
+            Some(after) => port.poll_config(after).await?,
+            None => ConfigPoll::HistoryDiscarded,
         };
-        let config = match port.poll_config(after).await? {
-            ConfigPoll::Unchanged => {
-                let as_of = self.context.corrected_time(sample);
-                self.context.view().confirm_config(held, as_of);
-                return Ok(None);
-            }
+        let config = match poll {
+            ConfigPoll::Unchanged => None,
             ConfigPoll::Changed(config) => Some(config),
             ConfigPoll::HistoryDiscarded => {
-                log::info!(after:%, era = after.era; "history-forgotten");
+                if let Some(after) = after {
+                    log::info!(after:%, era = after.era; "history-forgotten");
+                }
                 port.read_config().await?
             }
         };
-        if config.as_ref().is_some_and(|config| config.revision == held) {
+        let is_other =
+            |config: &ConfigText| config.revision != self.context.view().config_id().revision;
+        let config = config.filter(is_other);
+        if config.is_none() {
             let as_of = self.context.corrected_time(sample);
-            self.context.view().confirm_config(held, as_of);
-            return Ok(None);
+            self.context.view().record_config_read(as_of);
         }
         Ok(config)
     }
@@ -123,8 +122,8 @@
     reader: Arc<ConfigReader>,
     random: SmallRng,
     backoff: StoreBackoff,
-    /// Newest revision for which this box has logged that its own configuration is stale.
-    logged_stale: u64,
+    /// Newest configuration of which this box has logged that it lacks it.
+    logged_stale: ConfigId,
 }
 
 impl ConfigSync {
@@ -136,7 +135,7 @@
     ) -> ConfigSync {
         let random = SmallRng::seed_from_u64(seed);
         let backoff = StoreBackoff::default();
-        ConfigSync { context, gossip, reader, random, backoff, logged_stale: 0 }
+        ConfigSync { context, gossip, reader, random, backoff, logged_stale: ConfigId::NONE }
     }
 
     /// Runs until the channel of notifications closes.
@@ -170,20 +169,20 @@
             .context
             .config_age()
             .is_none_or(|age| age >= self.context.budget.remote_fetch_age());
-        let (host, revision) = {
+        let (host, id) = {
             let newer = self.context.newer_config();
-            let (_, revision) = newer.pending()?;
-            (newer.choose_seeder(allow_remote)?, revision)
+            let (_, id) = newer.pending()?;
+            (newer.choose_seeder(allow_remote)?, id)
         };
         let fetched = fetch_config(&self.context, host).await;
         match &fetched {
             ConfigFetch::Applied => self.gossip.send_view_version_to_some().await,
             ConfigFetch::Busy(seeders) => {
-                let held = self.context.view().config_revision().number;
+                let is_wanted = self.context.view().wants_config(id);
                 let own = self.context.settings.host();
                 let mut newer = self.context.newer_config();
-                for seeder in seeders.iter().filter(|seeder| **seeder != own) {
-                    newer.record(*seeder, true, revision, held);
+                for seeder in seeders.iter().filter(|seeder| is_wanted && **seeder != own) {
+                    newer.record(*seeder, true, id);
                 }
             }
             ConfigFetch::Failed => self.context.newer_config().remove_seeder(host),
@@ -231,19 +230,21 @@
         }
     }
 
-    /// Logs once per revision that peers have had a newer configuration for longer than the total
+    /// Logs once per configuration that peers have had a newer configuration for longer than the total
     /// time budget of a change.
     fn log_stale(&mut self) {
         if !self.context.is_stale() {
             return;
         }
-        let pending = self.context.newer_config().pending();
-        let revision = pending.map_or(0, |(_, revision)| revision);
-        if revision > self.logged_stale {
+        let Some((_, id)) = self.context.newer_config().pending() else {
+            return;
+        };
+        if id.is_newer_than(self.logged_stale) {
             let age_ms = self.context.config_age().map_or(0, millis);
-            log::warn!(config_revision = revision, age_ms; "configuration-behind");
+            let StoreRevision { era, number } = id.revision;
+            log::warn!(config_revision = number, era, age_ms; "configuration-behind");
             metrics::counter!("wingbridge_configurations_behind").increment(1);
+            self.logged_stale = id;
         }
-        self.logged_stale = self.logged_stale.max(revision);
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -297,14 +297,16 @@
     /// Offers the configuration that is held now to peers. Returns when this box first learned
     /// that there is a newer one than it had before.
     fn publish_config(&self, deltas: Vec<ConfigDelta>) -> Option<Instant> {
-        let held = self.view().config_text().cloned()?;
+        let view = self.view();
         let learned_at = {
             let mut newer = self.newer_config();
             let learned_at = newer.pending().map(|(learned_at, _)| learned_at);
-            newer.clear_if_held(held.revision.number);
+            newer.clear_unless(|id| view.wants_config(id));
             learned_at
         };
-        self.config_source.put(held, deltas);
+        let (version, text) = (view.config_id().version, view.config_text().cloned()?);
+        drop(view);
+        self.config_source.put(version, text, deltas);
         learned_at
     }
 
@@ -315,6 +317,9 @@
             let StoreRevision { era, number } = from.revision;
             log::info!(source = from.source, revision = number, era, age_ms; "ready");
         }
+        if change.returned {
+            log_return(from.revision, from.source);
+        }
         if change.is_outdated {
             self.log_outdated(from);
         }
@@ -394,7 +399,7 @@
         let steered = |target: TargetEntry| SteerTarget {
             cold_until: now + cached.cold_time(&target.id, Instant::now()),
             region: self.settings.region_of(&target.data_centre),
-            evacuated: cached.evacuated().contains(&target.data_centre),
+            evacuated: cached.evacuated_in_force().contains(&target.data_centre),
             cold_rate: cold_rate(&target),
             id: target.id,
             started_ms: target.started_ms,
@@ -484,6 +489,13 @@
     }
 }
 
+/// Logs the first news since the store came back from a copy.
+pub(crate) fn log_return(revision: StoreRevision, source: &str) {
+    log::warn!(revision:%, era = revision.era, source; "store-returned");
+    metrics::counter!("wingbridge_store_returns").increment(1);
+    metrics::gauge!("wingbridge_store_era").set(revision.era as f64);
+}
+
 /// Origin of a change that was applied, for the log.
 struct ChangeOrigin<'a> {
     revision: StoreRevision,
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -12,8 +12,10 @@
 use wingbridge_wire::gossip::{DatagramBody, Heartbeat, ViewVersion};
 
 use super::Gossip;
+use crate::context::log_return;
 use crate::limit_reports::{limits_in_force, merge_limit};
 use crate::notices::update_excluded_gauges;
+use crate::store_revision::{ConfigId, StoreRevision};
 use crate::view::CachedView;
 use crate::view_exchange::view_version_of;
 
@@ -224,21 +226,28 @@
         else {
             return;
         };
-        let held = {
+        let revision = StoreRevision { era: version.era, number: version.revision };
+        let config_revision =
+            StoreRevision { era: version.config_era, number: version.config_revision };
+        let config = ConfigId { version: version.config_version, revision: config_revision };
+        let (is_wanted, held) = {
             let mut known = self.context.view();
-            known.confirm_config(version.config_revision.into(), config_as_of);
-            known.config_revision().number
+            known.confirm_config(config_revision, config_as_of);
+            (known.wants_config(config), known.config_id())
         };
-        if version.config_revision > held {
-            self.record_newer_config(from, version.config_revision, held);
+        if is_wanted {
+            self.record_newer_config(from, config, held);
         }
         let mut known = self.context.view();
-        let is_newer = known.as_of().is_none_or(|held| as_of > held);
-        if version.revision < known.revision().number || !is_newer {
+        let is_newer =
+            known.as_of().is_none_or(|held| as_of > held) || revision.era > known.revision().era;
+        if revision < known.revision() || !is_newer {
             return;
         }
         if version.digest == known.digest() {
-            known.confirm(version.revision.into(), as_of);
+            if known.confirm(revision, as_of) {
+                log_return(revision, "peer");
+            }
             // If the channel is full, a notification is already pending.
             let _ = self.context.view_changed.try_send(());
             return;
@@ -254,10 +263,14 @@
         let _ = self.fetching.try_send(from);
     }
 
-    fn record_newer_config(&self, from: IpAddr, revision: u64, held: u64) {
+    fn record_newer_config(&self, from: IpAddr, id: ConfigId, held: ConfigId) {
         let is_local = self.context.peers().is_local(from);
-        if self.context.newer_config().record(from, is_local, revision, held) {
-            log::info!(peer:% = from, config_revision = revision, held; "configuration-heard-of");
+        if self.context.newer_config().record(from, is_local, id) {
+            log::info!(
+                peer:% = from, config_revision:% = id.revision, era = id.revision.era,
+                held:% = held.revision, held_era = held.revision.era;
+                "configuration-heard-of"
+            );
         }
         // If the channel is full, a notification is already pending.
         let _ = self.context.config_changed.try_send(());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config_source;
 mod config_sync;
 mod context;
+mod copy_overrides;
 mod crash_tracker;
 pub mod customers;
 mod gossip;
--- a/crates/gateway/src/newer_config.rs
+++ b/crates/gateway/src/newer_config.rs
@@ -5,13 +5,15 @@
 
 use rand::seq::IndexedRandom;
 
+use crate::store_revision::ConfigId;
+
 /// Number of seeders that are remembered in each group, local and remote.
 const MAX_SEEDERS: usize = 64;
 
 /// The newest configuration that peers have reported, if it is newer than the one held here.
 #[derive(Debug, Default)]
 pub(crate) struct NewerConfig {
-    revision: u64,
+    id: ConfigId,
     /// Time at which this box first learned of a configuration newer than its own.
     learned_at: Option<Instant>,
     local: Vec<IpAddr>,
@@ -19,23 +21,15 @@
 }
 
 impl NewerConfig {
-    /// Records that the box at `host` has the configuration of `revision`, while this box has the
-    /// configuration of the revision `held`. Returns whether this is the first report of that
-    /// revision.
-    pub(crate) fn record(
-        &mut self,
-        host: IpAddr,
-        is_local: bool,
-        revision: u64,
-        held: u64,
-    ) -> bool {
-        self.clear_if_held(held);
-        if revision <= held || revision < self.revision {
+    /// Records that the box at `host` has the configuration `id`, which this box wants. Returns whether
+    /// this is the first report of that configuration.
+    pub(crate) fn record(&mut self, host: IpAddr, is_local: bool, id: ConfigId) -> bool {
+        let first = id.is_newer_than(self.id);
+        if !first && id != self.id {
             return false;
         }
-        let first = revision > self.revision;
         if first {
-            *self = NewerConfig { revision, learned_at: self.learned_at, ..NewerConfig::default() };
+            *self = NewerConfig { id, learned_at: self.learned_at, ..NewerConfig::default() };
             self.learned_at.get_or_insert_with(Instant::now);
         }
         let seeders = if is_local { &mut self.local } else { &mut self.remote };
@@ -45,10 +39,9 @@
         first
     }
 
-    /// Clears the record if the configuration of this box, of the revision `held`, is at least as
-    /// new.
-    pub(crate) fn clear_if_held(&mut self, held: u64) {
-        if self.revision <= held {
+    /// Clears the record unless this box wants the configuration, as told by `is_wanted`.
+    pub(crate) fn clear_unless(&mut self, is_wanted: impl Fn(ConfigId) -> bool) {
+        if !is_wanted(self.id) {
             *self = NewerConfig::default();
         }
     }
@@ -66,9 +59,9 @@
         local.or_else(|| self.remote.choose(&mut rand::rng()).copied().filter(|_| allow_remote))
     }
 
-    /// Returns when a newer configuration was first learned of, and its newest revision; `None` if
+    /// Returns when a newer configuration was first learned of, and the newest one; `None` if
     /// no newer one is known.
-    pub(crate) fn pending(&self) -> Option<(Instant, u64)> {
-        self.learned_at.map(|learned_at| (learned_at, self.revision))
+    pub(crate) fn pending(&self) -> Option<(Instant, ConfigId)> {
+        self.learned_at.map(|learned_at| (learned_at, self.id))
     }
 }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -296,7 +296,13 @@
             .context
             .change_view(|view| view.drop_lapsed(Instant::now()).then(|| view.revision()));
         if let Some(revision) = dropped {
-            log::info!(revision:%; "lapsed-targets-dropped");
+            log::info!(revision:%, era = revision.era; "lapsed-targets-dropped");
+        }
+        let ended = self
+            .context
+            .change_view(|view| view.end_overrides(Instant::now()).then(|| view.revision()));
+        if let Some(revision) = ended {
+            log::info!(revision:%, era = revision.era; "overrides-of-copy-ended");
         }
     }
 }
--- a/crates/gateway/src/target_table.rs
+++ b/crates/gateway/src/target_table.rs
@@ -10,6 +10,7 @@
 use wingbridge_decide::{Name, TargetKey};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use crate::copy_overrides::CopyOverrides;
 use crate::incarnations::TargetIncarnations;
 use crate::listing_history::{ListingDelta, ListingHistory};
 use crate::view::{TargetEntry, ViewChange};
@@ -34,8 +35,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetTable {
     entries: BTreeMap<Name, TargetEntry>,
-    /// Data centres that operators have evacuated, ordered by name.
+    /// Data centres whose evacuation is listed, ordered by name.
     evacuated: Vec<Name>,
+    /// Data centres whose evacuation is in force, ordered by name.
+    evacuated_in_force: Vec<Name>,
     /// Wrapping sum of the hashes of all entries.
     sum: u64,
     history: ListingHistory,
@@ -43,6 +46,8 @@
     /// Lapsed targets: those that were missing after an outage of the store, each with the end of its
     /// grace period.
     lapsed: HashMap<Name, (TargetEntry, Instant)>,
+    /// What was acknowledged before the store came back from a copy and is missing there.
+    overrides: CopyOverrides,
     /// Times until which targets that were listed as cold are slow after their start.
     cold_until: HashMap<Name, Instant>,
     /// Interned names of services and data centres: thousands of targets share a few.
@@ -56,6 +61,8 @@
     pub(crate) as_of: Instant,
     /// End of the grace period for missing targets, if the store had an outage before.
     pub(crate) grace_until: Option<Instant>,
+    /// Whether it is the first listing since the store came back from a copy.
+    pub(crate) returned: bool,
 }
 
 impl TargetTable {
@@ -69,11 +76,16 @@
         self.entries.values()
     }
 
-    /// Returns the data centres that operators have evacuated, ordered by name.
+    /// Returns the data centres whose evacuation is listed, ordered by name.
     pub(crate) fn evacuated(&self) -> &[Name] {
         &self.evacuated
     }
 
+    /// Returns the data centres whose evacuation is in force, ordered by name.
+    pub(crate) fn evacuated_in_force(&self) -> &[Name] {
+        &self.evacuated_in_force
+    }
+
     /// Returns the time until which a listed target is slow after its start, if it was listed as cold.
     pub(crate) fn cold_until(&self, id: &Name) -> Option<Instant> {
         self.cold_until.get(id).copied()
@@ -145,6 +157,9 @@
         if change.targets_changed {
             self.history.record(before, &delta, self.entries.len());
         }
+        if time.returned {
+            self.extend_lapses(time);
+        }
         let names = delta.changed.iter().map(|target| &target.id).chain(&delta.removed);
         let names: Vec<Name> = names.cloned().collect();
         let used: Vec<Option<TargetKey>> =
@@ -160,20 +175,38 @@
         for (id, used) in names.iter().zip(used) {
             self.record_update(id, used);
         }
-        self.apply_evacuated(evacuated, change);
+        self.apply_evacuated(evacuated, time, change);
     }
 
-    /// Returns the time at which the next lapsed target is to be dropped, if there is one.
+    /// Returns the time at which the next lapsed target is to be dropped, or at which the next override of
+    /// a copy ends, if there is one.
     pub(crate) fn next_lapse(&self) -> Option<Instant> {
-        self.lapsed.values().map(|(_, until)| *until).min()
+        let lapses = self.lapsed.values().map(|(_, until)| *until);
+        lapses.chain(self.overrides.next_end()).min()
     }
 
     /// Drops lapsed targets whose grace period is over. Returns whether any were dropped.
     pub(crate) fn drop_lapsed(&mut self, now: Instant) -> bool {
         let over = self.lapsed.extract_if(|_, (_, until)| *until <= now);
-        let before = self.update.removed.len();
-        self.update.removed.extend(over.map(|(_, (target, _))| target.key()));
-        self.update.removed.len() > before
+        let over: Vec<TargetEntry> = over.map(|(_, (target, _))| target).collect();
+        for target in &over {
+            self.overrides.record_removed(target, now);
+            self.update.removed.push(target.key());
+        }
+        !over.is_empty()
+    }
+
+    /// Ends the overrides of a copy whose time is over. Returns whether there were any.
+    pub(crate) fn end_overrides(&mut self, now: Instant) -> bool {
+        if self.overrides.next_end().is_none_or(|end| end > now) {
+            return false;
+        }
+        for id in self.overrides.take_ended(now) {
+            let listed = self.entries.get(&id).and_then(|target| self.in_force(target));
+            self.update.updated.extend(listed.cloned());
+        }
+        self.update_evacuated(&mut ViewChange::default());
+        true
     }
 
     /// Shortens the grace periods of lapsed targets by `time`, a suspension of the machine that the
@@ -182,6 +215,7 @@
         for (_, until) in self.lapsed.values_mut() {
             *until = until.checked_sub(time).unwrap_or(*until);
         }
+        self.overrides.advance_clocks(time);
     }
 
     /// Adds the targets that match `is_affected` to the next update, because properties of them that
@@ -219,6 +253,9 @@
         if self.incarnations.has_drained(&target) {
             return;
         }
+        if time.grace_until.is_none() {
+            self.overrides.record_removed(&target, time.as_of);
+        }
         match time.grace_until {
             Some(until) if !target.draining => {
                 self.lapsed.insert(id.clone(), (target, until));
@@ -244,7 +281,8 @@
         if target.draining && self.incarnations.record_draining(&target) {
             change.departed.push(target.id.clone());
         }
-        if !target.draining && before.is_none() {
+        self.overrides.record_listed(&target, time.as_of, time.returned);
+        if !target.draining && before.is_none() && !self.overrides.is_held_back(&target.id) {
             change.joined.push(target.id.clone());
         }
         if !target.cold_time.is_zero() {
@@ -255,13 +293,34 @@
         self.entries.insert(target.id.clone(), target);
     }
 
-    fn apply_evacuated(&mut self, evacuated: Vec<Name>, change: &mut ViewChange) {
+    /// Gives lapsed targets the grace period of another return of the store.
+    fn extend_lapses(&mut self, time: ListingTime) {
+        if let Some(grace_until) = time.grace_until {
+            self.lapsed.values_mut().for_each(|(_, until)| *until = grace_until.max(*until));
+        }
+    }
+
+    fn apply_evacuated(
+        &mut self,
+        evacuated: Vec<Name>,
+        time: ListingTime,
+        change: &mut ViewChange,
+    ) {
         let before = std::mem::replace(&mut self.evacuated, evacuated);
+        let ListingTime { as_of, returned, .. } = time;
+        self.overrides.record_evacuated(&before, &self.evacuated, as_of, returned);
+        self.update_evacuated(change);
+    }
+
+    /// Works out which evacuations are in force.
+    fn update_evacuated(&mut self, change: &mut ViewChange) {
+        let in_force = self.overrides.evacuations_in_force(&self.evacuated);
+        let before = std::mem::replace(&mut self.evacuated_in_force, in_force);
         let missing_in = |names: &[Name], others: &[Name]| -> Vec<Name> {
             names.iter().filter(|name| !others.contains(name)).cloned().collect()
         };
-        change.evacuated = missing_in(&self.evacuated, &before);
-        change.restored = missing_in(&before, &self.evacuated);
+        change.evacuated = missing_in(&self.evacuated_in_force, &before);
+        change.restored = missing_in(&before, &self.evacuated_in_force);
         let affected: HashSet<&Name> = change.evacuated.iter().chain(&change.restored).collect();
         if !affected.is_empty() {
             self.mark_updated(|target| affected.contains(&target.data_centre));
@@ -288,7 +347,8 @@
     }
 
     fn in_force<'a>(&'a self, listed: &'a TargetEntry) -> Option<&'a TargetEntry> {
-        self.incarnations.in_force(listed).filter(|target| !target.draining)
+        let in_force = self.incarnations.in_force(listed).filter(|target| !target.draining);
+        in_force.filter(|target| !self.overrides.is_held_back(&target.id))
     }
 
     fn intern(&mut self, name: &Name) -> Name {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,7 +11,7 @@
 use crate::ports::{EnvironmentPort, StoreChanges, TargetListing};
 use crate::revision_history::RevisionHistory;
 use crate::routes::RouteConfig;
-use crate::store_revision::StoreRevision;
+use crate::store_revision::{ConfigId, StoreRevision};
 pub use crate::target_table::TargetUpdate;
 use crate::target_table::{ListingTime, TargetTable, listing_digest};
 
@@ -106,6 +106,8 @@
     pub config: Option<u64>,
     /// Reason for which a new configuration was refused. The previous one stays in force.
     pub refused: Option<String>,
+    /// Whether the update is the first one since the store came back from a copy.
+    pub returned: bool,
     /// Whether the update was older than the view and was not applied.
     pub is_outdated: bool,
     /// Whether the set of targets that take requests has changed.
@@ -155,10 +157,11 @@
     targets: TargetTable,
     as_of: Option<Instant>,
     history: RevisionHistory,
-    /// Revision of the store at which the configuration was written; `NONE` before the first.
-    config_revision: StoreRevision,
-    config_text: Option<ConfigText>,
+    /// The configuration in force, decoded and in its stored form.
     config: Option<Arc<RouteConfig>>,
+    config_text: Option<ConfigText>,
+    /// Revision of the last configuration that was refused.
+    refused: Option<StoreRevision>,
     config_as_of: Option<Instant>,
     grace_until: Option<Instant>,
 }
@@ -199,9 +202,11 @@
     /// current: polled after such a revision, the store would report no change, and the box would
     /// treat an outdated configuration as the newest.
     pub fn config_poll_revision(&self) -> Option<StoreRevision> {
-        let held = self.config_revision;
+        let held = self.config_id().revision;
         let confirmed = self.config_as_of.filter(|_| held > StoreRevision::NONE)?;
-        Some(self.history.revision_before(confirmed).map_or(held, |before| before.max(held)))
+        let before = self.history.revision_before(confirmed).unwrap_or(held).max(held);
+        // The store counts its changes anew in each era.
+        (before.era >= self.revision.era).then_some(before)
     }
 
     /// Returns the configuration that is in force.
@@ -209,7 +214,7 @@
         self.config.as_ref()
     }
 
-    /// Returns the newest configuration in its stored form, including one that was refused.
+    /// Returns the configuration that is in force in its stored form.
     pub fn config_text(&self) -> Option<&ConfigText> {
         self.config_text.as_ref()
     }
@@ -230,38 +235,54 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Returns the data centres that operators have evacuated, ordered by name.
+    /// Returns the data centres whose evacuation is listed, ordered by name.
     pub fn evacuated(&self) -> &[Name] {
         self.targets.evacuated()
     }
 
-    /// Returns the revision of the store at which the held configuration was written; `NONE` if there
-    /// is no configuration.
-    pub fn config_revision(&self) -> StoreRevision {
-        self.config_revision
+    /// Returns the data centres whose evacuation is in force, ordered by name: the listed ones, apart from
+    /// what a copy of the store lacks.
+    pub fn evacuated_in_force(&self) -> &[Name] {
+        self.targets.evacuated_in_force()
+    }
+
+    /// Returns the identity of the configuration that is in force; `NONE` if there is none.
+    pub fn config_id(&self) -> ConfigId {
+        let (Some(config), Some(text)) = (&self.config, &self.config_text) else {
+            return ConfigId::NONE;
+        };
+        ConfigId { version: config.version, revision: text.revision }
+    }
+
+    /// Returns whether this box lacks the configuration `id` and would take it.
+    pub fn wants_config(&self, id: ConfigId) -> bool {
+        self.refused != Some(id.revision) && id.is_newer_than(self.config_id())
     }
 
     /// Records that the listing of targets was still current at `as_of`, as reported by a peer that
     /// holds the same listing.
-    pub fn confirm(&mut self, revision: StoreRevision, as_of: Instant) {
-        if revision >= self.revision {
-            self.record_read(as_of);
-            self.revision = revision;
-        }
+    /// Returns whether this is the first news since the store came back from a copy.
+    pub fn confirm(&mut self, revision: StoreRevision, as_of: Instant) -> bool {
+        revision >= self.revision && self.record_read(revision, as_of)
     }
 
-    /// Records that the configuration of `revision` was the newest at `as_of`; `revision` is
-    /// `NONE` if there was no configuration.
+    /// Records that the configuration of `revision` was the newest at `as_of`, as reported by a peer;
+    /// `revision` is `NONE` if there was no configuration.
     pub fn confirm_config(&mut self, revision: StoreRevision, as_of: Instant) {
-        if revision == self.config_revision {
-            let confirmed = self.config_as_of.map_or(as_of, |before| before.max(as_of));
-            self.config_as_of = Some(confirmed);
-            // The store is polled for targets from a revision that precedes their last reading, so
-            // the history must reach back to the older of the two times.
-            self.history.prune(self.as_of.map_or(confirmed, |as_of| as_of.min(confirmed)));
+        if revision == self.config_id().revision || Some(revision) == self.refused {
+            self.record_config_read(as_of);
         }
     }
 
+    /// Records that the store had no newer configuration at `as_of` than those that were applied.
+    pub fn record_config_read(&mut self, as_of: Instant) {
+        let confirmed = self.config_as_of.map_or(as_of, |before| before.max(as_of));
+        self.config_as_of = Some(confirmed);
+        // The store is polled for targets from a revision that precedes their last reading, so the
+        // history must reach back to the older of the two times.
+        self.history.prune(self.as_of.map_or(confirmed, |as_of| as_of.min(confirmed)));
+    }
+
     /// Applies a full view, unless the held one is newer.
     pub fn apply(
         &mut self,
@@ -276,10 +297,15 @@
         // The caller has already applied the crash notes.
         let StoreView { revision, config_revision, config, targets, evacuated, crash_notes: _ } =
             view;
-        if let Some(text) = config {
-            self.apply_config_text(text, port, &mut change);
+        match config {
+            Some(text) => {
+                self.apply_config_text(text, port, &mut change);
+                self.record_config_read(as_of);
+            }
+            // A copy from before the first configuration does not take back a later one.
+            None if config_revision == StoreRevision::NONE => self.record_config_read(as_of),
+            None => self.confirm_config(config_revision, as_of),
         }
-        self.confirm_config(config_revision, as_of);
         let listing = TargetListing { revision, targets, evacuated };
         let listed = self.apply_listing(listing, as_of);
         ViewChange { config: change.config, refused: change.refused, ..listed }
@@ -319,7 +345,7 @@
         if let Some(text) = config {
             self.apply_config_text(text, port, &mut change);
         }
-        self.confirm_config(self.config_revision, as_of);
+        self.record_config_read(as_of);
         let delta = self.targets.delta_of_changes(written, removed);
         let kept = self.evacuated().iter().filter(|name| !restored.contains(name));
         let mut evacuated: Vec<Name> = kept.cloned().chain(evacuated).collect();
@@ -355,12 +381,13 @@
     ) -> ViewChange {
         let mut change = ViewChange::default();
         let is_first = self.as_of.is_none();
-        self.record_read(as_of);
+        let returned = self.record_read(revision, as_of);
         let grace_until = self.grace_until.filter(|until| as_of < *until);
-        self.targets.apply(delta, evacuated, ListingTime { as_of, grace_until }, &mut change);
+        let time = ListingTime { as_of, grace_until, returned };
+        self.targets.apply(delta, evacuated, time, &mut change);
+        change.returned = returned;
         // The first listing is a change for this box even if it is empty.
         change.targets_changed |= is_first;
-        self.revision = revision;
         change
     }
 
@@ -383,7 +410,8 @@
         self.targets.has_delta_from(digest)
     }
 
-    /// Returns the time at which the next lapsed target is to be dropped, if there is one.
+    /// Returns the time at which the next lapsed target is to be dropped, or the next override of a copy of
+    /// the store ends, if there is one.
     pub fn next_lapse(&self) -> Option<Instant> {
         self.targets.next_lapse()
     }
@@ -398,6 +426,12 @@
         self.targets.drop_lapsed(now)
     }
 
+    /// Ends what was in force in place of a copy of the store, once its time is over. Returns whether
+    /// anything was.
+    pub fn end_overrides(&mut self, now: Instant) -> bool {
+        self.targets.end_overrides(now)
+    }
+
     /// Takes the changes among the targets that take requests since the previous call.
     pub fn take_update(&mut self) -> TargetUpdate {
         self.targets.take_update()
@@ -411,8 +445,18 @@
         self.targets.advance_clocks(time);
     }
 
-    fn record_read(&mut self, as_of: Instant) {
-        self.history.record(as_of, self.revision);
+    /// Records a listing of targets of `revision`. Returns whether it is the first one since the store came
+    /// back from a copy.
+    fn record_read(&mut self, revision: StoreRevision, as_of: Instant) -> bool {
+        let returned = self.as_of.is_some() && revision.era > self.revision.era;
+        if returned {
+            // Revisions of an earlier era are none from which the store can be polled.
+            self.history = RevisionHistory::default();
+            self.grace_until = Some(as_of + OUTAGE_GRACE);
+        } else {
+            self.history.record(as_of, self.revision);
+        }
+        self.revision = revision;
         match self.as_of {
             Some(before) if as_of <= before => {}
             Some(before) => {
@@ -423,6 +467,7 @@
             }
             None => self.as_of = Some(as_of),
         }
+        returned
     }
 
     fn apply_config_text(
@@ -431,16 +476,19 @@
         port: &dyn EnvironmentPort,
         change: &mut ViewChange,
     ) {
-        if text.revision <= self.config_revision {
+        let held = self.config_id();
+        let is_known = text.revision.era == held.revision.era && text.revision <= held.revision;
+        if is_known || Some(text.revision) == self.refused {
             return;
         }
-        match port.decode_config(&text.text) {
-            Ok(config)
-                if self.config.as_ref().is_some_and(|held| held.version > config.version) =>
-            {
-                change.refused =
-                    Some(format!("version {} is older than the version in force", config.version));
+        let decoded = port.decode_config(&text.text).and_then(|config| {
+            let id = ConfigId { version: config.version, revision: text.revision };
+            if id.is_newer_than(held) {
+                return Ok(config);
             }
+            Err(format!("version {} is older than the version in force", config.version))
+        });
+        match decoded {
             Ok(config) => {
                 change.config = Some(config.version);
                 let config = Arc::new(config);
@@ -448,11 +496,13 @@
                 if before.is_none_or(|before| before.cold_rates != config.cold_rates) {
                     self.targets.mark_updated(|target| target.is_cold);
                 }
+                self.config_text = Some(text);
+            }
+            Err(reason) => {
+                change.refused = Some(reason);
+                // Reading it again would give the same result.
+                self.refused = Some(text.revision);
             }
-            Err(reason) => change.refused = Some(reason),
         }
-        // A refused configuration is held as well: reading it again would give the same result.
-        self.config_revision = text.revision;
-        self.config_text = Some(text);
     }
 }
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -19,6 +19,7 @@
 use crate::context::{BoxContext, millis};
 use crate::listing_source::{ListingDeltaKey, ListingReply, PackedTargets, unpack};
 use crate::ports::TargetListing;
+use crate::store_revision::StoreRevision;
 use crate::transfer_slots::BUSY_RETRY_DELAY;
 use crate::view::{CachedView, ListingDelta, PeerListingDelta, TargetEntry};
 
@@ -71,11 +72,16 @@
 pub(crate) fn view_version_of(view: &CachedView) -> Option<ViewVersion> {
     let as_of = view.as_of()?;
     let config_age = view.config_as_of().map(|as_of| as_of.elapsed());
+    let StoreRevision { era, number } = view.revision();
+    let config = view.config_id();
     Some(ViewVersion {
-        revision: view.revision().number,
+        revision: number,
+        era,
         age_ms: millis(as_of.elapsed()),
         digest: view.digest(),
-        config_revision: view.config_revision().number,
+        config_revision: config.revision.number,
+        config_era: config.revision.era,
+        config_version: config.version,
         config_age_ms: config_age.map_or(0, millis),
     })
 }
@@ -146,7 +152,7 @@
         return Ok(FetchedTargets::BaseMismatch);
     }
     log::info!(
-        peer:% = host, revision = version.revision, age_ms = version.age_ms, bytes,
+        peer:% = host, revision = version.revision, era = version.era, age_ms = version.age_ms, bytes,
         taken_ms = millis(started_at.elapsed());
         "targets-fetched"
     );
@@ -235,7 +241,8 @@
     version: &ViewVersion,
 ) -> Result<ReceivedTargets, WireError> {
     let evacuated = reply.evacuated.into_iter().map(Name::from).collect();
-    let (revision, digest) = (version.revision.into(), version.digest);
+    let revision = StoreRevision { era: version.era, number: version.revision };
+    let digest = version.digest;
     let mut targets = Vec::new();
     for part in &reply.parts {
         let records =
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 use wingbridge_gateway::config_source::ConfigSource;
 use wingbridge_gateway::routes::RouteKind;
+use wingbridge_gateway::store_revision::StoreRevision;
 use wingbridge_gateway::text_patch::{apply_patch, make_patch};
 use wingbridge_gateway::view::ConfigText;
 use wingbridge_wire::gossip::{
@@ -34,7 +35,7 @@
 }
 
 fn fetch_config(host: IpAddr, revision: u64) -> ConfigReply {
-    let question = ExchangeQuestion::Config(ConfigRequest { revision });
+    let question = ExchangeQuestion::Config(ConfigRequest { revision, ..ConfigRequest::default() });
     exchange_on(&connect_exchange(host), Some(question)).expect("the box replies")
 }
 
@@ -87,8 +88,8 @@
     for case in TRANSFERS {
         let source = ConfigSource::new(case.link_mbps);
         let text: Vec<u8> = (0..case.bytes).map(|_| random.random()).collect();
-        source.put(ConfigText { revision: 7.into(), text: text.into() }, Vec::new());
-        let request = || source.reply(ConfigRequest { revision: 0 }, 0);
+        source.put(1, ConfigText { revision: 7.into(), text: text.into() }, Vec::new());
+        let request = || source.reply(ConfigRequest::default(), 0);
         let mut replies: Vec<_> = (0..20).map(|_| request()).collect();
         let busy = replies.iter().filter(|reply| reply.message().busy).count();
         assert_eq!(20 - busy, case.sent, "{}", case.name);
@@ -99,7 +100,7 @@
             continue;
         }
         let seeder: IpAddr = "10.0.0.9".parse().expect("an address");
-        source.record_seeder(seeder, 7);
+        source.record_seeder(seeder, 7.into());
         assert_eq!(request().message().seeders, ["10.0.0.9"], "{}", case.name);
         replies.remove(0);
         assert!(!request().message().busy, "{}: a transfer slot is free", case.name);
@@ -111,6 +112,65 @@
     }
 }
 
+struct ChainCase {
+    name: &'static str,
+    held: ConfigRequest,
+    /// Eras of the bases of the deltas in the reply, each with the number of the revision.
+    bases: &'static [(u64, u64)],
+}
+
+const CHAINS: &[ChainCase] = &[
+    ChainCase {
+        name: "held before the return",
+        held: ConfigRequest { revision: 7, era: 1, version: 4 },
+        bases: &[(1, 7)],
+    },
+    ChainCase {
+        name: "held two configurations ago",
+        held: ConfigRequest { revision: 6, era: 1, version: 3 },
+        bases: &[(1, 6), (1, 7)],
+    },
+    ChainCase {
+        name: "the newest",
+        held: ConfigRequest { revision: 7, era: 2, version: 5 },
+        bases: &[],
+    },
+    ChainCase {
+        name: "the same number in an era that is not known",
+        held: ConfigRequest { revision: 7, era: 3, version: 4 },
+        bases: &[(0, 0)],
+    },
+    ChainCase {
+        name: "an earlier release",
+        held: ConfigRequest { revision: 7, era: 0, version: 0 },
+        bases: &[(0, 0)],
+    },
+];
+
+/// A revision that the store gave out twice stood for two configurations.
+#[test]
+fn deltas_name_the_era_of_the_revisions_that_they_join() {
+    let source = ConfigSource::new(0);
+    for (version, era, number) in [(3, 1, 6), (4, 1, 7), (5, 2, 7)] {
+        let revision = StoreRevision { era, number };
+        let text = ConfigText { revision, text: version.to_string().into_bytes().into() };
+        source.put(version, text, Vec::new());
+    }
+    for case in CHAINS {
+        let reply = source.reply(case.held, 0);
+        let deltas = &reply.message().deltas;
+        let bases: Vec<(u64, u64)> =
+            deltas.iter().map(|delta| (delta.from_era, delta.from)).collect();
+        assert_eq!(bases, case.bases, "{}", case.name);
+        let last = deltas.last().map(|delta| (delta.to_era, delta.to));
+        assert_eq!(last.unwrap_or((2, 7)), (2, 7), "{}", case.name);
+    }
+    let older = StoreRevision { era: 2, number: 9 };
+    source.put(4, ConfigText { revision: older, text: b"4".as_slice().into() }, Vec::new());
+    let newest = source.reply(ConfigRequest::default(), 0);
+    assert_eq!(newest.revision().number, 7, "an older version in a copy is not served");
+}
+
 #[test]
 fn targets_are_sent_as_a_delta() {
     let [kept, removed] =
@@ -287,7 +347,13 @@
     let count = Arc::clone(&answered);
     peer.answer(move |_| {
         let number = count.fetch_add(1, Ordering::Relaxed);
-        let delta = |from, hash| ConfigDelta { from, to: 9, hash, patch: make_patch(b"", b"9") };
+        let delta = |from, hash| ConfigDelta {
+            from,
+            to: 9,
+            hash,
+            patch: make_patch(b"", b"9"),
+            ..ConfigDelta::default()
+        };
         let deltas = match number % 3 {
             0 => vec![delta(0, 1)],
             1 => vec![delta(5, 1)],
--- a/crates/gateway/tests/first_view.rs
+++ b/crates/gateway/tests/first_view.rs
@@ -26,8 +26,16 @@
 /// The configuration as the store stand-in writes it.
 const TEXT: &[u8] = b"1\n";
 /// The version of the peer's view of the store.
-const VERSION: ViewVersion =
-    ViewVersion { revision: 2, age_ms: 0, digest: 99, config_revision: 1, config_age_ms: 0 };
+const VERSION: ViewVersion = ViewVersion {
+    revision: 2,
+    age_ms: 0,
+    digest: 99,
+    config_revision: 1,
+    config_age_ms: 0,
+    era: 0,
+    config_era: 0,
+    config_version: 0,
+};
 
 /// A peer that sends its configuration at once, and its targets only after `sends_targets` is set.
 struct SlowPeer {
@@ -76,7 +84,7 @@
     let sent = match question {
         ExchangeQuestion::Config(_) => {
             let patch = make_patch(b"", TEXT);
-            let delta = ConfigDelta { from: 0, to: 1, hash: xxh3_64(TEXT), patch };
+            let delta = ConfigDelta { to: 1, hash: xxh3_64(TEXT), patch, ..ConfigDelta::default() };
             let reply = ConfigReply { revision: 1, deltas: vec![delta], ..ConfigReply::default() };
             send_message(stream, &reply).await
         }
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -356,7 +356,7 @@
     let peer = own_host();
     let listener = TcpListener::bind((peer, EXCHANGE)).expect("a free local address");
     let patch = make_patch(b"1\n", b"2\n");
-    let delta = ConfigDelta { from: 1, to: 3, hash: xxh3_64(b"2\n"), patch };
+    let delta = ConfigDelta { from: 1, to: 3, hash: xxh3_64(b"2\n"), patch, ..Default::default() };
     let mut caller = gateway.connect();
     let (requested, wait_for_request) = std::sync::mpsc::channel();
     let serving = serve_config_late(listener, delta, move || {
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -196,7 +196,7 @@
     view.apply(newer, start, &*port);
     let text = ConfigText { revision: 5.into(), text: b"1".as_slice().into() };
     let change = view.apply_config(text, &*port);
-    let held = (change.config, view.config_revision(), view.revision());
+    let held = (change.config, view.config_id().revision, view.revision());
     assert_eq!(held, (Some(1), 5.into(), 9.into()));
     let newest = StoreView { revision: 10.into(), ..StoreView::default() };
     view.apply(newest, start, &*port);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -146,6 +146,15 @@
     /// Milliseconds since the read that found no newer configuration in the store.
     #[prost(uint64, tag = "5")]
     pub config_age_ms: u64,
+    /// Era of the store that `revision` is of, 0 if it is not known.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
+    /// Era of the store that `config_revision` is of, 0 if it is not known.
+    #[prost(uint64, tag = "7")]
+    pub config_era: u64,
+    /// The operators' version of the sender's configuration, 0 if it is not known.
+    #[prost(uint64, tag = "8")]
+    pub config_version: u64,
 }
 
 /// A box in the peer table of the sender of a heartbeat.
@@ -365,6 +374,12 @@
     /// Revision of the requester's configuration in the store, 0 for none.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// Era of the store that `revision` is of, 0 if it is not known.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    /// The operators' version of the requester's configuration, 0 if it is not known.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 
 /// A configuration, as a chain of deltas from the requester's one.
@@ -385,6 +400,9 @@
     /// Deltas to apply in order. Empty if the peer has nothing newer.
     #[prost(message, repeated, tag = "5")]
     pub deltas: Vec<ConfigDelta>,
+    /// Era of the store that `revision` is of, 0 if it is not known.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// A patch that makes one configuration of another one.
@@ -402,6 +420,12 @@
     /// A compressed [`TextPatch`].
     #[prost(bytes = "vec", tag = "4")]
     pub patch: Vec<u8>,
+    /// Era of the store that `from` is of, 0 if it is not known.
+    #[prost(uint64, tag = "5")]
+    pub from_era: u64,
+    /// Era of the store that `to` is of, 0 if it is not known.
+    #[prost(uint64, tag = "6")]
+    pub to_era: u64,
 }
 
 /// A text, expressed as pieces of another text and inserted bytes.
