Store sync: a reading that does not renew the view is followed by a pause

What callers saw: nothing by itself. After a return of the store, 40 boxes made 2,139 to 2,460 calls a second instead of 27 to 36, beyond the 2,000 that the store allows; 6 boxes were refused with 429 at the moment when they could have read the change.

Cause: a reading is due by the age of the view. One that is successful and changes nothing leaves the age as it is, and reset the back-off.

Change: it counts as outcome 'outdated' and the back-off of a failed reading applies.

Why it works: every reading either renews the view, after which the next one is due by its age, or waits.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -110,10 +110,15 @@
 
     /// Returns the age of the data that a reading would refresh; `None` if there is none.
     fn age(&self) -> Option<Duration> {
+        self.renewed_at().map(|renewed| renewed.elapsed())
+    }
+
+    /// Returns the time up to which the data that a reading would refresh is current; `None` if there is
+    /// none.
+    fn renewed_at(&self) -> Option<Instant> {
         let view = self.context.view();
         let large = is_large(view.config_text());
-        let oldest = if large { view.as_of() } else { view.oldest() };
-        oldest.map(|oldest| oldest.elapsed())
+        if large { view.as_of() } else { view.oldest() }
     }
 
     /// Returns the age of the view at which this box reads the store.
@@ -125,7 +130,14 @@
     async fn read(&mut self) {
         let started_at = Instant::now();
         let sample = self.context.clock_sample();
+        let renewed_before = self.renewed_at();
         match self.read_once(started_at, sample).await {
+            // A reading that did not renew the view is as due as before: repeated at once, such readings
+            // of 40 boxes used up all calls that the store allows.
+            Ok(()) if self.renewed_at() <= renewed_before => {
+                metrics::counter!("wingbridge_store_reads", "outcome" => "outdated").increment(1);
+                self.backoff.record_failure(self.random.random());
+            }
             Ok(()) => {
                 let revision = self.context.view().revision();
                 if self.backoff.failures() > 0 {
