Store sync: notes that the store lost are written again after it came back

What callers saw: nothing yet. Read in the code on the search for the same cause elsewhere: a box that starts without peers finds no bootstrap addresses for up to 15 s after a return, and a request that ends targets, noted before, is not known any more once all boxes start anew.

Cause: a note is written when it has changed, or after 15 s, as if the store kept what it acknowledged.

Change: a box remembers the era in which it wrote each note, and writes it again in a later one (once a return and data centre).

Evidence: notes_of_boxes_are_written_again_... failed (not within 10 s); passes now.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -59,9 +59,17 @@
     /// Time at which this box last read the store.
     read_at: Option<Instant>,
     bootstrap_read_at: Option<Instant>,
-    bootstrap_written_at: Option<Instant>,
-    /// Version of the crash note that this box last wrote; 0 for an empty one.
-    crash_note_version: u64,
+    bootstrap_written: Option<WrittenNote<Instant>>,
+    crash_note_written: Option<WrittenNote<u64>>,
+}
+
+/// A note that this box last wrote to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct WrittenNote<T> {
+    /// Era of the store before the write. A store of a later era may have lost the note.
+    era: u64,
+    /// Time or version of the note.
+    of: T,
 }
 
 impl StoreSync {
@@ -81,8 +89,8 @@
             listed_at: None,
             read_at: None,
             bootstrap_read_at: None,
-            bootstrap_written_at: None,
-            crash_note_version: 0,
+            bootstrap_written: None,
+            crash_note_written: None,
         }
     }
 
@@ -261,10 +269,12 @@
                 Err(error) => log::warn!(reason:% = error; "contacts-not-read"),
             }
         }
-        let due = self.started.elapsed() >= BOOTSTRAP_DELAY
-            && is_due(self.bootstrap_written_at, BOOTSTRAP_WRITE_PERIOD);
+        let era = self.context.view().revision().era;
+        let written_at = self.bootstrap_written.filter(|note| note.era == era).map(|note| note.of);
+        let due =
+            self.started.elapsed() >= BOOTSTRAP_DELAY && is_due(written_at, BOOTSTRAP_WRITE_PERIOD);
         if priority == 0 && due {
-            self.bootstrap_written_at = Some(Instant::now());
+            self.bootstrap_written = Some(WrittenNote { era, of: Instant::now() });
             let mut hosts = vec![self.context.settings.host()];
             hosts.extend(local_peers.into_iter().take(MAX_BOOTSTRAP_ADDRESSES - 1));
             let centre = self.context.settings.data_centre.as_str();
@@ -282,14 +292,17 @@
             return;
         }
         let (version, note) = self.context.crashes.encode_note();
-        if version == self.crash_note_version {
+        let current = WrittenNote { era: self.context.view().revision().era, of: version };
+        let is_written = self.crash_note_written == Some(current);
+        let has_none = self.crash_note_written.is_none_or(|note| note.of == 0);
+        if is_written || (version == 0 && has_none) {
             return;
         }
         let centre = self.context.settings.data_centre.as_str();
         match self.context.port.write_crash_note(centre, &note).await {
             Ok(()) => {
                 log::info!(bytes = note.len(); "crash-note-written");
-                self.crash_note_version = version;
+                self.crash_note_written = Some(current);
             }
             // The write is repeated after the next reading.
             Err(error) => log::warn!(reason:% = error; "crash-note-not-written"),
