Soak: the store comes back from a copy

Cause: no stand-in of ours lost what it had acknowledged, so that no soak, test or model could show the incident.

The soak draws one such return in ten seconds of faults, from a seed of its own so that the other faults of each seed stay (away 0.1 to 3 s by refusing, silence or closing; the copy up to 10 s old). Its promises are as they were.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -32,6 +32,9 @@
 /// heartbeats.
 const ENTRY_LAPSE_DELAY: Duration = Duration::from_millis(4500);
 
+/// Time within which operators and targets write again what the store has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(1500);
+
 /// A scheduled step. Its `Debug` form is written to the event trace.
 #[derive(Debug, Clone, Copy)]
 enum DriverStep {
@@ -39,6 +42,9 @@
     StartBox(usize),
     ContinueBox(usize),
     EndStore(usize),
+    /// Number of the span, and age of the copy.
+    ReturnStore(usize, Duration),
+    RewriteLost,
     EndStorePath(usize, usize),
     EndTargetPath(usize),
     EndTarget(usize),
@@ -150,7 +156,9 @@
     /// Returns an error if a process can't be started or signalled.
     pub fn run_plan(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.started = Instant::now();
-        for (at, fault) in plan.faults.iter().chain(&plan.notices).chain(&plan.limits) {
+        for (at, fault) in
+            plan.faults.iter().chain(&plan.notices).chain(&plan.limits).chain(&plan.returns)
+        {
             self.schedule_at(*at, DriverStep::Begin(*fault));
         }
         while !self.schedule.is_empty() || !self.all_running() || self.started.elapsed() < time {
@@ -230,6 +238,19 @@
                 self.environment.store.set_mode(StoreMode::Serving);
                 self.spans.end(span);
             }
+            DriverStep::ReturnStore(span, age) => {
+                // The first configuration and the first targets were written before the load began.
+                let now = Instant::now();
+                let until = now.checked_sub(age).unwrap_or(now).max(self.started);
+                let lost = self.environment.store.come_back(until);
+                self.record_event(&format!("{lost} keys are lost"));
+                self.environment.store.set_mode(StoreMode::Serving);
+                self.spans.end(span);
+                for number in 1..=lost as u32 {
+                    self.schedule_in(REWRITE_TIME * number / lost as u32, DriverStep::RewriteLost);
+                }
+            }
+            DriverStep::RewriteLost => self.environment.store.rewrite_lost(),
             DriverStep::EndStorePath(index, span) => {
                 self.boxes[index].set_store_relay_mode(RelayMode::Open);
                 self.spans.end(span);
@@ -285,6 +306,11 @@
                 let span = self.spans.begin(SpanScope::Store);
                 self.schedule_in(time, DriverStep::EndStore(span));
             }
+            PlannedFault::ReturnFromCopy(mode, away, age) => {
+                self.environment.store.set_mode(mode);
+                let span = self.spans.begin(SpanScope::Store);
+                self.schedule_in(away, DriverStep::ReturnStore(span, age));
+            }
             PlannedFault::StorePath(index, mode, time) => {
                 self.boxes[index].set_store_relay_mode(mode);
                 let span = self.spans.begin(SpanScope::Box(index));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -46,6 +46,9 @@
     /// A target announces in its answers only, not in its entry, that it is draining, and then
     /// ends.
     LeaveByAnswers(usize),
+    /// The store has this fault for this time and then comes back from a copy of this age. The operators
+    /// and the targets write again what it has lost.
+    ReturnFromCopy(StoreMode, Duration, Duration),
     /// A target announces this limit in its answers, in millionths of a request per second, for
     /// this time.
     NameLimit(usize, u64, Duration),
@@ -61,6 +64,8 @@
     pub notices: Vec<(Duration, PlannedFault)>,
     /// Targets that announce limits, with the times at which they begin.
     pub limits: Vec<(Duration, PlannedFault)>,
+    /// Returns of the store from a copy, with the times at which it becomes unavailable.
+    pub returns: Vec<(Duration, PlannedFault)>,
     /// Poison requests.
     pub poison_rounds: Vec<PoisonRound>,
 }
@@ -89,7 +94,10 @@
 /// Targets per second of faults that announce limits.
 const LIMITS_PER_S: f64 = 0.2;
 const LIMIT_SEED: u64 = 0x11c17;
-/// Poison requests, like notices and limits, are drawn from a random source of their own, so that
+/// Returns of the store from a copy per second of faults.
+const RETURNS_PER_S: f64 = 0.1;
+const RETURN_SEED: u64 = 0xc0b1;
+/// Poison requests, like notices, limits and returns, are drawn from a random source of their own, so that
 /// adding them left the other faults of each seed unchanged.
 const POISON_SEED: u64 = 0xdead;
 
@@ -116,7 +124,8 @@
             .collect();
         faults.sort_by_key(|(at, _)| *at);
         let (notices, poison_rounds) = (draw_notices(seed, size), draw_poison_rounds(seed, size));
-        FaultPlan { faults, notices, limits: draw_limits(seed, size), poison_rounds }
+        let (limits, returns) = (draw_limits(seed, size), draw_returns(seed, size));
+        FaultPlan { faults, notices, limits, returns, poison_rounds }
     }
 }
 
@@ -175,6 +184,23 @@
     (0..count).map(&mut draw).collect()
 }
 
+fn draw_returns(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ RETURN_SEED);
+    let count = (size.time.as_secs_f64() * RETURNS_PER_S).ceil() as usize;
+    let mut draw = |_| {
+        let at = size.time.mul_f64(random.random());
+        let mode = match random.random_range(0..3) {
+            0 => StoreMode::Refusing,
+            1 => StoreMode::Silent,
+            _ => StoreMode::Closing,
+        };
+        let away = Duration::from_millis(random.random_range(100..3000));
+        let age = Duration::from_millis(random.random_range(0..10_000));
+        (at, PlannedFault::ReturnFromCopy(mode, away, age))
+    };
+    (0..count).map(&mut draw).collect()
+}
+
 fn draw_poison_rounds(seed: u64, size: &PlanSize) -> Vec<PoisonRound> {
     let mut random = StdRng::seed_from_u64(seed ^ POISON_SEED);
     let count = (size.time.as_secs_f64() * POISON_ROUNDS_PER_S).ceil() as usize;
