--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -34,6 +34,11 @@
 
 /// Time within which operators and targets write again what the store has lost.
 const REWRITE_TIME: Duration = Duration::from_millis(1500);
+/// Time after a return of the store at which the operators change the configuration: boxes are held to
+/// their bounds again once they have been undisturbed for 3 s.
+const CHANGE_AFTER_RETURN: Duration = Duration::from_millis(3200);
+/// Time between two writes of a target's entry.
+const BEAT: Duration = Duration::from_millis(1500);
 
 /// A scheduled step. Its `Debug` form is written to the event trace.
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +103,7 @@
     pub longest_cpu_wait: Duration,
     starvation: StarvationMonitor,
     last_starvation_check: Instant,
+    last_beat: Instant,
     /// Processes that ended unexpectedly or did not end in time when they were stopped.
     pub process_faults: Vec<String>,
 }
@@ -136,6 +142,7 @@
             longest_cpu_wait: Duration::ZERO,
             starvation: StarvationMonitor::default(),
             last_starvation_check: Instant::now(),
+            last_beat: Instant::now(),
             process_faults: Vec::new(),
         })
     }
@@ -249,6 +256,8 @@
                 for number in 1..=lost as u32 {
                     self.schedule_in(REWRITE_TIME * number / lost as u32, DriverStep::RewriteLost);
                 }
+                let change = PlannedFault::ChangeConfig(1, Duration::ZERO);
+                self.schedule_in(CHANGE_AFTER_RETURN, DriverStep::Begin(change));
             }
             DriverStep::RewriteLost => self.environment.store.rewrite_lost(),
             DriverStep::EndStorePath(index, span) => {
@@ -414,6 +423,10 @@
             self.record_event(&format!("target {index} ended by a request"));
             self.schedule_in(ENTRY_LAPSE_DELAY, DriverStep::LapseEntry(index));
         }
+        if self.last_beat.elapsed() >= BEAT {
+            self.last_beat = Instant::now();
+            self.environment.renew_entries();
+        }
         self.check_starvation();
         thread::sleep(POLL_INTERVAL);
         Ok(())
