Targets: an earlier incarnation in a copy of the store does not end the later one

What callers saw: nothing yet. Found on the search for the same cause elsewhere: a copy that lists a target as it was before its last start was reported as an end of the running incarnation, and its next entry as another one. Ends count towards requests under which targets end.

Cause: two entries of different starts were a restart in either order.

Evidence: a_copy_with_an_earlier_incarnation_ends_no_target failed (one end and one restart reported), passes now.

Why it works: a restart is an entry of a later start than any that was seen under the name.

--- a/crates/gateway/src/incarnations.rs
+++ b/crates/gateway/src/incarnations.rs
@@ -61,13 +61,16 @@
     }
 
     /// Records the entry of a listed target, which was listed as `before` until now. Returns whether
-    /// the two entries are of different incarnations.
+    /// the target has restarted: the entry is of a later incarnation than any before.
     pub(crate) fn record_listed(
         &mut self,
         before: Option<&TargetEntry>,
         target: &TargetEntry,
     ) -> bool {
         let other = before.filter(|before| before.started_ms != target.started_ms);
+        let newest = self.restarted.get(&target.id).map(|newest| newest.entry.started_ms);
+        let newest = newest.max(other.map(|before| before.started_ms));
+        let has_restarted = other.is_some() && newest < Some(target.started_ms);
         if let Some(newest) = self.restarted.get_mut(&target.id) {
             if newest.entry.started_ms <= target.started_ms {
                 *newest = NewestIncarnation { entry: target.clone(), is_listed: true };
@@ -77,7 +80,7 @@
             let newest = NewestIncarnation { entry: newer.clone(), is_listed: true };
             self.restarted.insert(target.id.clone(), newest);
         }
-        other.is_some()
+        has_restarted
     }
 
     /// Records that a target is no longer listed.
--- a/crates/gateway/tests/store_copies.rs
+++ b/crates/gateway/tests/store_copies.rs
@@ -297,3 +297,24 @@
         assert_eq!(id(case.one).is_newer_than(id(case.other)), case.is_newer, "{}", case.name);
     }
 }
+
+/// A target that had started again was reported as ended, because the copy listed its earlier start.
+#[test]
+fn a_copy_with_an_earlier_incarnation_ends_no_target() {
+    let port = StoreStandin::default().port(true);
+    let (mut cached, start) = (CachedView::default(), Instant::now());
+    let started = |started_ms| TargetEntry { started_ms, ..entry("a", "s", "10.0.0.1:80") };
+    let listing = |era, number, started_ms| StoreView {
+        revision: StoreRevision { era, number },
+        targets: vec![started(started_ms)],
+        ..StoreView::default()
+    };
+    cached.apply(listing(1, 100, 1), start, &*port);
+    let restart = cached.apply(listing(1, 101, 2), start, &*port);
+    assert_eq!((restart.ended.len(), restart.restarted.len()), (1, 1));
+    let copy = cached.apply(listing(2, 50, 1), start, &*port);
+    assert_eq!((copy.ended, copy.restarted), (Vec::new(), Vec::new()));
+    assert_eq!(cached.usable(start)[0].started_ms, 2, "the later incarnation stays in use");
+    let rewritten = cached.apply(listing(2, 60, 2), start, &*port);
+    assert_eq!((rewritten.ended, rewritten.restarted), (Vec::new(), Vec::new()));
+}
