--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -59,17 +59,18 @@
     /// Time at which this box last read the store.
     read_at: Option<Instant>,
     bootstrap_read_at: Option<Instant>,
-    bootstrap_written: Option<WrittenNote<Instant>>,
-    crash_note_written: Option<WrittenNote<u64>>,
+    bootstrap_written: Option<WrittenNote>,
+    crash_note_written: Option<WrittenNote>,
 }
 
 /// A note that this box last wrote to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct WrittenNote<T> {
+struct WrittenNote {
     /// Era of the store before the write. A store of a later era may have lost the note.
     era: u64,
-    /// Time or version of the note.
-    of: T,
+    /// Version of the note; 0 for an empty one, and for notes that have no versions.
+    version: u64,
+    at: Instant,
 }
 
 impl StoreSync {
@@ -187,7 +188,8 @@
         if !is_large(self.context.view().config_text()) {
             let view = port.read_all().await?;
             log::info!(
-                revision:% = view.revision, era = view.revision.era, with_config = true, taken_ms = millis(started_at.elapsed());
+                revision:% = view.revision, era = view.revision.era, with_config = true,
+                taken_ms = millis(started_at.elapsed());
                 "view-read"
             );
             self.context.apply_view(view, self.context.corrected_time(&sample), "store");
@@ -197,7 +199,8 @@
         let reading = task::spawn(async move { reader.refresh().await });
         let listing = port.read_targets().await?;
         log::info!(
-            revision:% = listing.revision, era = listing.revision.era, with_config = false, taken_ms = millis(started_at.elapsed());
+            revision:% = listing.revision, era = listing.revision.era, with_config = false,
+            taken_ms = millis(started_at.elapsed());
             "view-read"
         );
         // Targets don't wait for a configuration that takes long: they are in force from here on, and
@@ -241,7 +244,8 @@
             return Ok(false);
         };
         log::info!(
-            revision:% = changes.revision, era = changes.revision.era, after:%, written = changes.written.len(),
+            revision:% = changes.revision, era = changes.revision.era, after:%,
+            written = changes.written.len(),
             gone = changes.removed.len(), taken_ms = millis(started_at.elapsed());
             "news-read"
         );
@@ -270,11 +274,12 @@
             }
         }
         let era = self.context.view().revision().era;
-        let written_at = self.bootstrap_written.filter(|note| note.era == era).map(|note| note.of);
+        let written = self.bootstrap_written.filter(|note| note.era == era);
+        let written_at = written.map(|note| note.at);
         let due =
             self.started.elapsed() >= BOOTSTRAP_DELAY && is_due(written_at, BOOTSTRAP_WRITE_PERIOD);
         if priority == 0 && due {
-            self.bootstrap_written = Some(WrittenNote { era, of: Instant::now() });
+            self.bootstrap_written = Some(WrittenNote { era, version: 0, at: Instant::now() });
             let mut hosts = vec![self.context.settings.host()];
             hosts.extend(local_peers.into_iter().take(MAX_BOOTSTRAP_ADDRESSES - 1));
             let centre = self.context.settings.data_centre.as_str();
@@ -292,17 +297,20 @@
             return;
         }
         let (version, note) = self.context.crashes.encode_note();
-        let current = WrittenNote { era: self.context.view().revision().era, of: version };
-        let is_written = self.crash_note_written == Some(current);
-        let has_none = self.crash_note_written.is_none_or(|note| note.of == 0);
-        if is_written || (version == 0 && has_none) {
+        let era = self.context.view().revision().era;
+        let written = self.crash_note_written;
+        let is_written = match written {
+            Some(note) => note.version == version && (note.era == era || version == 0),
+            None => version == 0,
+        };
+        if is_written {
             return;
         }
         let centre = self.context.settings.data_centre.as_str();
         match self.context.port.write_crash_note(centre, &note).await {
             Ok(()) => {
                 log::info!(bytes = note.len(); "crash-note-written");
-                self.crash_note_written = Some(current);
+                self.crash_note_written = Some(WrittenNote { era, version, at: Instant::now() });
             }
             // The write is repeated after the next reading.
             Err(error) => log::warn!(reason:% = error; "crash-note-not-written"),
