Test and capacity: what a return of the store from a copy costs

Cause: the order of eras makes all boxes follow a return, and nothing said what that costs the store.

The test bounds them by 1 and 10 a box.

--- a/crates/gateway/tests/store_returns.rs
+++ b/crates/gateway/tests/store_returns.rs
@@ -22,6 +22,8 @@
 const REQUESTS: usize = 40;
 /// Size in bytes of a configuration that is read separately from the listing.
 const LARGE_CONFIG_BYTES: usize = 100 << 10;
+/// Number of boxes in one data centre whose readings are counted.
+const COST_BOXES: usize = 12;
 /// More targets than are listed in full each time.
 const LONG_LISTING: usize = 600;
 
@@ -252,3 +254,54 @@
     });
     assert!(pauses, "{} readings in two seconds", store.reads() - reads);
 }
+
+struct CostCase {
+    name: &'static str,
+    away: Duration,
+    /// Maximum number of readings for each box until all boxes have the change, failed ones included.
+    readings: usize,
+}
+
+const COSTS: &[CostCase] = &[
+    // The first box reads for all of its data centre, as at other times.
+    CostCase { name: "at once", away: Duration::ZERO, readings: 1 },
+    // Each box reads for itself once it has had no news for a while, with a growing pause between failures.
+    CostCase { name: "away for three seconds", away: Duration::from_secs(3), readings: 10 },
+];
+
+/// Each box read the store without a pause from its return on.
+#[test]
+fn a_return_from_a_copy_costs_a_few_readings_a_box() {
+    for case in COSTS {
+        let store = StoreStandin::default();
+        store.put_config(config_to(1, "old"));
+        let reader = BoxUnderTest::start(store.port(true), &[]);
+        let seeds = [reader.host()];
+        let start = |_| BoxUnderTest::start(store.port(true), &seeds);
+        let mut boxes: Vec<BoxUnderTest> = (1..COST_BOXES).map(start).collect();
+        boxes.push(reader);
+        boxes.iter().for_each(|gateway| drop(gateway.wait_ready()));
+        eventually("one box reads for all", || {
+            let before = store.reads();
+            thread::sleep(Duration::from_millis(2000));
+            store.reads() - before <= 4
+        });
+        store.copy();
+        store.skip_revisions(400);
+        let before = store.reads();
+        store.set_unreachable(true);
+        thread::sleep(case.away);
+        store.come_back();
+        store.set_unreachable(false);
+        store.put_config(config_to(2, "new"));
+        for gateway in &boxes {
+            eventually("the box has the change", || {
+                let version = fetch_targets(gateway.host(), 0).version;
+                version.is_some_and(|version| version.config_version == 2)
+            });
+        }
+        let reads = store.reads() - before;
+        println!("{}: {reads} readings of {COST_BOXES} boxes", case.name);
+        assert!(reads <= case.readings * COST_BOXES, "{}: {reads} readings", case.name);
+    }
+}
