--- a/crates/gateway/tests/store_returns.rs
+++ b/crates/gateway/tests/store_returns.rs
@@ -163,7 +163,9 @@
 fn wait_unused(gateway: &BoxUnderTest, path: &str, target: &TargetStandin, what: &str) {
     eventually(what, || {
         let before = target.requests().len();
-        (0..REQUESTS).for_each(|_| drop(gateway.request("POST", path)));
+        for _ in 0..REQUESTS {
+            gateway.request("POST", path);
+        }
         target.requests().len() == before
     });
 }
@@ -280,7 +282,9 @@
         let start = |_| BoxUnderTest::start(store.port(true), &seeds);
         let mut boxes: Vec<BoxUnderTest> = (1..COST_BOXES).map(start).collect();
         boxes.push(reader);
-        boxes.iter().for_each(|gateway| drop(gateway.wait_ready()));
+        for gateway in &boxes {
+            gateway.wait_ready();
+        }
         eventually("one box reads for all", || {
             let before = store.reads();
             thread::sleep(Duration::from_millis(2000));
