Soak: ten configurations before each return of the store, in place of heartbeats

Change: targets write as before; a return comes 2 s after the first of ten configurations, and its copy is up to 12 s old.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -37,8 +37,12 @@
 /// Time after a return of the store at which the operators change the configuration: boxes are held to
 /// their bounds again once they have been undisturbed for 3 s.
 const CHANGE_AFTER_RETURN: Duration = Duration::from_millis(3200);
-/// Time between two writes of a target's entry.
-const BEAT: Duration = Duration::from_millis(1500);
+/// Number of configurations that are written before the store goes away, and the pause between two. A
+/// copy that lacks them has revisions far below those that boxes hold.
+const CHANGES_BEFORE_RETURN: u32 = 10;
+const CHANGE_PAUSE: Duration = Duration::from_millis(100);
+/// Time from the first of these changes until the store goes away, in which boxes read the last one.
+const READ_TIME: Duration = Duration::from_secs(2);
 
 /// A scheduled step. Its `Debug` form is written to the event trace.
 #[derive(Debug, Clone, Copy)]
@@ -47,6 +51,8 @@
     StartBox(usize),
     ContinueBox(usize),
     EndStore(usize),
+    /// Fault of the store, how long it lasts, and age of the copy from which the store comes back.
+    LoseStore(StoreMode, Duration, Duration),
     /// Number of the span, and age of the copy.
     ReturnStore(usize, Duration),
     RewriteLost,
@@ -103,7 +109,6 @@
     pub longest_cpu_wait: Duration,
     starvation: StarvationMonitor,
     last_starvation_check: Instant,
-    last_beat: Instant,
     /// Processes that ended unexpectedly or did not end in time when they were stopped.
     pub process_faults: Vec<String>,
 }
@@ -142,7 +147,6 @@
             longest_cpu_wait: Duration::ZERO,
             starvation: StarvationMonitor::default(),
             last_starvation_check: Instant::now(),
-            last_beat: Instant::now(),
             process_faults: Vec::new(),
         })
     }
@@ -245,6 +249,11 @@
                 self.environment.store.set_mode(StoreMode::Serving);
                 self.spans.end(span);
             }
+            DriverStep::LoseStore(mode, away, age) => {
+                self.environment.store.set_mode(mode);
+                let span = self.spans.begin(SpanScope::Store);
+                self.schedule_in(away, DriverStep::ReturnStore(span, age));
+            }
             DriverStep::ReturnStore(span, age) => {
                 // The first configuration and the first targets were written before the load began.
                 let now = Instant::now();
@@ -316,9 +325,9 @@
                 self.schedule_in(time, DriverStep::EndStore(span));
             }
             PlannedFault::ReturnFromCopy(mode, away, age) => {
-                self.environment.store.set_mode(mode);
-                let span = self.spans.begin(SpanScope::Store);
-                self.schedule_in(away, DriverStep::ReturnStore(span, age));
+                let changes = PlannedFault::ChangeConfig(CHANGES_BEFORE_RETURN, CHANGE_PAUSE);
+                self.schedule_in(Duration::ZERO, DriverStep::Begin(changes));
+                self.schedule_in(READ_TIME, DriverStep::LoseStore(mode, away, age));
             }
             PlannedFault::StorePath(index, mode, time) => {
                 self.boxes[index].set_store_relay_mode(mode);
@@ -423,10 +432,6 @@
             self.record_event(&format!("target {index} ended by a request"));
             self.schedule_in(ENTRY_LAPSE_DELAY, DriverStep::LapseEntry(index));
         }
-        if self.last_beat.elapsed() >= BEAT {
-            self.last_beat = Instant::now();
-            self.environment.renew_entries();
-        }
         self.check_starvation();
         thread::sleep(POLL_INTERVAL);
         Ok(())
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -45,10 +45,6 @@
     service: &'static str,
     spec: TargetSpec,
     target: TargetStandin,
-    /// The state that the target writes to its entry; `None` once it has ended.
-    state: Option<EntryState>,
-    /// Number of writes of the entry.
-    seq: u64,
 }
 
 /// The acknowledged versions of the configuration. Clones share the same history.
@@ -145,26 +141,14 @@
     /// Makes the target announce in its entry and in its answers that it is draining.
     pub fn announce_draining(&mut self, index: usize) {
         self.signal_draining(index);
-        let slot = &mut self.slots[index];
-        slot.state = Some(EntryState::Draining);
-        slot.seq += 1;
-        let acknowledged = self.store.put_target(&slot.spec, EntryState::Draining, slot.seq);
-        self.departures.push((slot.spec.id.clone(), acknowledged));
-    }
-
-    /// Makes each running target write its entry again, as it does about every beat.
-    pub fn renew_entries(&mut self) {
-        for slot in &mut self.slots {
-            let Some(state) = slot.state else { continue };
-            slot.seq += 1;
-            self.store.put_target(&slot.spec, state, slot.seq);
-        }
+        let spec = &self.slots[index].spec;
+        let acknowledged = self.store.put_target(spec, EntryState::Draining, 2);
+        self.departures.push((spec.id.clone(), acknowledged));
     }
 
     /// Ends the target. Its entry is removed only if `removes_entry` is set.
     pub fn end_target(&mut self, index: usize, removes_entry: bool) {
         let slot = &mut self.slots[index];
-        slot.state = None;
         slot.target.end();
         slot.relay.set_upstream(None);
         if removes_entry {
@@ -174,11 +158,10 @@
 
     /// Returns the targets that a poison request has ended since the last call, and stops the
     /// relays at their addresses.
-    pub fn take_crashed_targets(&mut self) -> Vec<usize> {
+    pub fn take_crashed_targets(&self) -> Vec<usize> {
         let crashed = |index: &usize| self.slots[*index].target.take_crash();
         let crashed: Vec<usize> = (0..self.slots.len()).filter(crashed).collect();
         for index in &crashed {
-            self.slots[*index].state = None;
             self.slots[*index].relay.stop();
         }
         crashed
@@ -245,7 +228,7 @@
             started_ms: self.instances,
         };
         self.store.put_target(&spec, EntryState::Ready, 1);
-        Ok(TargetSlot { relay, service, spec, target, state: Some(EntryState::Ready), seq: 1 })
+        Ok(TargetSlot { relay, service, spec, target })
     }
 }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -46,8 +46,8 @@
     /// A target announces in its answers only, not in its entry, that it is draining, and then
     /// ends.
     LeaveByAnswers(usize),
-    /// The store has this fault for this time and then comes back from a copy of this age. The operators
-    /// and the targets write again what it has lost.
+    /// Some configurations are written. Then the store has this fault for this time and comes back from a
+    /// copy of this age. The operators and the targets write again what it has lost.
     ReturnFromCopy(StoreMode, Duration, Duration),
     /// A target announces this limit in its answers, in millionths of a request per second, for
     /// this time.
@@ -195,7 +195,7 @@
             _ => StoreMode::Closing,
         };
         let away = Duration::from_millis(random.random_range(100..3000));
-        let age = Duration::from_millis(random.random_range(0..10_000));
+        let age = Duration::from_millis(random.random_range(0..12_000));
         (at, PlannedFault::ReturnFromCopy(mode, away, age))
     };
     (0..count).map(&mut draw).collect()
