--- a/crates/gateway/src/copy_overrides.rs
+++ b/crates/gateway/src/copy_overrides.rs
@@ -2,8 +2,8 @@
 //!
 //! After a return from a copy, the operators and the targets write again what was lost, within seconds. Until
 //! then the copy lists targets that had been removed, and lacks evacuations or still has those that were
-//! revoked. It takes none of these changes back: what this box had seen before the return stays in force
-//! until it is written again or its time is over. Missing targets have the grace period of any outage.
+//! revoked. What this box had seen before the return stays in force until it is written again or its time is
+//! over. Missing targets have the grace period of any outage (see `target_table`).
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -70,7 +70,7 @@
         let missing = before.iter().filter(|name| !listed.contains(name));
         let added = listed.iter().filter(|name| !before.contains(name));
         if returned {
-            // The store may come back again before it has been written all.
+            // What was lost at the earlier return may be lost again before it is in the copy.
             for (_, until) in self.evacuations.values_mut() {
                 *until = at + EVACUATION_HOLD;
             }
