--- a/crates/gateway/src/config_source.rs
+++ b/crates/gateway/src/config_source.rs
@@ -72,8 +72,9 @@
         ConfigSource { state: Mutex::default(), slots: TransferSlots::new(link_mbps) }
     }
 
-    /// Replaces the held configuration by `text`, which is of the operators' `version`, if that is newer. `deltas` are the deltas in which
-    /// a peer sent it; if they are empty, the delta from the previous text is computed.
+    /// Replaces the held configuration by `text`, which is of the operators' `version`, if that is newer.
+    /// `deltas` are the deltas in which a peer sent it; if they are empty, the delta from the previous text
+    /// is computed.
     pub fn put(&self, version: u64, text: ConfigText, deltas: Vec<ConfigDelta>) {
         let id = ConfigId { version, revision: text.revision };
         let previous = {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -64,7 +64,7 @@
     pub notices: Vec<(Duration, PlannedFault)>,
     /// Targets that announce limits, with the times at which they begin.
     pub limits: Vec<(Duration, PlannedFault)>,
-    /// Returns of the store from a copy, with the times at which it becomes unavailable.
+    /// Returns of the store from a copy, with the times at which the changes before them begin.
     pub returns: Vec<(Duration, PlannedFault)>,
     /// Poison requests.
     pub poison_rounds: Vec<PoisonRound>,
