Planned stop: each open request is answered before the process ends

Cause: requests are refused from half of a stop on if they could outlast it; one that was taken before that ran on with its own deadline, which may be later than the end of the process, and nothing answered it there.

Change: 150 ms before the end of the process each open request is answered: 502 if a target was at work on it, 503 if none can have run it. Attempts go on until then.

--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
@@ -23,6 +24,7 @@
 use crate::reserved_token::ReservedToken;
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
+use crate::stopping::StopState;
 use crate::suspension::ClockSample;
 use final_answers::forwarded_answer;
 
@@ -114,7 +116,9 @@
 
     /// Handles the request until its answer is decided.
     pub(crate) async fn run(mut self) -> (CallerAnswer, RequestTrace) {
-        let answer = self.run_attempts().await;
+        let stopping = self.context.stopping.clone();
+        let answer = answer_before_end(self.run_attempts(), &stopping).await;
+        let answer = answer.unwrap_or_else(|| self.end_with_process());
         if self.possible_runs == 0
             && let Some(token) = &mut self.token
         {
@@ -123,6 +127,16 @@
         (answer, self.trace)
     }
 
+    /// Returns the answer to a request that is still open when the process is about to end. Without it the caller
+    /// would see a closed connection and could not know whether the request may be sent again.
+    fn end_with_process(&mut self) -> CallerAnswer {
+        // The open attempts were dropped, and their targets may complete them.
+        for _ in 0..std::mem::take(&mut self.open_attempts) {
+            self.record_possible_run();
+        }
+        self.give_up("this box ends")
+    }
+
     /// Makes attempts one after the other until an answer is decided.
     async fn run_attempts(&mut self) -> CallerAnswer {
         loop {
@@ -440,6 +454,19 @@
     }
 }
 
+/// Runs `attempts` to their answer. Returns `None` if the process is about to end before that.
+async fn answer_before_end(
+    attempts: impl Future<Output = CallerAnswer>,
+    stopping: &StopState,
+) -> Option<CallerAnswer> {
+    let attempts = std::pin::pin!(attempts);
+    let ending = std::pin::pin!(stopping.wait_ending());
+    match select(attempts, ending).await {
+        Either::Left((answer, _)) => Some(answer),
+        Either::Right(_) => None,
+    }
+}
+
 /// Returns the regions in which targets may be chosen for a request.
 fn home_regions(plan: &RequestPlan) -> HomeRegions<'_> {
     plan.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -32,6 +32,9 @@
 const IDLE_CLOSE_LEAD: Duration = Duration::from_millis(900);
 /// Time by which the process ends before the environment would kill it.
 const END_LEAD: Duration = Duration::from_millis(150);
+/// Time before the end of the process at which requests that are still open are answered. It is enough for the
+/// answers to reach callers over a slow link.
+const LAST_ANSWER_LEAD: Duration = Duration::from_millis(150);
 /// Time between two checks for open connections during a planned stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 const METRICS_PATH: &str = "/metrics";
@@ -116,6 +119,7 @@
     let stop_time = context.settings.stop_time;
     let idle_close = stop_time.saturating_sub(IDLE_CLOSE_LEAD);
     let end = stop_time.saturating_sub(END_LEAD);
+    let last_answers = end.saturating_sub(LAST_ANSWER_LEAD);
     stopping.begin(started_at + stop_time / 2, started_at + end);
     log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
     while started_at.elapsed() < end {
@@ -126,6 +130,9 @@
             log::info!(open = stopping.open_connections(), after_ms = millis(started_at.elapsed()); "closing-idle");
             stopping.close_idle();
         }
+        if started_at.elapsed() >= last_answers {
+            stopping.end_requests();
+        }
         task::sleep(STOP_CHECK_PERIOD).await;
     }
     stopping.busy_requests() == 0
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -25,6 +25,8 @@
     busy: Arc<AtomicUsize>,
     /// Opens when idle connections are to be closed.
     closing: ReadyLatch,
+    /// Opens shortly before the process ends, when each open request is to be answered.
+    ending: ReadyLatch,
 }
 
 impl StopState {
@@ -35,6 +37,7 @@
             open: Arc::default(),
             busy: Arc::default(),
             closing: ReadyLatch::default(),
+            ending: ReadyLatch::default(),
         }
     }
 
@@ -70,6 +73,16 @@
         self.closing.wait_open().await;
     }
 
+    /// Has all open requests answered from now on, because the process is about to end.
+    pub(crate) fn end_requests(&self) {
+        self.ending.open();
+    }
+
+    /// Waits until [`StopState::end_requests`] is called.
+    pub(crate) async fn wait_ending(&self) {
+        self.ending.wait_open().await;
+    }
+
     /// Counts an open connection until the guard is dropped.
     pub(crate) fn count_connection(&self) -> CountGuard {
         CountGuard::new(&self.open)
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -95,6 +95,56 @@
     assert_eq!(target.requests().len(), served, "a refused request was sent to a target");
 }
 
+struct LastAnswerCase {
+    name: &'static str,
+    script: Script,
+    /// Whether the stop begins before the request is sent.
+    sent_in_stop: bool,
+    /// Statuses that say no more than is known of the request.
+    statuses: &'static [u16],
+}
+
+const LAST_ANSWERS: &[LastAnswerCase] = &[
+    LastAnswerCase {
+        name: "open at a target since before the stop",
+        script: Script::Hangs,
+        sent_in_stop: false,
+        statuses: &[502, 504],
+    },
+    LastAnswerCase {
+        name: "sent early in the stop",
+        script: Script::Hangs,
+        sent_in_stop: true,
+        statuses: &[502, 504],
+    },
+];
+
+/// A request whose target did not answer until the end of a stop got a closed connection in place of an answer.
+#[test]
+fn requests_that_are_open_at_the_end_of_a_stop_are_answered() {
+    for case in LAST_ANSWERS {
+        let target = TargetStandin::start("t", "service", case.script);
+        let store = store_with(&[&target]);
+        let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
+            settings.stop_time = Duration::from_secs(3);
+        });
+        gateway.wait_ready();
+        let mut caller = gateway.connect();
+        if case.sent_in_stop {
+            gateway.begin_stop();
+            eventually("the box is not ready", || !gateway.is_ready());
+        }
+        caller.send("GET", "/r/x", "", "");
+        eventually("the target has the request", || target.requests().len() == 1);
+        if !case.sent_in_stop {
+            gateway.begin_stop();
+        }
+        let reply = caller.read();
+        let reply = reply.unwrap_or_else(|| panic!("{}: closed without an answer", case.name));
+        assert!(case.statuses.contains(&reply.status), "{}: {reply:?}", case.name);
+    }
+}
+
 /// A request that was queued for a saturated service was interrupted by the end of the process.
 #[test]
 fn stopping_box_does_not_queue_requests() {
