--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,5 +59,5 @@
 mod view_exchange;
 
 pub use run::run;
-pub use settings::GatewaySettings;
+pub use settings::{GatewaySettings, OverloadControl};
 pub use wingbridge_decide::steer::mechanism::{Mechanism, MechanismSet};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,30 @@
 use wingbridge_decide::quota::QuotaSlack;
 use wingbridge_decide::steer::mechanism::MechanismSet;
 
+/// Which parts of overload control a box uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum OverloadControl {
+    /// None: every pick, retry, answer and datagram is as without overload control.
+    #[default]
+    Off,
+    /// Placement between data centres, for services whose load calls for it.
+    Auto,
+    /// Placement, waiting queues, planned returns of refused callers, and paced retries.
+    On,
+}
+
+impl OverloadControl {
+    /// Returns whether requests wait in queues, refused callers are told when to return, and retries are paced.
+    pub fn sheds_load(self) -> bool {
+        self == OverloadControl::On
+    }
+
+    /// Returns whether requests are placed by the capacity of all data centres.
+    pub fn places(self) -> bool {
+        self != OverloadControl::Off
+    }
+}
+
 /// Validated settings of a box.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -42,6 +66,8 @@
     /// Requests that are allowed beyond customers' quotas, because boxes receive late reports of each
     /// other's requests.
     pub quota_slack: QuotaSlack,
+    /// Which parts of overload control are in use.
+    pub overload: OverloadControl,
     /// Cost of sending a kilobyte to another data centre, as a number of requests.
     pub cross_cost: f64,
     /// Steering mechanisms that are switched off, for measurements.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -6,6 +6,7 @@
 use prost::{Message, Oneof};
 
 use crate::limits::{PermitMessage, TargetLimit};
+use crate::overload::ServiceLoad;
 
 /// A datagram from one box to another.
 #[derive(Clone, PartialEq, Message)]
@@ -126,6 +127,9 @@
     /// Limits that targets announced.
     #[prost(message, repeated, tag = "6")]
     pub limits: Vec<TargetLimit>,
+    /// Loads of services: the sender's own, and sums of data centres.
+    #[prost(message, repeated, tag = "7")]
+    pub service_loads: Vec<ServiceLoad>,
 }
 
 /// The version and age of a box's view of the store.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handshake;
 pub mod limits;
 pub mod messages;
+pub mod overload;
 
 pub use error::{ErrorKind, WireError};
 pub use frame::{
