Trials: requests that the box refuses count among those that are not served

Cause: targets are tried in time only while many attempts fail. What a box refuses itself, by a quota or for lack of capacity, is no attempt and was not counted.

Change: with load shedding on, a box counts how its own requests ended, and tries targets in time while more than 8 in 100 were not served, for whatever reason. With it off nothing changes.

--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -165,6 +165,14 @@
         self.ledger(service).record_request(now);
     }
 
+    /// Records the end of a request for `service`, and whether a target served it. While many requests are not
+    /// served, for whatever reason, all targets are tried in time.
+    pub fn record_result(&mut self, now: TimePoint, service: &str, served: bool) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.record_result(now, served);
+        }
+    }
+
     /// Takes a retry from the budget that all boxes share; returns false if the budget has none for that use.
     pub fn spend_retry(&mut self, now: TimePoint, service: &str, usage: RetryUse) -> bool {
         let (bounds, reporting) = (self.setup.retries, reporting_boxes(self.local_boxes));
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -48,6 +48,33 @@
     base_share: f64,
 }
 
+/// The share of recent events that are of a kind, decayed over [`FAILURE_SHARE_TIME`].
+#[derive(Debug, Default)]
+struct DecayedShare {
+    matching: f64,
+    all: f64,
+    updated_at: TimePoint,
+}
+
+impl DecayedShare {
+    fn record(&mut self, now: TimePoint, matches: bool) {
+        let decay = decay_since(self.updated_at, now);
+        self.matching = self.matching * decay + f64::from(u8::from(matches));
+        self.all = self.all * decay + 1.0;
+        self.updated_at = now;
+    }
+
+    fn share(&self, now: TimePoint) -> f64 {
+        let decay = decay_since(self.updated_at, now);
+        self.matching * decay / (self.all * decay + ASSUMED_SUCCESSES)
+    }
+}
+
+/// Returns the factor by which counts of the failure share have decayed since `updated_at`.
+fn decay_since(updated_at: TimePoint, now: TimePoint) -> f64 {
+    (-now.since(updated_at).as_secs_f64() / FAILURE_SHARE_TIME.as_secs_f64()).exp()
+}
+
 /// The targets of one service.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -65,6 +92,8 @@
     ended: f64,
     /// When `failed` and `ended` were last updated.
     ended_at: TimePoint,
+    /// Requests of this box that ended, and those among them that were not served, whatever the reason.
+    results: DecayedShare,
     small_bytes: RunningAverage,
     rate: f64,
     rate_at: TimePoint,
@@ -88,6 +117,7 @@
             failed: 0.0,
             ended: 0.0,
             ended_at: TimePoint::default(),
+            results: DecayedShare::default(),
             small_bytes: RunningAverage::new(AVERAGE_WINDOW),
             rate: 0.0,
             rate_at: TimePoint::default(),
@@ -401,6 +431,17 @@
         self.failed * decay / (self.ended * decay + ASSUMED_SUCCESSES)
     }
 
+    /// Records the end of a request of this box, and whether it was served. Refusals by the box itself are no
+    /// attempts, so that [`TargetPool::failure_share`] does not contain them.
+    pub(crate) fn record_result(&mut self, now: TimePoint, served: bool) {
+        self.results.record(now, !served);
+    }
+
+    /// Returns the share of this box's recent requests that were not served.
+    pub(crate) fn unserved_share(&self, now: TimePoint) -> f64 {
+        self.results.share(now)
+    }
+
     /// Counts the attempts that a peer with full reports has reported. Other peers report only failures:
     /// with these counted a true failure share of 4 in 100 would appear as 11 with three data centres and
     /// as 17 with five (calculated), so that the share would never count as low and targets would be
@@ -421,7 +462,7 @@
 
     /// Returns the factor by which the counts of ended attempts have decayed since their last update.
     fn ended_decay(&self, now: TimePoint) -> f64 {
-        (-now.since(self.ended_at).as_secs_f64() / FAILURE_SHARE_TIME.as_secs_f64()).exp()
+        decay_since(self.ended_at, now)
     }
 
     /// Returns the lowest latency ratio that no more than `share` of healthy answers exceed.
--- a/crates/decide/src/steer/trial.rs
+++ b/crates/decide/src/steer/trial.rs
@@ -115,7 +115,8 @@
     context: &TrialContext<'_>,
 ) -> Vec<DueTarget> {
     let few_fail = context.mechanisms.has(Mechanism::FewerTrials)
-        && pool.failure_share(now) < MAX_LOW_FAILURE_SHARE;
+        && pool.failure_share(now) < MAX_LOW_FAILURE_SHARE
+        && pool.unserved_share(now) < MAX_LOW_FAILURE_SHARE;
     let spared = few_fail && !request.repeatable;
     let in_use = pool.in_use_for(now);
     let mut due = Vec::new();
--- a/crates/decide/tests/trials.rs
+++ b/crates/decide/tests/trials.rs
@@ -110,6 +110,43 @@
     }
 }
 
+struct UnservedCase {
+    name: &'static str,
+    /// Requests that the box itself refused, of twenty.
+    refused: usize,
+    /// Whether an order may be a trial of a suspect that got nothing for 3.5 s.
+    tried: bool,
+}
+
+const UNSERVED_CASES: &[UnservedCase] = &[
+    UnservedCase { name: "none refused", refused: 0, tried: false },
+    UnservedCase { name: "a twentieth refused", refused: 1, tried: false },
+    UnservedCase { name: "a sixth refused", refused: 3, tried: true },
+    UnservedCase { name: "two fifths refused", refused: 8, tried: true },
+];
+
+/// Guards against idle targets while boxes refuse requests: a customer beyond its quota made more than a tenth
+/// of the requests unserved, and 11 of 36 healthy targets got nothing for 2 s, because refusals by the box were
+/// not counted.
+#[test]
+fn targets_are_tried_in_time_while_the_box_refuses_requests() {
+    for case in UNSERVED_CASES {
+        let start = 20_000;
+        let mut core = core_with_healthy_targets(&[("a", "near"), ("b", "near")], at(start));
+        (0..3).for_each(|_| report_failure(&mut core, at(start), "a"));
+        let now = at(start + 3_500);
+        report_success(&mut core, now, "b", 3);
+        for number in 0..20 {
+            core.record_request(now, SERVICE);
+            core.record_result(now, SERVICE, number >= case.refused);
+        }
+        let picks =
+            (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
+        let tried = picks.filter(|pick| pick.trial && *pick.id == *"a").count();
+        assert_eq!(tried > 0, case.tried, "{}: {tried} trials", case.name);
+    }
+}
+
 struct SuspectCase {
     name: &'static str,
     /// Number of targets that failed, of ten.
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -224,18 +224,33 @@
     }
     let token = match reserve_token(context, &plan).await {
         Ok(token) => token,
-        Err(answer) => return (*answer, trace),
+        Err(answer) => {
+            record_result(context, &plan.service, &answer);
+            return (*answer, trace);
+        }
     };
     context.core().record_request(context.now(), &plan.service);
     let cancels_on_hangup = plan.policy.cancel_on_hangup;
+    let service = plan.service.clone();
     let run = RequestRun::new(Arc::clone(context), outgoing, plan, token, received_at, trace);
-    if cancels_on_hangup {
+    let (answer, trace) = if cancels_on_hangup {
         run.run().await
     } else {
         // The request runs in a task of its own, so that it continues if the caller disconnects: only the wait for
         // the task is dropped then.
         task::spawn(run.run()).await
+    };
+    record_result(context, &service, &answer);
+    (answer, trace)
+}
+
+/// Records in the core whether a request was served. Answers of a target with a failure count as not served.
+fn record_result(context: &BoxContext, service: &str, answer: &CallerAnswer) {
+    if !context.settings.overload.sheds_load() {
+        return;
     }
+    let served = answer.outcome == CallerOutcome::Answered && answer.status < 500;
+    context.core().record_result(context.now(), service, served);
 }
 
 /// Takes a token from the customer's quota. A request beyond the quota is refused here, so that it takes no
