Suspects outlast a restart of all boxes, by the note that each data centre keeps in the store

Change: with load shedding on, the note about poison requests that each data centre's reader writes also lists its suspects, at most each 2 s and only if they have changed. A box that starts makes the listed ones suspects with its first reading, if the note is no older than 8 s. With it off or auto nothing is written.

--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -416,6 +416,35 @@
         Some(pool.risk(now, &pool[key]))
     }
 
+    /// Returns the suspects of a data centre in the order of their keys.
+    pub fn suspects(&self, now: TimePoint, data_centre: &str) -> Vec<TargetKey> {
+        let is_noted = |record: &TargetRecord| {
+            *record.setup.data_centre == *data_centre && record.is_suspect(now)
+        };
+        let records = self.pools.values().flat_map(TargetPool::all_records);
+        let keys = records.filter(|record| is_noted(record)).map(|record| record.setup.key());
+        let mut keys: Vec<TargetKey> = keys.collect();
+        keys.sort_unstable();
+        keys
+    }
+
+    /// Makes the listed targets among `keys` suspects, as they were before this box started. Returns their
+    /// number.
+    ///
+    /// A box that has just started knows nothing of any target. After a power failure of all boxes more
+    /// than a quarter of the requests of the first half second went to targets in a failure episode, most
+    /// of which had been suspects before.
+    pub fn restore_suspects(&mut self, now: TimePoint, keys: &[TargetKey]) -> usize {
+        let mut restored = 0;
+        for key in keys {
+            if let Some(record) = self.record_mut(*key) {
+                record.restore_suspicion(now);
+                restored += 1;
+            }
+        }
+        restored
+    }
+
     fn remove_record(&mut self, key: TargetKey) -> Option<TargetRecord> {
         let service = self.services.remove(&key)?;
         self.pools.get_mut(&service)?.remove(key)
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -265,6 +265,19 @@
         Some(SuspicionChange { id: id.clone(), service: service.clone(), risk, suspect })
     }
 
+    /// Returns whether the target is a suspect whose last failure is recent enough to be evidence.
+    pub(crate) fn is_suspect(&self, now: TimePoint) -> bool {
+        self.suspect && self.estimate.risk(now, 1.0) >= MIN_SUSPECT_RISK
+    }
+
+    /// Makes the target a suspect by one failure that this box did not observe. That failure is no attempt, so
+    /// that the time until the next trial is not counted from it.
+    pub(crate) fn restore_suspicion(&mut self, now: TimePoint) {
+        self.estimate.record_outcome(now, OutcomeSample::Bad, &EpisodeStats::default());
+        self.suspect = true;
+        self.last_failed = true;
+    }
+
     /// Returns the time since the last known attempt at the target, here or at a peer.
     pub(crate) fn idle_time(&self, now: TimePoint) -> Duration {
         now.since(self.attempted_at)
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -234,8 +234,12 @@
         let revision = view.revision;
         // The notes are applied before the box accepts callers, because the first request may be a poison
         // request.
-        self.crashes.apply_notes(std::mem::take(&mut view.crash_notes));
+        let suspects = self.crashes.apply_notes(std::mem::take(&mut view.crash_notes));
         let change = self.change_view(|cached| cached.apply(view, as_of, &*self.port));
+        if !self.first_view.is_open() && !suspects.is_empty() {
+            let restored = self.core().restore_suspects(self.now(), &suspects);
+            log::info!(noted = suspects.len(), restored; "suspects-restored");
+        }
         let learned_at = self.publish_config(Vec::new());
         self.on_change_applied(&change, &ChangeOrigin { revision, as_of, source, learned_at });
     }
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -20,6 +20,10 @@
 /// Maximum number of requests in a note for the store, about 10 KB.
 const MAX_NOTED: usize = 64;
 
+/// Age of a note above which its suspects no longer count. Failure episodes last some seconds, and the clocks of
+/// writer and reader may differ by a few.
+const MAX_SUSPECT_AGE: Duration = Duration::from_secs(8);
+
 /// The crash ledger of a box, with its clock.
 #[derive(Debug)]
 pub(crate) struct CrashTracker {
@@ -81,11 +85,13 @@
     }
 
     /// Applies the notes that boxes wrote to the store. Their times are from the clocks of the writers, which may
-    /// differ by seconds. That is little compared with the minutes for which a request is refused.
-    pub(crate) fn apply_notes(&self, notes: Vec<Vec<u8>>) {
+    /// differ by seconds. That is little compared with the minutes for which a request is refused. Returns the
+    /// suspects of the new notes.
+    pub(crate) fn apply_notes(&self, notes: Vec<Vec<u8>>) -> Vec<TargetKey> {
+        let mut suspects = Vec::new();
         let mut known = lock(&self.notes);
         if *known == notes {
-            return;
+            return suspects;
         }
         for note in notes.iter().filter(|note| !known.contains(note)) {
             let note = match CrashNote::decode(&**note) {
@@ -96,23 +102,28 @@
                 }
             };
             let age_ms = unix_millis().saturating_sub(note.written_ms);
+            if age_ms <= millis(MAX_SUSPECT_AGE) {
+                suspects.extend(note.suspects.into_iter().map(TargetKey));
+            }
             let aged: Vec<CrashRecord> =
                 note.crashes.into_iter().map(|record| with_age_added(record, age_ms)).collect();
             self.merge_records(&aged, "store");
         }
         *known = notes;
+        suspects
     }
 
     /// Returns the note for the store: a version, which changes with the set of refused requests or the number of
-    /// their crashes, and the encoded records of the refused requests.
-    pub(crate) fn encode_note(&self) -> (u64, Vec<u8>) {
+    /// their crashes, and the encoded records of the refused requests with the targets that are `suspects` now.
+    pub(crate) fn encode_note(&self, suspects: &[TargetKey]) -> (u64, Vec<u8>) {
         let refused = lock(&self.ledger).refused_reports(self.now(), MAX_NOTED);
         let known = refused.iter().map(|report| (report.fingerprint.0, report.ends.len()));
         let version = known.fold(0_u64, |sum, (fingerprint, ends)| {
             sum.wrapping_add(fingerprint.wrapping_mul(2 * ends as u64 + 1))
         });
         let crashes = refused.iter().map(encode_report).collect();
-        let note = CrashNote { written_ms: unix_millis(), crashes };
+        let suspects = suspects.iter().map(|key| key.0).collect();
+        let note = CrashNote { written_ms: unix_millis(), crashes, suspects };
         (version, note.encode_to_vec())
     }
 
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -15,6 +15,7 @@
 use async_std::task;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use wingbridge_decide::TargetKey;
 
 use crate::config_sync::{ConfigReader, is_large};
 use crate::context::{BoxContext, millis};
@@ -61,8 +62,16 @@
     bootstrap_read_at: Option<Instant>,
     bootstrap_written: Option<WrittenNote>,
     crash_note_written: Option<WrittenNote>,
+    /// Suspects in the note that was last written.
+    suspects_written: Vec<TargetKey>,
 }
 
+/// Minimum time between two notes that differ in their suspects alone. Failure episodes last some seconds, and each
+/// write is a call to the store.
+const SUSPECT_NOTE_PERIOD: Duration = Duration::from_secs(2);
+/// Maximum number of suspects in a note, 8 bytes each.
+const MAX_NOTED_SUSPECTS: usize = 512;
+
 /// A note that this box last wrote to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct WrittenNote {
@@ -92,6 +101,7 @@
             bootstrap_read_at: None,
             bootstrap_written: None,
             crash_note_written: None,
+            suspects_written: Vec::new(),
         }
     }
 
@@ -289,34 +299,49 @@
         }
     }
 
-    /// Writes the poison requests that boxes refuse to the store, if they have changed. Without the
-    /// note, each of these requests would end three more targets after a power failure of the entire
-    /// fleet.
+    /// Writes the poison requests that boxes refuse and the data centre's suspects to the store, if they have
+    /// changed. Without the note, each of these requests would end three more targets after a power failure
+    /// of the entire fleet, and the first requests after it would go to targets that are known to fail.
     async fn write_crash_note(&mut self) {
         if self.context.peers().read_priority() > 0 {
             return;
         }
-        let (version, note) = self.context.crashes.encode_note();
+        let centre = self.context.settings.data_centre.as_str();
+        let suspects = self.noted_suspects();
+        let (version, note) = self.context.crashes.encode_note(&suspects);
         let era = self.context.view().revision().era;
         let written = self.crash_note_written;
         let is_written = match written {
             Some(note) => note.version == version && (note.era == era || version == 0),
             None => version == 0,
         };
-        if is_written {
+        let suspects_due = suspects != self.suspects_written
+            && written.is_none_or(|note| note.at.elapsed() >= SUSPECT_NOTE_PERIOD);
+        if is_written && !suspects_due {
             return;
         }
-        let centre = self.context.settings.data_centre.as_str();
         match self.context.port.write_crash_note(centre, &note).await {
             Ok(()) => {
                 log::info!(bytes = note.len(); "crash-note-written");
                 self.crash_note_written = Some(WrittenNote { era, version, at: Instant::now() });
+                self.suspects_written = suspects;
             }
             // The write is repeated after the next reading.
             Err(error) => log::warn!(reason:% = error; "crash-note-not-written"),
         }
     }
 
+    /// Returns the suspects for the note. They are only noted where overload control sheds load, since each write
+    /// is a call to the store.
+    fn noted_suspects(&self) -> Vec<TargetKey> {
+        let context = &self.context;
+        if !context.settings.overload.sheds_load() {
+            return Vec::new();
+        }
+        let suspects = context.core().suspects(context.now(), &context.settings.data_centre);
+        suspects.into_iter().take(MAX_NOTED_SUSPECTS).collect()
+    }
+
     /// Returns the time until the next lapsed target is to be dropped. A box that is updated by peers
     /// makes no reading at which it would drop the target.
     fn until_lapse(&self) -> Option<Duration> {
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 
 use futures::future::BoxFuture;
+use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wingbridge_decide::Name;
@@ -18,6 +19,7 @@
 use wingbridge_gateway::routes::RouteConfig;
 use wingbridge_gateway::store_revision::StoreRevision;
 use wingbridge_gateway::view::{ConfigText, StoreView, TargetEntry};
+use wingbridge_wire::gossip::CrashNote;
 
 use super::lock;
 
@@ -143,6 +145,13 @@
         lock(&self.state).view.revision
     }
 
+    /// Returns the number of suspects in the notes of all data centres.
+    pub fn noted_suspects(&self) -> usize {
+        let state = lock(&self.state);
+        let notes = state.crash_notes.values();
+        notes.map(|note| CrashNote::decode(&**note).expect("a note").suspects.len()).sum()
+    }
+
     /// Returns the number of crash notes in the store.
     pub fn crash_notes(&self) -> usize {
         lock(&self.state).crash_notes.len()
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -210,6 +210,9 @@
     /// Records of the requests at that time.
     #[prost(message, repeated, tag = "2")]
     pub crashes: Vec<CrashRecord>,
+    /// Keys of the data centre's targets that were suspects at that time.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub suspects: Vec<u64>,
 }
 
 /// A request under which targets ended. It contains the sender's complete record, so that a later message
