--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -68,7 +68,7 @@
 
 /// Minimum time between two notes that differ in their suspects alone. Failure episodes last some seconds, and each
 /// write is a call to the store.
-const SUSPECT_NOTE_PERIOD: Duration = Duration::from_secs(2);
+const SUSPECT_NOTE_PERIOD: Duration = Duration::from_secs(3);
 /// Maximum number of suspects in a note, 8 bytes each.
 const MAX_NOTED_SUSPECTS: usize = 512;
 
