--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod queue;
 pub mod quota;
 mod requests;
+pub mod returns;
 mod self_check;
 pub mod service;
 pub mod setup;
