Returns of refused callers: retry times of a box, its log line and metrics

With overload-control on, a refusal because no target took the request carries the planned time in place of a random one. The kind comes from the load reports of the targets that refused it, or from the last refusal of a target if none saw it; a used-up retry budget counts as declined. A box that stops names a random time as before, since other boxes may serve the request at once. With off or auto nothing changes.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -104,6 +104,19 @@
         answer
     }
 
+    /// Refuses a request that no target has run or will run, and that may return after `wait`.
+    pub(crate) fn not_run_until(
+        header_name: &str,
+        wait: Duration,
+        reason: &'static str,
+    ) -> CallerAnswer {
+        let mut answer = CallerAnswer::from_box(503, CallerOutcome::NotRun, reason);
+        // The time is rounded down: callers don't wait for longer than the planned time.
+        let value = format!("{}.{:03}", wait.as_secs(), wait.subsec_millis());
+        answer.headers.push(header_name, value);
+        answer
+    }
+
     /// Refuses a poison request that has not run; it is accepted again after `wait`.
     pub(crate) fn poison_request(
         header_name: &str,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -25,6 +25,7 @@
 use crate::policies::PolicySet;
 use crate::ports::{EnvironmentPort, HeaderNames, StoreChanges, TargetListing};
 use crate::quota_manager::QuotaManager;
+use crate::returns::ReturnPlanner;
 use crate::routes::RouteConfig;
 use crate::settings::GatewaySettings;
 use crate::stopping::StopState;
@@ -67,6 +68,8 @@
     pub(crate) passive_samples: SampleBuffer,
     /// Tracks which requests terminate targets.
     pub(crate) crashes: CrashTracker,
+    /// Decides when refused callers may return.
+    pub(crate) returns: ReturnPlanner,
     pub(crate) view_changed: async_channel::Sender<()>,
     /// Signals that a peer has a configuration that this box lacks, or that another configuration has come into
     /// force here.
@@ -113,6 +116,7 @@
             mechanisms: settings.mechanisms.clone(),
         });
         let peers = PeerTable::new(&settings, seed);
+        let returns = ReturnPlanner::new(settings.overload, seed);
         let suspension = SuspensionWatch::new(port.suspended());
         Arc::new(BoxContext {
             headers: port.headers(),
@@ -129,6 +133,7 @@
             permits: handles.permits,
             passive_samples: handles.passive_samples,
             crashes: CrashTracker::new(),
+            returns,
             view_changed: handles.view_changed,
             config_changed: handles.config_changed,
             held_body_bytes: AtomicUsize::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod request_log;
 mod requests;
 mod reserved_token;
+pub mod returns;
 mod revision_history;
 pub mod routes;
 mod routing;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,11 +4,13 @@
 
 use wingbridge_decide::Fingerprint;
 use wingbridge_decide::crashes::CrashVerdict;
+use wingbridge_decide::returns::ReturnArrival;
 use wingbridge_decide::steer::{ExcludedTargets, SteerPick};
 
 use crate::answers::CallerAnswer;
 use crate::context::{BoxContext, millis};
 use crate::customers::PresentedKey;
+use crate::returns::PlannedReturn;
 
 /// Collects the decisions about a request while it is handled, for its log line.
 #[derive(Debug, Default)]
@@ -48,6 +50,14 @@
     /// Each attempt that gave no answer for the caller, with the reason, and the reason why no further attempt was
     /// made.
     tried: String,
+    /// Kind of the refusal whose return was planned; empty if there is none.
+    refusal: &'static str,
+    /// Time after which the caller was told to return, in milliseconds; empty if none was planned.
+    return_ms: String,
+    /// Whether the caller has time left when it was told to return; empty if no return was planned.
+    return_useful: &'static str,
+    /// Whether the request is a return that this box has told: "due", "early", or empty if it is none.
+    returned: &'static str,
 }
 
 impl RequestTrace {
@@ -130,6 +140,22 @@
         self.tried.push_str(&format!("{}: {reason}; ", self.target));
     }
 
+    /// Records the kind of a refusal and when the caller was told to return.
+    pub(crate) fn record_return(&mut self, planned: PlannedReturn) {
+        self.refusal = planned.kind.as_str();
+        self.return_ms = millis(planned.time.wait).to_string();
+        self.return_useful = if planned.time.is_useful { "yes" } else { "no" };
+    }
+
+    /// Records whether the request is a return that this box has told.
+    pub(crate) fn record_arrival(&mut self, arrival: ReturnArrival) {
+        self.returned = match arrival {
+            ReturnArrival::New => "",
+            ReturnArrival::Kept => "due",
+            ReturnArrival::Early => "early",
+        };
+    }
+
     /// Records why there is no further attempt.
     pub(crate) fn record_no_retry(&mut self, reason: &str) {
         self.tried.push_str(reason);
@@ -155,7 +181,8 @@
         held_ms = trace.held_ms, attempts = trace.attempts, hedged_ms:% = trace.hedged_ms,
         left_out:% = trace.excluded, target:% = trace.target, target_centre:% = trace.data_centre,
         risk:% = trace.risk, busy:% = trace.busy, tried:% = trace.tried,
-        targets_ended = trace.targets_ended,
+        targets_ended = trace.targets_ended, refusal = trace.refusal, return_ms:% = trace.return_ms,
+        return_useful = trace.return_useful, returned = trace.returned,
         status = answer.status, outcome, why = answer.reason,
         view_age_ms, config_age_ms, limit_ms = trace.limit_ms, taken_ms;
         "request"
--- a/crates/gateway/src/requests/final_answers.rs
+++ b/crates/gateway/src/requests/final_answers.rs
@@ -9,6 +9,7 @@
 use crate::answers::{CallerAnswer, CallerOutcome};
 use crate::attempt::TargetAnswer;
 use crate::context::BoxContext;
+use crate::returns::RefusedRequest;
 
 impl RequestRun {
     /// Returns the answer to a request that is no longer allowed. The outcome of a request that may have run is
@@ -52,8 +53,42 @@
             return forwarded_answer(*answer);
         }
         if self.possible_runs == 0 {
-            return CallerAnswer::not_run(&self.context.headers.retry_after, reason);
+            return self.refuse(reason);
         }
+        self.outcome_unknown(reason)
+    }
+
+    /// Like [`Self::give_up`], for a box that is stopping: other boxes may serve the request at once, so its return
+    /// does not depend on the capacity of the targets.
+    pub(super) fn give_up_stopping(&mut self, reason: &'static str) -> CallerAnswer {
+        if self.fallback.is_some() || self.possible_runs > 0 {
+            return self.give_up(reason);
+        }
+        CallerAnswer::not_run(&self.context.headers.retry_after, reason)
+    }
+
+    /// Refuses a request that no target has run or will run.
+    fn refuse(&mut self, reason: &'static str) -> CallerAnswer {
+        let context = &self.context;
+        let refused = RefusedRequest {
+            service: &self.plan.service,
+            fingerprint: self.outgoing.fingerprint,
+            kind: self.refusal_signs.kind(),
+            remaining: self.deadline().saturating_duration_since(Instant::now()),
+            goal_left: self.plan.route.goal.saturating_sub(self.received_at.elapsed()),
+        };
+        let header_name = &context.headers.retry_after;
+        match context.returns.plan(context.now(), &refused) {
+            Some(planned) => {
+                self.trace.record_return(planned);
+                CallerAnswer::not_run_until(header_name, planned.time.wait, reason)
+            }
+            None => CallerAnswer::not_run(header_name, reason),
+        }
+    }
+
+    /// Returns the answer to a request that a target may have run.
+    fn outcome_unknown(&self, reason: &'static str) -> CallerAnswer {
         let status = if Instant::now() >= self.deadline() { 504 } else { 502 };
         CallerAnswer::from_box(status, CallerOutcome::Unknown, reason)
     }
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -11,17 +11,19 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
+use wingbridge_decide::returns::ReturnArrival;
 use wingbridge_decide::steer::{
     HomeRegions, LoadReport, PickError, RetryUse, SteerOutcome, SteerPick, SteerRequest,
 };
 
-use crate::answers::CallerAnswer;
+use crate::answers::{CallerAnswer, CallerOutcome};
 use crate::attempt::{AttemptResult, CONNECTION_REFUSED, OutgoingRequest, TargetAnswer};
 use crate::context::{BoxContext, log_ended, log_replaced};
 use crate::open_attempt::{AttemptRequest, EndedAttempt, OpenAttempt};
 use crate::permit_manager::{CoordinatorWait, NoPermit, SendPermit};
 use crate::request_log::RequestTrace;
 use crate::reserved_token::ReservedToken;
+use crate::returns::RefusalSigns;
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
 use crate::stopping::StopState;
@@ -67,6 +69,10 @@
     fallback: Option<Box<TargetAnswer>>,
     /// Whether the request may still wait for the permit coordinator.
     coordinator_wait: CoordinatorWait,
+    /// Signs of the reason for a refusal.
+    refusal_signs: RefusalSigns,
+    /// Whether the caller comes when this box told it to. It then goes before new requests of its rank.
+    due_return: bool,
     trace: RequestTrace,
 }
 
@@ -94,9 +100,11 @@
         plan: RequestPlan,
         token: Option<ReservedToken>,
         received_at: Instant,
-        trace: RequestTrace,
+        mut trace: RequestTrace,
     ) -> RequestRun {
         let clock_sample = context.clock_sample();
+        let arrival = context.returns.arrival(context.now(), outgoing.fingerprint);
+        trace.record_arrival(arrival);
         RequestRun {
             context,
             clock_sample,
@@ -110,6 +118,8 @@
             open_attempts: 0,
             fallback: None,
             coordinator_wait: CoordinatorWait::default(),
+            refusal_signs: RefusalSigns::default(),
+            due_return: arrival == ReturnArrival::Kept,
             trace,
         }
     }
@@ -119,6 +129,9 @@
         let stopping = self.context.stopping.clone();
         let answer = answer_before_end(self.run_attempts(), &stopping).await;
         let answer = answer.unwrap_or_else(|| self.end_with_process());
+        if self.due_return && answer.outcome == CallerOutcome::Answered {
+            metrics::counter!("wingbridge_returns_served").increment(1);
+        }
         if self.possible_runs == 0
             && let Some(token) = &mut self.token
         {
@@ -134,7 +147,7 @@
         for _ in 0..std::mem::take(&mut self.open_attempts) {
             self.record_possible_run();
         }
-        self.give_up("this box ends")
+        self.give_up_stopping("this box ends")
     }
 
     /// Makes attempts one after the other until an answer is decided.
@@ -157,7 +170,7 @@
                 Err(PickError::BackingOff(wait)) => return self.give_up_until(wait),
                 Err(PickError::Saturated) if self.context.stopping.is_stopping() => {
                     // If the request continued to wait, the end of the process could cut it off.
-                    return self.give_up("this box ends and every target has a queue");
+                    return self.give_up_stopping("this box ends and every target has a queue");
                 }
                 Err(PickError::Saturated) => {
                     let jitter = 0.5 + rand::random::<f64>();
@@ -310,6 +323,9 @@
             AttemptResult::Answered(answer, load) => self.handle_answer(answer, load, &mut open),
             AttemptResult::Refused(load) => {
                 self.deliveries += 1;
+                let has_free_slots = self.refusal_signs.record_refused(load);
+                let (context, service) = (&self.context, &self.plan.service);
+                context.returns.record_target_refusal(context.now(), service, has_free_slots);
                 open.end(SteerOutcome::Shed, load, 0);
                 self.after_failure("refused by the target")
             }
@@ -365,6 +381,7 @@
         open: &mut OpenAttempt,
     ) -> NextStep {
         self.record_possible_run();
+        self.context.returns.record_answer(self.context.now(), &self.plan.service);
         let failed = answer.head.status >= 500;
         if (200..300).contains(&answer.head.status) {
             self.context.crashes.record_success(self.outgoing.fingerprint);
@@ -414,7 +431,7 @@
 
     /// Returns the reason why the request may not be sent to another target. If there is none, this takes a retry
     /// from the budget.
-    fn retry_refusal(&self) -> Option<&'static str> {
+    fn retry_refusal(&mut self) -> Option<&'static str> {
         if self.possible_runs > 0 && !self.plan.policy.repeatable {
             return Some("it may run once only");
         }
@@ -438,8 +455,10 @@
         let has_retry = context.core().spend_retry(context.now(), service, RetryUse::Repeat);
         if has_retry {
             metrics::counter!("wingbridge_retries").increment(1);
+            return None;
         }
-        (!has_retry).then_some("the retry budget is used up")
+        self.refusal_signs.record_no_retry();
+        Some("the retry budget is used up")
     }
 
     /// Returns the time by which the request must be answered, corrected for suspensions of the machine.
