--- a/crates/gateway/src/returns/mod.rs
+++ b/crates/gateway/src/returns/mod.rs
@@ -135,6 +135,10 @@
         age: Duration,
         counts: &[u32],
     ) {
+        // Peers report services that this box may never use, mostly without returns.
+        if counts.is_empty() && !lock(&self.state).schedules.contains_key(service) {
+            return;
+        }
         let merged = self
             .with_schedule(now, service, |schedule| schedule.merge_peer(now, peer, age, counts));
         if merged == Some(false) {
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -10,7 +10,10 @@
     BoxUnderTest, CallerReply, Script, StoreStandin, TargetStandin, config, counter_value,
     eventually, header, route,
 };
+use wingbridge_decide::returns::RefusalKind;
+use wingbridge_decide::{Fingerprint, Name, TimePoint};
 use wingbridge_gateway::OverloadControl;
+use wingbridge_gateway::returns::{RefusedRequest, ReturnPlanner};
 use wingbridge_gateway::routes::RouteKind;
 use wingbridge_process::metrics::start_metrics;
 
@@ -194,3 +197,54 @@
         }
     }
 }
+
+fn refused(service: &Name, number: u64) -> RefusedRequest<'_> {
+    RefusedRequest {
+        service,
+        fingerprint: Fingerprint(number),
+        kind: Some(RefusalKind::Declined),
+        remaining: Duration::from_secs(3),
+        goal_left: Duration::from_secs(3),
+    }
+}
+
+/// Guards against told returns that peers are not told, and against counts of a service that this box does not use.
+#[test]
+fn told_returns_of_a_service_are_counted_for_peers() {
+    let (service, other) = (Name::from("service"), Name::from("other"));
+    let now = TimePoint::from_micros(5_000_000);
+    let on = ReturnPlanner::new(OverloadControl::On, 1);
+    assert_eq!(on.told_counts(now, &service), Vec::<u32>::new());
+    for number in 0..30 {
+        on.plan(now, &refused(&service, number)).expect("returns are planned");
+    }
+    let counts = on.told_counts(now, &service);
+    assert_eq!((counts.len(), counts.iter().sum()), (16, 30), "{counts:?}");
+    let age = Duration::from_millis(20);
+    on.merge_peer_counts(now, &service, 7, age, &counts);
+    assert_eq!(on.told_counts(now, &service), counts, "a peer's returns are not this box's own");
+    assert_eq!(on.told_counts(now, &other), Vec::<u32>::new());
+
+    for overload in [OverloadControl::Off, OverloadControl::Auto] {
+        let planner = ReturnPlanner::new(overload, 1);
+        planner.record_answer(now, &service);
+        planner.merge_peer_counts(now, &service, 7, age, &counts);
+        assert_eq!(planner.plan(now, &refused(&service, 1)), None, "{overload:?}");
+        assert_eq!(planner.told_counts(now, &service), Vec::<u32>::new(), "{overload:?}");
+    }
+}
+
+/// Guards against memory that grows with the names of services that peers send.
+#[test]
+fn number_of_services_is_bounded() {
+    let planner = ReturnPlanner::new(OverloadControl::On, 1);
+    let now = TimePoint::from_micros(5_000_000);
+    for number in 0..2_000 {
+        let service = Name::from(format!("service-{number}").as_str());
+        planner.merge_peer_counts(now, &service, 7, Duration::ZERO, &[1]);
+    }
+    let service = Name::from("one more");
+    assert_eq!(planner.plan(now, &refused(&service, 1)), None, "there are too many services");
+    let later = now + Duration::from_secs(10);
+    assert!(planner.plan(later, &refused(&service, 1)).is_some(), "the idle ones are dropped");
+}
