--- a/crates/decide/src/returns/schedule.rs
+++ b/crates/decide/src/returns/schedule.rs
@@ -30,8 +30,8 @@
 /// Time for which a refusal by a target tells the kind of refusals of requests that no target has seen. A target that
 /// has refused counts as full for 200 ms, so such refusals follow within that time.
 const REFUSAL_LIFETIME: Duration = Duration::from_secs(1);
-/// Shortest time after which a caller returns, if it has time for that. A target that has refused is not chosen
-/// again within some 100 ms.
+/// Shortest time after which a caller returns, if it has time for that. It is below the 200 ms for which a target that
+/// has refused counts as full, since most returns come to boxes that were not refused by it.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time that a return is planned for. Below it, the caller's way to the box takes a large part of the time.
 const MIN_LIMIT: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/returns/mod.rs
+++ b/crates/gateway/src/returns/mod.rs
@@ -16,7 +16,7 @@
 use crate::context::{lock, millis};
 use crate::settings::OverloadControl;
 
-pub(crate) use signs::RefusalSigns;
+pub use signs::RefusalSigns;
 
 /// Maximum number of services with a schedule; 870 are planned. Peers could otherwise fill the memory with names.
 const MAX_SERVICES: usize = 1024;
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -12,9 +12,10 @@
     eventually, header, route,
 };
 use wingbridge_decide::returns::RefusalKind;
+use wingbridge_decide::steer::LoadReport;
 use wingbridge_decide::{Fingerprint, Name, TimePoint};
 use wingbridge_gateway::OverloadControl;
-use wingbridge_gateway::returns::{RefusedRequest, ReturnPlanner};
+use wingbridge_gateway::returns::{RefusalSigns, RefusedRequest, ReturnPlanner};
 use wingbridge_gateway::routes::RouteKind;
 use wingbridge_process::metrics::start_metrics;
 
@@ -268,3 +269,61 @@
     let later = now + Duration::from_secs(10);
     assert!(planner.plan(later, &refused(&service, 1)).is_some(), "the idle ones are dropped");
 }
+
+/// What an attempt or the queue shows about a refusal.
+#[derive(Debug)]
+enum Sign {
+    Refused(Option<LoadReport>),
+    NoRetry,
+    Queue,
+}
+
+struct SignCase {
+    name: &'static str,
+    signs: &'static [Sign],
+    kind: Option<RefusalKind>,
+}
+
+const FREE_SLOT: Sign = Sign::Refused(Some(LoadReport { held: 2, slots: 3 }));
+const NO_SLOT: Sign = Sign::Refused(Some(LoadReport { held: 3, slots: 3 }));
+const NO_REPORT: Sign = Sign::Refused(None);
+
+const SIGNS: &[SignCase] = &[
+    SignCase { name: "none", signs: &[], kind: None },
+    SignCase { name: "free slot", signs: &[FREE_SLOT], kind: Some(RefusalKind::Declined) },
+    SignCase { name: "no slot", signs: &[NO_SLOT], kind: Some(RefusalKind::NoRoom) },
+    SignCase { name: "no report", signs: &[NO_REPORT], kind: Some(RefusalKind::NoRoom) },
+    SignCase {
+        name: "one of two has a slot",
+        signs: &[FREE_SLOT, NO_SLOT],
+        kind: Some(RefusalKind::Declined),
+    },
+    SignCase {
+        name: "the retry budget is used up",
+        signs: &[NO_SLOT, Sign::NoRetry],
+        kind: Some(RefusalKind::Declined),
+    },
+    SignCase {
+        name: "the queue refused",
+        signs: &[FREE_SLOT, Sign::Queue],
+        kind: Some(RefusalKind::NoRoom),
+    },
+];
+
+/// Guards against refusals that are taken for the other kind.
+#[test]
+fn kind_of_a_refusal_follows_from_load_reports_budget_and_queue() {
+    for case in SIGNS {
+        let mut signs = RefusalSigns::default();
+        for sign in case.signs {
+            match sign {
+                Sign::Refused(load) => {
+                    signs.record_refused(*load);
+                }
+                Sign::NoRetry => signs.record_no_retry(),
+                Sign::Queue => signs.record_queue_refusal(),
+            }
+        }
+        assert_eq!(signs.kind(), case.kind, "{}", case.name);
+    }
+}
