Waiting queue: who goes next and who is refused while a service lacks capacity

Cause: requests that find every target saturated sleep 60 ms and try again, so that chance decides which one gets a free slot, and one that can no longer be served is held until its deadline.

Nothing uses it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod sketch;
 pub mod steer;
 pub mod time;
+pub mod waiting;
 
 pub use crate::core::BoxCore;
 pub use detector::OutlierDetector;
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -9,6 +9,7 @@
 //! in use.
 
 mod average;
+mod capacity;
 mod choose;
 pub mod failure_estimate;
 pub mod latency_ratios;
@@ -49,6 +50,7 @@
 use crate::steer::unlisted::UnlistedNotices;
 use crate::time::TimePoint;
 
+pub use capacity::{AttemptTimes, TargetCapacity};
 pub use limit::{LimitChange, LimitReport, LimitUpdate, RequestRate};
 pub use messages::{
     AttemptEffect, HomeRegions, LoadReport, PeerSample, PickError, RetryUse, SteerOutcome,
--- /dev/null
+++ b/crates/decide/src/waiting/entry.rs
@@ -0,0 +1,70 @@
+//! The requests in a waiting queue, and their order.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::names::{Name, TargetKey};
+use crate::steer::HomeRegions;
+use crate::time::TimePoint;
+
+/// Identity of a waiting request within its queue. Later requests have higher numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub(crate) u64);
+
+/// A request that waits for capacity of its service.
+#[derive(Debug, Clone)]
+pub struct QueueEntry {
+    /// Rank of the request; 0 goes first.
+    pub rank: u32,
+    /// Time by which the answer has its full value.
+    pub goal_at: TimePoint,
+    /// Time by which the request must be answered.
+    pub deadline: TimePoint,
+    /// Time that an attempt typically takes, without the wait at its target.
+    pub typical_time: Duration,
+    /// Time that nearly all attempts take at most, without the wait at their target.
+    pub safe_time: Duration,
+    /// Targets that were tried for the request and are not chosen again.
+    pub tried: Vec<TargetKey>,
+    /// Regions in which the request may be served; `None` for all regions.
+    pub homes: Option<Arc<[Name]>>,
+}
+
+/// Capacity at one target that a waiting request may use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetRoom {
+    /// The target.
+    pub key: TargetKey,
+    /// The region of the target.
+    pub region: Name,
+}
+
+impl QueueEntry {
+    /// Returns the latest moment at which a start still meets the goal with a margin, or without one if `now` is
+    /// too late for the margin. Returns the latest start that meets the deadline if the goal is out of reach. `wait`
+    /// is the expected wait at the target.
+    ///
+    /// Under overload requests start close to this moment. Without the margin, about half of them would take
+    /// longer than typical and miss their goal.
+    pub fn latest_start(&self, now: TimePoint, wait: Duration) -> TimePoint {
+        let goal_at = self.goal_at.min(self.deadline);
+        let starts = [self.safe_time, self.typical_time].map(|time| goal_at.before(time + wait));
+        let reachable = starts.into_iter().find(|start| *start >= now);
+        reachable.unwrap_or_else(|| self.deadline.before(self.typical_time + wait))
+    }
+
+    /// Returns whether the request may be placed at the target.
+    pub fn may_use(&self, room: &TargetRoom) -> bool {
+        let homes = self.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only);
+        !self.tried.contains(&room.key) && homes.allow(&room.region)
+    }
+}
+
+/// The place of a request in the order of its queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Position {
+    pub(super) rank: u32,
+    pub(super) latest_start: TimePoint,
+    pub(super) deadline: TimePoint,
+    pub(super) id: TicketId,
+}
--- /dev/null
+++ b/crates/decide/src/waiting/learned.rs
@@ -0,0 +1,86 @@
+//! What a queue learns from the attempts of its service in this box: the rate at which they end, and their times.
+
+use std::time::Duration;
+
+use crate::time::TimePoint;
+
+/// Time constant of the rate. It is long enough for some ends at a service with one request a second, and short
+/// enough to follow the loss of a part of the targets within seconds.
+const RATE_TIME: Duration = Duration::from_secs(3);
+/// Number of counted ends below which the rate is not known.
+const MIN_ENDS: f64 = 3.0;
+
+/// Counts ends of attempts, decayed over [`RATE_TIME`].
+#[derive(Debug, Default)]
+pub(super) struct EndRate {
+    count: f64,
+    /// Part of the window that has been observed, 0 to 1.
+    observed: f64,
+    updated_at: TimePoint,
+}
+
+impl EndRate {
+    /// Counts the end of an attempt.
+    pub(super) fn record(&mut self, now: TimePoint) {
+        let decay = self.decay(now);
+        self.observed = 1.0 - (1.0 - self.observed) * decay;
+        self.count = self.count * decay + 1.0;
+        self.updated_at = now;
+    }
+
+    /// Returns an upper estimate of the ends per second, one standard deviation above the decayed count, or `None` if
+    /// too few ends were counted. A request that could have been served must not be refused because few ends happened
+    /// to fall into the window.
+    pub(super) fn upper_estimate(&self, now: TimePoint) -> Option<f64> {
+        let decay = self.decay(now);
+        let (count, observed) = (self.count * decay, 1.0 - (1.0 - self.observed) * decay);
+        let window = RATE_TIME.as_secs_f64() * observed;
+        (count >= MIN_ENDS && window > 0.0).then(|| (count + (count / 2.0).sqrt()) / window)
+    }
+
+    fn decay(&self, now: TimePoint) -> f64 {
+        (-now.since(self.updated_at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp()
+    }
+}
+
+/// Weight of the newest attempt in the mean times.
+const ATTEMPT_WEIGHT: f64 = 0.02;
+
+/// The attempts of a service that are open in this box, and the mean times of those that have ended.
+#[derive(Debug, Default)]
+pub(super) struct AttemptStats {
+    open: u32,
+    ended: u32,
+    /// Mean time of an attempt in seconds.
+    time: f64,
+    /// Mean wait at the target that attempts were expected to have when they began, in seconds.
+    wait: f64,
+}
+
+impl AttemptStats {
+    pub(super) fn record_start(&mut self) {
+        self.open += 1;
+    }
+
+    /// Records that an attempt was refused by its target, or that no target received it.
+    pub(super) fn record_refusal(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    pub(super) fn record_end(&mut self, time: Duration, wait: Duration) {
+        self.open = self.open.saturating_sub(1);
+        self.ended = self.ended.saturating_add(1);
+        let weight = ATTEMPT_WEIGHT.max(1.0 / f64::from(self.ended));
+        self.time += (time.as_secs_f64() - self.time) * weight;
+        self.wait += (wait.as_secs_f64() - self.wait) * weight;
+    }
+
+    pub(super) fn mean_wait(&self) -> Duration {
+        Duration::from_secs_f64(self.wait)
+    }
+
+    /// Returns the ends per second that the open attempts will give.
+    pub(super) fn expected_rate(&self) -> Option<f64> {
+        (self.ended > 0 && self.time > 0.0).then(|| f64::from(self.open) / self.time)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/waiting/mod.rs
@@ -0,0 +1,389 @@
+//! The waiting queue of one service in one box: which of the requests that find no capacity goes next, and which
+//! are refused because they can't be served in time.
+//!
+//! It answers loads above capacity for seconds: 1.5 times capacity, or a burst of 2.5 for 5 s. Before, each
+//! held request slept and tried again, so that chance decided which one got a free slot, and a request that could
+//! no longer be served was held until its deadline.
+
+mod entry;
+mod learned;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::time::TimePoint;
+use entry::Position;
+use learned::{AttemptStats, EndRate};
+
+pub use entry::{QueueEntry, TargetRoom, TicketId};
+
+/// Maximum number of requests that wait for one service in one box. With goals of some seconds at most, a queue of
+/// this length is served in time only at some hundred requests a second, far above the rate of a box.
+pub const MAX_WAITING: usize = 1024;
+/// Of this many turns, one goes to the request of a lower rank that has waited longest. The first rank keeps nine
+/// tenths of the capacity, and a lower rank gets a tenth whatever the first one asks for.
+pub const AGED_TURN_INTERVAL: u32 = 10;
+/// Time after the last wake-up after which the first request is woken without a known change of capacity. This
+/// guards against lost wake-ups, and against capacity that returns without an event, as when the back-off of a
+/// target ends.
+pub const GUARD_TIME: Duration = Duration::from_millis(250);
+/// Minimum time between two checks of all waiting requests. It bounds the cost of a check, which is proportional to
+/// the number of requests, and is below an eighth of all goals from 80 ms on.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The reason why a request is refused by a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// The request can't be served in time.
+    TooLate,
+    /// The queue is full.
+    Full,
+    /// The box stops.
+    Stopping,
+}
+
+/// How a request leaves its queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// An attempt was started for it.
+    Placed,
+    /// It is no longer to be served, because its caller left or its answer was decided otherwise.
+    Abandoned,
+}
+
+/// What an operation on a queue means for the waiting requests.
+#[derive(Debug, Default, PartialEq, Eq)]
+#[must_use]
+pub struct QueueSignals {
+    /// The request that is to try for a target now.
+    pub woken: Option<TicketId>,
+    /// Requests that were removed from the queue and are to be refused.
+    pub refused: Vec<(TicketId, RefusalCause)>,
+}
+
+/// A waiting request with its state.
+#[derive(Debug)]
+struct WaitingRequest {
+    entry: QueueEntry,
+    position: Position,
+    wake: Option<Wake>,
+}
+
+/// The wake-up of a request that has not yet been placed.
+#[derive(Debug, Clone)]
+struct Wake {
+    /// The capacity that caused it; `None` for the guard timer.
+    room: Option<TargetRoom>,
+    /// Whether the request was woken out of order because it had waited for long.
+    aged: bool,
+}
+
+/// What goes before a waiting request.
+#[derive(Debug)]
+struct TurnsBefore {
+    /// Number of requests before it in the order.
+    requests: usize,
+    /// Number of requests that get an aged turn before it; `None` for a request of the first rank, which gets none.
+    lower: Option<usize>,
+    /// Whether aged turns are given.
+    has_lower: bool,
+}
+
+impl TurnsBefore {
+    /// Returns the number of turns until that of the request.
+    fn turns(&self) -> f64 {
+        let interval = f64::from(AGED_TURN_INTERVAL);
+        let in_order = self.requests as f64;
+        match self.lower {
+            Some(lower) => in_order.min((lower + 1) as f64 * interval),
+            None if self.has_lower => in_order * interval / (interval - 1.0),
+            None => in_order,
+        }
+    }
+}
+
+/// The requests that wait for capacity of one service.
+#[derive(Debug, Default)]
+pub struct WaitingQueue {
+    /// The order of the requests. A sorted vector gives the number of requests before a place, and moving a
+    /// thousand positions on an insertion takes less than a microsecond.
+    order: Vec<Position>,
+    requests: BTreeMap<TicketId, WaitingRequest>,
+    joined: u64,
+    /// Turns since the last one that went to a lower rank.
+    turns: u32,
+    rate: EndRate,
+    attempts: AttemptStats,
+    woken_at: TimePoint,
+    checked_at: TimePoint,
+    closed: bool,
+}
+
+impl WaitingQueue {
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Adds a request, or refuses it at once. Another one is refused in its place if the queue is full and that one
+    /// comes last.
+    pub fn join(
+        &mut self,
+        now: TimePoint,
+        entry: QueueEntry,
+    ) -> (Result<TicketId, RefusalCause>, QueueSignals) {
+        let mut signals = self.check_at_interval(now);
+        let ticket = self.insert(now, entry, &mut signals);
+        (ticket, signals)
+    }
+
+    fn insert(
+        &mut self,
+        now: TimePoint,
+        entry: QueueEntry,
+        signals: &mut QueueSignals,
+    ) -> Result<TicketId, RefusalCause> {
+        if self.closed {
+            return Err(RefusalCause::Stopping);
+        }
+        self.joined += 1;
+        let position = Position {
+            rank: entry.rank,
+            latest_start: entry.latest_start(now, self.attempts.mean_wait()),
+            deadline: entry.deadline,
+            id: TicketId(self.joined),
+        };
+        let index = self.order.partition_point(|other| *other < position);
+        let before = self.turns_before(&position, index);
+        if is_too_late(now, &position, &before, self.capacity(now)) {
+            return Err(RefusalCause::TooLate);
+        }
+        if self.order.len() >= MAX_WAITING {
+            let Some(last) = self.last_replaceable().filter(|last| *last > position) else {
+                return Err(RefusalCause::Full);
+            };
+            self.remove(last.id);
+            signals.refused.push((last.id, RefusalCause::Full));
+        }
+        if self.order.is_empty() {
+            // The guard time of an empty queue has not begun.
+            self.woken_at = now;
+        }
+        self.order.insert(index, position);
+        self.requests.insert(position.id, WaitingRequest { entry, position, wake: None });
+        Ok(position.id)
+    }
+
+    /// Records that an attempt of the service has begun in this box.
+    pub fn record_start(&mut self) {
+        self.attempts.record_start();
+    }
+
+    /// Records that an attempt has ended after `time` and freed capacity. When it began, it was expected to wait for
+    /// `waited` at its target.
+    pub fn record_end(&mut self, now: TimePoint, time: Duration, waited: Duration) {
+        self.rate.record(now);
+        self.attempts.record_end(time, waited);
+    }
+
+    /// Records that an attempt has ended because its target refused or never received it. This frees no capacity.
+    pub fn record_refusal(&mut self) {
+        self.attempts.record_refusal();
+    }
+
+    /// Handles a change of capacity: wakes the request whose turn it is among those that may be placed there, and
+    /// refuses requests that can't be served in time.
+    pub fn on_room(&mut self, now: TimePoint, room: &TargetRoom) -> QueueSignals {
+        let mut signals = self.check_at_interval(now);
+        signals.woken = self.wake_next(now, Some(room));
+        signals
+    }
+
+    /// Returns a woken request that found no capacity to its place.
+    pub fn return_to_place(&mut self, now: TimePoint, id: TicketId) -> QueueSignals {
+        if let Some(wake) = self.take_wake(id) {
+            self.give_turn_back(&wake);
+        }
+        self.check_at_interval(now)
+    }
+
+    /// Removes a request. The capacity for which it was woken goes to the next one: it is free if the request left,
+    /// and there may be more of it if the request was placed.
+    pub fn leave(&mut self, now: TimePoint, id: TicketId, departure: Departure) -> QueueSignals {
+        let mut signals = QueueSignals::default();
+        let wake = self.take_wake(id);
+        if !self.remove(id) {
+            return signals;
+        }
+        if let Some(wake) = wake {
+            if departure == Departure::Abandoned {
+                self.give_turn_back(&wake);
+            }
+            signals.woken = self.wake_next(now, wake.room.as_ref());
+        }
+        signals
+    }
+
+    /// Refuses requests that can't be served in time, and wakes the first one if none was woken for the guard time.
+    pub fn on_timer(&mut self, now: TimePoint) -> QueueSignals {
+        let mut signals = self.check_at_interval(now);
+        if now.since(self.woken_at) >= GUARD_TIME {
+            signals.woken = self.wake_next(now, None);
+        }
+        signals
+    }
+
+    /// Returns the time until [`WaitingQueue::on_timer`] is to be called for a waiting request; `None` if it has
+    /// left.
+    pub fn timer_wait(&self, now: TimePoint, id: TicketId) -> Option<Duration> {
+        let request = self.requests.get(&id)?;
+        let until_late = request.position.latest_start.since(now);
+        Some(until_late.clamp(CHECK_INTERVAL, GUARD_TIME))
+    }
+
+    /// Returns whether a request that has just arrived must leave `room` to one that waits and goes before it.
+    pub fn must_yield(&self, now: TimePoint, entry: &QueueEntry, room: &TargetRoom) -> bool {
+        let latest_start = entry.latest_start(now, self.attempts.mean_wait());
+        let place = (entry.rank, latest_start, entry.deadline);
+        let goes_before =
+            |other: &&Position| (other.rank, other.latest_start, other.deadline) <= place;
+        let mut before = self.order.iter().take_while(goes_before);
+        before.any(|other| self.requests[&other.id].entry.may_use(room))
+    }
+
+    /// Refuses all requests, those that wait and those that would join, because the box stops.
+    pub fn close(&mut self) -> QueueSignals {
+        self.closed = true;
+        self.order.clear();
+        let refused = std::mem::take(&mut self.requests).into_keys();
+        QueueSignals {
+            woken: None,
+            refused: refused.map(|id| (id, RefusalCause::Stopping)).collect(),
+        }
+    }
+
+    /// Returns whether nothing of the service was seen for so long that the queue can be dropped.
+    pub fn is_unused(&self, now: TimePoint) -> bool {
+        self.is_empty() && !self.closed && self.rate.upper_estimate(now).is_none()
+    }
+
+    /// Wakes the request whose turn it is, if it may use `room`, else the first after it that may.
+    fn wake_next(&mut self, now: TimePoint, room: Option<&TargetRoom>) -> Option<TicketId> {
+        let may_wake = |request: &WaitingRequest| {
+            request.wake.is_none() && room.is_none_or(|room| request.entry.may_use(room))
+        };
+        let first =
+            self.order.iter().find(|position| may_wake(&self.requests[&position.id])).copied()?;
+        let is_aged_turn = self.turns + 1 >= AGED_TURN_INTERVAL;
+        let is_lower = |request: &WaitingRequest| request.position.rank > first.rank;
+        let mut by_age = self.requests.values().filter(|_| is_aged_turn);
+        let aged = by_age.find(|request| is_lower(request) && may_wake(request));
+        let aged = aged.map(|request| request.position.id);
+        self.turns = if aged.is_some() { 0 } else { (self.turns + 1).min(AGED_TURN_INTERVAL - 1) };
+        let id = aged.unwrap_or(first.id);
+        let wake = Wake { room: room.cloned(), aged: aged.is_some() };
+        self.requests.get_mut(&id)?.wake = Some(wake);
+        self.woken_at = now;
+        Some(id)
+    }
+
+    fn take_wake(&mut self, id: TicketId) -> Option<Wake> {
+        self.requests.get_mut(&id)?.wake.take()
+    }
+
+    /// Undoes the count of a turn that was not used.
+    fn give_turn_back(&mut self, wake: &Wake) {
+        self.turns = if wake.aged { AGED_TURN_INTERVAL - 1 } else { self.turns.saturating_sub(1) };
+    }
+
+    fn check_at_interval(&mut self, now: TimePoint) -> QueueSignals {
+        if self.order.is_empty() || now.since(self.checked_at) < CHECK_INTERVAL {
+            return QueueSignals::default();
+        }
+        QueueSignals { woken: None, refused: self.check(now) }
+    }
+
+    /// Removes and returns the requests that can't be served in time by what waits before them. A woken request
+    /// stays, since it is being placed.
+    fn check(&mut self, now: TimePoint) -> Vec<(TicketId, RefusalCause)> {
+        self.checked_at = now;
+        let mut refused = Vec::new();
+        let (mut kept, mut lower) = (0, 0);
+        let first_rank = self.order.first().map_or(0, |first| first.rank);
+        let has_lower = self.order.last().is_some_and(|last| last.rank > first_rank);
+        let capacity = self.capacity(now);
+        let mut order = std::mem::take(&mut self.order);
+        order.retain(|position| {
+            let is_lower = position.rank > first_rank;
+            let before =
+                TurnsBefore { requests: kept, lower: is_lower.then_some(lower), has_lower };
+            if is_too_late(now, position, &before, capacity)
+                && self.requests[&position.id].wake.is_none()
+            {
+                refused.push((position.id, RefusalCause::TooLate));
+                return false;
+            }
+            kept += 1;
+            lower += usize::from(is_lower);
+            true
+        });
+        self.order = order;
+        for (id, _) in &refused {
+            self.requests.remove(id);
+        }
+        refused
+    }
+
+    /// Returns the learned capacity of the service for this box in requests per second, if it is known. At the
+    /// beginning of an overload it is higher than the rate of the past seconds, and the open attempts show it.
+    fn capacity(&self, now: TimePoint) -> Option<f64> {
+        let rate = self.rate.upper_estimate(now)?;
+        Some(self.attempts.expected_rate().map_or(rate, |expected| expected.max(rate)))
+    }
+
+    /// Returns what goes before a request that joins at `index` of the order.
+    fn turns_before(&self, position: &Position, index: usize) -> TurnsBefore {
+        let first_rank = self.order.first().map_or(position.rank, |first| first.rank);
+        let first_rank_end = self.order.partition_point(|other| other.rank <= first_rank);
+        let lower = self.order.len() - first_rank_end;
+        let is_lower = position.rank > first_rank;
+        TurnsBefore { requests: index, lower: is_lower.then_some(lower), has_lower: lower > 0 }
+    }
+
+    /// Returns the last request that is not being placed.
+    fn last_replaceable(&self) -> Option<Position> {
+        let mut from_last = self.order.iter().rev();
+        from_last.find(|position| self.requests[&position.id].wake.is_none()).copied()
+    }
+
+    fn remove(&mut self, id: TicketId) -> bool {
+        let Some(request) = self.requests.remove(&id) else {
+            return false;
+        };
+        let found = self.order.binary_search(&request.position);
+        self.order.remove(found.expect("each request has a place in the order"));
+        true
+    }
+}
+
+/// Returns whether a request can't be served in time, by the learned capacity and what goes before it.
+fn is_too_late(
+    now: TimePoint,
+    position: &Position,
+    before: &TurnsBefore,
+    capacity: Option<f64>,
+) -> bool {
+    if now > position.latest_start {
+        return true;
+    }
+    // The first request may be woken at any moment, however low the capacity is.
+    let Some(capacity) = capacity.filter(|_| before.requests > 0) else {
+        return false;
+    };
+    now + Duration::from_secs_f64(before.turns() / capacity) > position.latest_start
+}
