Waiting queue: requests that find every target saturated wait in it, with overload control on

Change: with `overload-control=on` a saturated request joins the queue of its service. Ends of attempts, load reports and changes of the listing wake the first one that may be placed. A new request leaves room to those that go before it. A waiting request leaves with its caller, and is refused at once when it can't be served in time or the box stops. Off and auto sleep as before.

--- a/crates/decide/src/steer/capacity.rs
+++ b/crates/decide/src/steer/capacity.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::names::{Name, TargetKey};
+use crate::steer::pool::{ASSUMED_TIME, TargetPool};
 use crate::steer::{MIN_SATURATED_WAIT, SteerCore};
 use crate::time::TimePoint;
 use crate::waiting::TargetRoom;
@@ -42,10 +43,11 @@
     }
 
     /// Returns the times of attempts of requests that reach `service` by `route`.
-    pub fn attempt_times(&self, service: &str, route: &str) -> Option<AttemptTimes> {
-        let pool = self.pools.get(service)?;
-        let typical = self.routes.typical_time(route).unwrap_or(pool.typical_time());
-        let safe = typical.mul_f64(pool.ratio_exceeded_by(LATE_SHARE).max(1.0));
-        Some(AttemptTimes { typical, safe })
+    pub fn attempt_times(&self, service: &str, route: &str) -> AttemptTimes {
+        let pool = self.pools.get(service);
+        let of_service = pool.map_or(ASSUMED_TIME, TargetPool::typical_time);
+        let typical = self.routes.typical_time(route).unwrap_or(of_service);
+        let ratio = pool.map_or(1.0, |pool| pool.ratio_exceeded_by(LATE_SHARE));
+        AttemptTimes { typical, safe: typical.mul_f64(ratio.max(1.0)) }
     }
 }
--- a/crates/decide/src/waiting/learned.rs
+++ b/crates/decide/src/waiting/learned.rs
@@ -62,11 +62,12 @@
         self.open += 1;
     }
 
-    /// Records that an attempt was refused by its target, or that no target received it.
-    pub(super) fn record_refusal(&mut self) {
+    /// Records that an attempt has ended whose time says nothing about other attempts.
+    pub(super) fn record_other_end(&mut self) {
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Records that an attempt was answered.
     pub(super) fn record_end(&mut self, time: Duration, wait: Duration) {
         self.open = self.open.saturating_sub(1);
         self.ended = self.ended.saturating_add(1);
--- a/crates/decide/src/waiting/mod.rs
+++ b/crates/decide/src/waiting/mod.rs
@@ -184,16 +184,23 @@
         self.attempts.record_start();
     }
 
-    /// Records that an attempt has ended after `time` and freed capacity. When it began, it was expected to wait for
+    /// Records that an attempt was answered after `time`. When it began, it was expected to wait for
     /// `waited` at its target.
     pub fn record_end(&mut self, now: TimePoint, time: Duration, waited: Duration) {
         self.rate.record(now);
         self.attempts.record_end(time, waited);
     }
 
-    /// Records that an attempt has ended because its target refused or never received it. This frees no capacity.
-    pub fn record_refusal(&mut self) {
-        self.attempts.record_refusal();
+    /// Records that an attempt has ended without an answer or with a failure.
+    pub fn record_unanswered(&mut self, now: TimePoint) {
+        self.rate.record(now);
+        self.attempts.record_other_end();
+    }
+
+    /// Records that an attempt has ended that is no evidence about the capacity: its target refused or never received
+    /// it, or this box cancelled it.
+    pub fn record_withdrawn(&mut self) {
+        self.attempts.record_other_end();
     }
 
     /// Handles a change of capacity: wakes the request whose turn it is among those that may be placed there, and
--- a/crates/decide/tests/waiting_model/mod.rs
+++ b/crates/decide/tests/waiting_model/mod.rs
@@ -201,7 +201,7 @@
             }
             ModelEvent::Refused(request) => {
                 self.busy -= 1;
-                self.queue.record_refusal();
+                self.queue.record_withdrawn();
                 if request.attempts < MAX_ATTEMPTS {
                     self.pick(request);
                 } else {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,7 +9,7 @@
 use wingbridge_decide::steer::record::SteerTarget;
 use wingbridge_decide::steer::split::WeightedSplit;
 use wingbridge_decide::steer::{SteerCore, SteerSetup, SuspicionChange};
-use wingbridge_decide::{Fingerprint, Name, TimePoint};
+use wingbridge_decide::{Fingerprint, Name, TargetKey, TimePoint};
 use wingbridge_wire::gossip::ConfigDelta;
 
 use crate::change_budget::ChangeBudget;
@@ -34,6 +34,7 @@
 use crate::view::{
     CachedView, ConfigText, PeerListingDelta, StoreView, TargetEntry, TargetUpdate, ViewChange,
 };
+use crate::waiting::WaitingQueues;
 
 /// Maximum number of simultaneously joining targets that are logged by name. If there are more, as after a
 /// start, only their count is logged.
@@ -66,6 +67,8 @@
     /// Grants permits to send to targets that have a rate limit.
     pub(crate) permits: PermitManager,
     pub(crate) passive_samples: SampleBuffer,
+    /// Requests that wait for capacity of their services, with overload control.
+    pub(crate) waiting: Arc<WaitingQueues>,
     /// Tracks which requests terminate targets.
     pub(crate) crashes: CrashTracker,
     /// Decides when refused callers may return.
@@ -123,6 +126,7 @@
             budget: ChangeBudget::new(settings.change_time),
             config_source: ConfigSource::new(settings.link_mbps),
             listing_source: ListingSource::new(settings.link_mbps),
+            waiting: WaitingQueues::new(settings.overload.sheds_load()),
             newer_config: Mutex::default(),
             settings,
             port,
@@ -417,8 +421,13 @@
             data_centre: target.data_centre,
             slots: target.slots,
         };
-        let updated = updated.into_iter().map(steered).collect();
-        self.core().update_targets(now, &removed, updated);
+        let updated: Vec<SteerTarget> = updated.into_iter().map(steered).collect();
+        let is_awaited = self.waiting.has_waiting();
+        let keys = updated.iter().filter(|_| is_awaited).map(SteerTarget::key);
+        let keys: Vec<TargetKey> = keys.collect();
+        let mut core = self.core();
+        core.update_targets(now, &removed, updated);
+        self.waiting.offer_room(core, now, keys);
     }
 }
 
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -54,6 +54,7 @@
         let mut round: u32 = 0;
         loop {
             update_excluded_gauges(&self.context);
+            self.context.waiting.log_ended();
             // The first box found may be in another data centre, which does not help with the state that
             // boxes of one data centre share, so the search goes on for a while.
             let no_local_peer = self.context.peers().local().is_empty();
--- a/crates/gateway/src/gossip/reports.rs
+++ b/crates/gateway/src/gossip/reports.rs
@@ -170,6 +170,8 @@
             };
             core.merge_retry_counts(now, peer, &reported.service, counts);
         }
+        let keys = samples.targets.iter().map(|entry| TargetKey(entry.target));
+        self.context.waiting.offer_room(core, now, keys);
     }
 
     async fn send_samples(&self, hosts: &[IpAddr], samples: PassiveSamples) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod transfer_slots;
 pub mod view;
 mod view_exchange;
+mod waiting;
 
 pub use run::run;
 pub use settings::{GatewaySettings, OverloadControl};
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -22,6 +22,7 @@
     pub(crate) started: Instant,
     /// Permit for the attempt, if the target has a rate limit.
     permit: Option<SendPermit>,
+    service: Name,
     route: Name,
     /// Name of the customer whose request it is.
     customer: Option<Name>,
@@ -35,6 +36,7 @@
 pub(crate) struct AttemptRequest {
     /// Permit for the attempt, if the target has a rate limit.
     pub(crate) permit: Option<SendPermit>,
+    pub(crate) service: Name,
     pub(crate) route: Name,
     /// Name of the customer whose request it is.
     pub(crate) customer: Option<Name>,
@@ -57,7 +59,7 @@
         pick: SteerPick,
         request: AttemptRequest,
     ) -> OpenAttempt {
-        let AttemptRequest { permit, route, customer, fingerprint, is_buffered } = request;
+        let AttemptRequest { permit, service, route, customer, fingerprint, is_buffered } = request;
         let now = context.now();
         let handle = if is_buffered {
             context.core().begin(now, pick.key, &route)
@@ -65,12 +67,14 @@
             context.core().begin_untimed(now, pick.key, &route)
         };
         context.passive_samples.record_open_attempts(pick.key);
+        context.waiting.record_start(&service);
         let started = Instant::now();
         OpenAttempt {
             context,
             pick,
             started,
             permit,
+            service,
             route,
             customer,
             fingerprint,
@@ -108,7 +112,9 @@
         if let Some(load) = load {
             core.record_load(now, key, load);
         }
+        let room = self.context.waiting.room_at(&core, now, key);
         drop(core);
+        self.context.waiting.record_end(&self.service, &self.handle, outcome, room);
         log_suspicion(effect.change, ObservedBy::Own);
         let suspect = self.pick.risk >= MIN_SUSPECT_RISK;
         let observed = ObservedOutcome {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -31,7 +31,7 @@
     /// Time limit of the request, in milliseconds: the limit of the caller, or the limit of the route if that is
     /// shorter.
     limit_ms: u64,
-    /// Time until the first target was chosen, in milliseconds.
+    /// Time until the first target was chosen, or until a waiting queue refused the request, in milliseconds.
     held_ms: u64,
     /// Number of attempts that were started.
     attempts: u32,
@@ -99,6 +99,13 @@
         self.record_target(pick);
     }
 
+    /// Records that the request is refused without an attempt, `waited` after its first byte.
+    pub(crate) fn record_refused_after(&mut self, waited: Duration) {
+        if self.attempts == 0 {
+            self.held_ms = millis(waited);
+        }
+    }
+
     /// Records how many targets were excluded from the choice, and why.
     pub(crate) fn record_excluded(&mut self, excluded: &ExcludedTargets) {
         let ExcludedTargets {
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -52,6 +52,7 @@
         match config.authorize(route, self.plan.key) {
             AccessDecision::Allowed(customer) => {
                 self.plan.homes = route.home_regions_for(customer.as_deref());
+                self.plan.rank = route.priority_for(customer.as_deref());
                 self.plan.customer = customer;
             }
             AccessDecision::Denied(reason) => return Err(AccessRevoked::Denied(reason)),
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod final_answers;
+mod queueing;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,7 +29,9 @@
 use crate::routing::RequestPlan;
 use crate::stopping::StopState;
 use crate::suspension::ClockSample;
+use crate::waiting::QueueTicket;
 use final_answers::forwarded_answer;
+use queueing::QueueOutcome;
 
 pub(crate) use final_answers::poison_request_answer;
 
@@ -152,6 +155,7 @@
 
     /// Makes attempts one after the other until an answer is decided.
     async fn run_attempts(&mut self) -> CallerAnswer {
+        let mut ticket: Option<QueueTicket> = None;
         loop {
             let remaining = self.deadline().saturating_duration_since(Instant::now());
             if remaining.is_zero() {
@@ -165,13 +169,24 @@
                 return self.refuse_poison(verdict, wait);
             }
             let pick = match self.pick(remaining) {
-                Ok(pick) => pick,
+                Ok(pick) if ticket.is_some() => pick,
+                Ok(pick) => match self.yield_to_waiting(&pick, &mut ticket).await {
+                    QueueOutcome::Proceed => pick,
+                    QueueOutcome::PickAgain => continue,
+                    QueueOutcome::Refused(answer) => return *answer,
+                },
                 Err(PickError::NoTarget) => return self.give_up("no target takes it"),
                 Err(PickError::BackingOff(wait)) => return self.give_up_until(wait),
                 Err(PickError::Saturated) if self.context.stopping.is_stopping() => {
                     // If the request continued to wait, the end of the process could cut it off.
                     return self.give_up_stopping("this box ends and every target has a queue");
                 }
+                Err(PickError::Saturated) if self.context.waiting.is_enabled() => {
+                    match self.wait_in_queue(&mut ticket).await {
+                        QueueOutcome::Refused(answer) => return *answer,
+                        QueueOutcome::Proceed | QueueOutcome::PickAgain => continue,
+                    }
+                }
                 Err(PickError::Saturated) => {
                     let jitter = 0.5 + rand::random::<f64>();
                     async_std::task::sleep(SATURATED_POLL_INTERVAL.mul_f64(jitter)).await;
@@ -186,7 +201,7 @@
                 // The target is ineligible from now on, so another one is chosen.
                 Err(NoPermit) => continue,
             };
-            match self.race(pick, permit).await {
+            match self.race(pick, permit, ticket.take()).await {
                 NextStep::Answer(answer) => return answer,
                 NextStep::Continue => {}
             }
@@ -219,9 +234,19 @@
 
     /// Makes an attempt, and hedges it if it is open for too long. The first answer that can go to the caller wins,
     /// and the other attempts are cancelled.
-    async fn race(&mut self, first: SteerPick, permit: Option<SendPermit>) -> NextStep {
+    async fn race(
+        &mut self,
+        first: SteerPick,
+        permit: Option<SendPermit>,
+        ticket: Option<QueueTicket>,
+    ) -> NextStep {
         let mut running = FuturesUnordered::new();
         let first = self.begin_attempt(first, permit);
+        // The attempt counts as load of its target by now, so that the next waiting request sees the room that is
+        // left.
+        if let Some(ticket) = ticket {
+            ticket.record_placed();
+        }
         let mut hedge_at = self.hedge_time(&first);
         running.push(self.run_attempt(first));
         loop {
@@ -257,11 +282,12 @@
             token.record_sent();
         }
         self.open_attempts += 1;
+        let service = self.plan.service.clone();
         let route = self.plan.route.name.clone();
         let customer = self.plan.customer.as_ref().map(|customer| customer.name.clone());
         let fingerprint = self.outgoing.fingerprint;
         let is_buffered = self.outgoing.body_stream.is_none();
-        let request = AttemptRequest { permit, route, customer, fingerprint, is_buffered };
+        let request = AttemptRequest { permit, service, route, customer, fingerprint, is_buffered };
         OpenAttempt::begin(Arc::clone(&self.context), pick, request)
     }
 
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the priority of a request of `customer` on this route; 0 is the most urgent.
+    pub fn priority_for(&self, customer: Option<&Customer>) -> u32 {
+        customer.and_then(|customer| customer.priority).unwrap_or(self.priority)
+    }
+
     /// Returns the regions in which a request of `customer` on this route may be served; `None` for all
     /// regions. If both the route and the customer have home regions, only the common ones remain.
     pub fn home_regions_for(&self, customer: Option<&Customer>) -> Option<Arc<[Name]>> {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -63,6 +63,8 @@
     pub(crate) policy: PolicyPlan,
     /// Regions in which the request may be served; `None` for all regions.
     pub(crate) homes: Option<Arc<[Name]>>,
+    /// Rank of the request in a waiting queue: the customer's priority, or the route's if the customer has none.
+    pub(crate) rank: u32,
     /// Time by which the request must be answered.
     pub(crate) deadline: Instant,
 }
@@ -165,8 +167,7 @@
         return Err(not_run(context, &route.name, "its route leads to no service"));
     };
     let service = &route.services[index];
-    let priority = customer.as_ref().and_then(|customer| customer.priority);
-    let priority = priority.unwrap_or(route.priority);
+    let priority = route.priority_for(customer.as_deref());
     let decision = context.policies.plan(&route, service, priority, &request.head, &request.caller);
     let policy = match decision {
         Ok(PolicyDecision::Route(policy)) => policy,
@@ -188,7 +189,8 @@
     }
     let service = Name::from(policy.service.as_str());
     let homes = route.home_regions_for(customer.as_deref());
-    Ok(RequestPlan { config, key, customer, route, service, policy, homes, deadline })
+    let rank = priority;
+    Ok(RequestPlan { config, key, customer, route, service, policy, homes, rank, deadline })
 }
 
 /// Returns the refusal of a request that the configuration does not allow.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -121,6 +121,7 @@
     let end = stop_time.saturating_sub(END_LEAD);
     let last_answers = end.saturating_sub(LAST_ANSWER_LEAD);
     stopping.begin(started_at + stop_time / 2, started_at + end);
+    context.waiting.close();
     log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
     while started_at.elapsed() < end {
         if started_at.elapsed() >= BALANCER_DRAIN_TIME && stopping.open_connections() == 0 {
--- /dev/null
+++ b/crates/gateway/src/waiting/ticket.rs
@@ -0,0 +1,84 @@
+//! The place of one request in a queue.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use wingbridge_decide::Name;
+use wingbridge_decide::waiting::{Departure, RefusalCause, TicketId};
+
+use super::{WaitingQueues, WakeCause};
+
+/// The end of a wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// The request is to choose a target.
+    Pick,
+    /// The request is refused, and has left the queue.
+    Refused(RefusalCause),
+}
+
+/// The place of a request in the queue of its service. The request leaves the queue when the ticket is dropped.
+#[derive(Debug)]
+pub(crate) struct QueueTicket {
+    queues: Arc<WaitingQueues>,
+    service: Name,
+    id: TicketId,
+    turns: Receiver<Turn>,
+    departure: Departure,
+}
+
+impl QueueTicket {
+    pub(super) fn new(
+        queues: Arc<WaitingQueues>,
+        service: Name,
+        id: TicketId,
+        turns: Receiver<Turn>,
+    ) -> QueueTicket {
+        QueueTicket { queues, service, id, turns, departure: Departure::Abandoned }
+    }
+
+    /// Waits until the request is to choose a target, or is refused.
+    pub(crate) async fn wait(&self) -> Turn {
+        loop {
+            let wait = self.queues.with_service(&self.service, |service| {
+                service.queue.timer_wait(self.queues.now(), self.id)
+            });
+            // A request that has left has its refusal in the channel.
+            let wait = wait.unwrap_or_default();
+            match async_std::future::timeout(wait, self.turns.recv()).await {
+                Ok(Ok(turn)) => return turn,
+                Ok(Err(_)) => return Turn::Refused(RefusalCause::Stopping),
+                Err(_) => {
+                    let now = self.queues.now();
+                    self.queues.update_service(&self.service, WakeCause::Guard, |queue| {
+                        queue.on_timer(now)
+                    });
+                }
+            }
+        }
+    }
+
+    /// Returns the request to its place, because it found no capacity on its turn.
+    pub(crate) fn return_to_place(&self) {
+        let now = self.queues.now();
+        self.queues.update_service(&self.service, WakeCause::Next, |queue| {
+            queue.return_to_place(now, self.id)
+        });
+    }
+
+    /// Leaves the queue, because an attempt was started.
+    pub(crate) fn record_placed(mut self) {
+        self.departure = Departure::Placed;
+    }
+}
+
+impl Drop for QueueTicket {
+    fn drop(&mut self) {
+        let now = self.queues.now();
+        self.queues.with_service(&self.service, |service| {
+            service.remove(&self.service, self.id);
+            let signals = service.queue.leave(now, self.id, self.departure);
+            service.deliver(&self.service, signals, WakeCause::Next);
+        });
+    }
+}
