Waiting queue: due returns go before new requests of their rank, and refusals count as lack of room

Change: the order has due returns first within a rank. A refusal by the queue is one for lack of room, and the plan of a return gets the number of waiting requests. A stopping box refuses as it did before the queue.

--- a/crates/decide/examples/waiting_cost.rs
+++ b/crates/decide/examples/waiting_cost.rs
@@ -58,6 +58,7 @@
     const GOAL: Duration = Duration::from_secs(1000);
     QueueEntry {
         rank: (number % 3) as u32,
+        due_return: false,
         goal_at: now + GOAL + Duration::from_millis(number * 7919 % 1000),
         deadline: now + 2 * GOAL,
         typical_time: Duration::from_millis(300),
--- a/crates/decide/src/waiting/entry.rs
+++ b/crates/decide/src/waiting/entry.rs
@@ -16,6 +16,8 @@
 pub struct QueueEntry {
     /// Rank of the request; 0 goes first.
     pub rank: u32,
+    /// Whether its caller was refused before and comes when it was told to. It goes before new requests of its rank.
+    pub due_return: bool,
     /// Time by which the answer has its full value.
     pub goal_at: TimePoint,
     /// Time by which the request must be answered.
@@ -64,6 +66,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
     pub(super) rank: u32,
+    /// Whether it is not a return at the told time.
+    pub(super) is_new: bool,
     pub(super) latest_start: TimePoint,
     pub(super) deadline: TimePoint,
     pub(super) id: TicketId,
--- a/crates/decide/src/waiting/mod.rs
+++ b/crates/decide/src/waiting/mod.rs
@@ -159,6 +159,7 @@
         self.joined += 1;
         let position = Position {
             rank: entry.rank,
+            is_new: !entry.due_return,
             latest_start: entry.latest_start(now, self.attempts.mean_wait()),
             deadline: entry.deadline,
             id: TicketId(self.joined),
@@ -261,9 +262,15 @@
     /// Returns whether a request that has just arrived must leave `room` to one that waits and goes before it.
     pub fn must_yield(&self, now: TimePoint, entry: &QueueEntry, room: &TargetRoom) -> bool {
         let latest_start = entry.latest_start(now, self.attempts.mean_wait());
-        let place = (entry.rank, latest_start, entry.deadline);
-        let goes_before =
-            |other: &&Position| (other.rank, other.latest_start, other.deadline) <= place;
+        // Of equal places, the one that waits goes first.
+        let place = Position {
+            rank: entry.rank,
+            is_new: !entry.due_return,
+            latest_start,
+            deadline: entry.deadline,
+            id: TicketId(u64::MAX),
+        };
+        let goes_before = |other: &&Position| **other < place;
         let mut before = self.order.iter().take_while(goes_before);
         before.any(|other| self.requests[&other.id].entry.may_use(room))
     }
--- a/crates/decide/tests/waiting.rs
+++ b/crates/decide/tests/waiting.rs
@@ -27,6 +27,7 @@
 fn entry(now: TimePoint, rank: u32) -> QueueEntry {
     QueueEntry {
         rank,
+        due_return: false,
         goal_at: now + Duration::from_secs(1),
         deadline: now + Duration::from_secs(3),
         typical_time: WORK,
@@ -157,6 +158,19 @@
     }
 }
 
+/// Guards against a caller that comes when it was told to and is refused again because new ones came first.
+#[test]
+fn due_return_goes_before_new_requests_of_its_rank() {
+    let (now, mut queue) = (at(10_000), WaitingQueue::default());
+    let new = join(&mut queue, now, entry(now, 1));
+    let due = QueueEntry { due_return: true, ..entry(at(10_100), 1) };
+    assert!(!queue.must_yield(at(10_100), &due, &room("a")), "it goes first");
+    let due = join(&mut queue, at(10_100), due);
+    let urgent = join(&mut queue, at(10_100), entry(at(10_100), 0));
+    let placed: Vec<TicketId> = std::iter::from_fn(|| place_next(&mut queue, at(10_100))).collect();
+    assert_eq!(placed, [urgent, due, new]);
+}
+
 /// Guards against a wake-up for a target that the request may not use, which would lose the capacity.
 #[test]
 fn room_wakes_the_first_request_that_may_use_it() {
--- a/crates/decide/tests/waiting_model/mod.rs
+++ b/crates/decide/tests/waiting_model/mod.rs
@@ -244,6 +244,7 @@
     fn pick(&mut self, request: ModelRequest) {
         let entry = QueueEntry {
             rank: request.rank as u32,
+            due_return: false,
             goal_at: request.arrived + GOAL,
             deadline: request.arrived + DEADLINE,
             typical_time: Duration::from_secs_f64(MEDIAN),
--- a/crates/gateway/src/requests/final_answers.rs
+++ b/crates/gateway/src/requests/final_answers.rs
@@ -78,6 +78,10 @@
             goal_left: self.plan.route.goal.saturating_sub(self.received_at.elapsed()),
         };
         let header_name = &context.headers.retry_after;
+        if context.waiting.is_enabled() {
+            let waiting = context.waiting.waiting_for(&self.plan.service);
+            context.returns.set_waiting(context.now(), &self.plan.service, waiting);
+        }
         match context.returns.plan(context.now(), &refused) {
             Some(planned) => {
                 self.trace.record_return(planned);
--- a/crates/gateway/src/requests/queueing.rs
+++ b/crates/gateway/src/requests/queueing.rs
@@ -73,8 +73,12 @@
         let reason = match cause {
             RefusalCause::TooLate => "its service has no capacity for it in time",
             RefusalCause::Full => "too many requests wait for its service",
-            RefusalCause::Stopping => "this box ends and every target has a queue",
+            RefusalCause::Stopping => {
+                let reason = "this box ends and every target has a queue";
+                return QueueOutcome::Refused(Box::new(self.give_up_stopping(reason)));
+            }
         };
+        self.refusal_signs.record_queue_refusal();
         QueueOutcome::Refused(Box::new(self.give_up(reason)))
     }
 
@@ -84,6 +88,7 @@
         let queues = &self.context.waiting;
         QueueEntry {
             rank: self.plan.rank,
+            due_return: self.due_return,
             goal_at: queues.time_point(self.received_at + route.goal),
             deadline: queues.time_point(self.deadline()),
             typical_time: times.typical,
--- a/crates/gateway/src/waiting/mod.rs
+++ b/crates/gateway/src/waiting/mod.rs
@@ -106,6 +106,12 @@
         self.waiting.load(Ordering::Acquire) > 0
     }
 
+    /// Returns the number of requests that wait for a service.
+    pub(crate) fn waiting_for(&self, service: &Name) -> u32 {
+        let services = lock(&self.services);
+        services.get(service).map_or(0, |queue| queue.waiters.len() as u32)
+    }
+
     /// Converts a time to the clock of the queues.
     pub(crate) fn time_point(&self, time: Instant) -> TimePoint {
         TimePoint::default() + time.saturating_duration_since(self.started)
