Waiting queue: capacity that is freed while a request looks for a target wakes it

Cause: an attempt that ended after a request had found all targets saturated, and before it had joined, woke nobody, and the request waited for the next change or the guard timer.

Change: changes of capacity are counted, and a request that joins or returns to its place is woken if the count has changed since it looked. A queue that refuses all that would join has one period of waiting in the log.

The race has no test with real boxes.

--- a/crates/decide/src/waiting/mod.rs
+++ b/crates/decide/src/waiting/mod.rs
@@ -218,6 +218,11 @@
         signals
     }
 
+    /// Handles a change of capacity at an unknown target: wakes the request whose turn it is.
+    pub fn on_unknown_room(&mut self, now: TimePoint) -> QueueSignals {
+        QueueSignals { woken: self.wake_next(now, None), refused: Vec::new() }
+    }
+
     /// Returns a woken request that found no capacity to its place.
     pub fn return_to_place(&mut self, now: TimePoint, id: TicketId) -> QueueSignals {
         if let Some(wake) = self.take_wake(id) {
--- a/crates/decide/tests/waiting.rs
+++ b/crates/decide/tests/waiting.rs
@@ -198,6 +198,16 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against a lost wake-up: capacity that was freed while a request looked for a target, before it joined.
+#[test]
+fn room_that_was_freed_before_a_request_joined_wakes_it() {
+    let (now, mut queue) = (at(10_000), WaitingQueue::default());
+    assert_eq!(queue.on_room(now, &room("a")).woken, None, "nobody waits yet");
+    let joined = join(&mut queue, now, entry(now, 0));
+    assert_eq!(queue.on_unknown_room(now).woken, Some(joined));
+    assert_eq!(queue.on_unknown_room(now).woken, None, "it was woken already");
+}
+
 /// Guards against requests that wait for ever after a wake-up was lost, and against a timer that polls.
 #[test]
 fn guard_timer_wakes_the_first_request_once_in_its_time() {
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -112,7 +112,7 @@
         if let Some(load) = load {
             core.record_load(now, key, load);
         }
-        let room = self.context.waiting.room_at(&core, now, key);
+        let room = self.context.waiting.room_after_change(&core, now, key);
         drop(core);
         self.context.waiting.record_end(&self.service, &self.handle, outcome, room);
         log_suspicion(effect.change, ObservedBy::Own);
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -168,6 +168,7 @@
             if let CrashVerdict::Refused { wait, .. } = verdict {
                 return self.refuse_poison(verdict, wait);
             }
+            let seen = self.context.waiting.changes();
             let pick = match self.pick(remaining) {
                 Ok(pick) if ticket.is_some() => pick,
                 Ok(pick) => match self.yield_to_waiting(&pick, &mut ticket).await {
@@ -182,7 +183,7 @@
                     return self.give_up_stopping("this box ends and every target has a queue");
                 }
                 Err(PickError::Saturated) if self.context.waiting.is_enabled() => {
-                    match self.wait_in_queue(&mut ticket).await {
+                    match self.wait_in_queue(&mut ticket, seen).await {
                         QueueOutcome::Refused(answer) => return *answer,
                         QueueOutcome::Proceed | QueueOutcome::PickAgain => continue,
                     }
--- a/crates/gateway/src/requests/queueing.rs
+++ b/crates/gateway/src/requests/queueing.rs
@@ -44,12 +44,17 @@
     }
 
     /// Has the request, which found no capacity, wait for its turn, at its previous place if it has a ticket.
-    pub(super) async fn wait_in_queue(&mut self, ticket: &mut Option<QueueTicket>) -> QueueOutcome {
+    /// `seen` is the number of changes of capacity before it looked for a target.
+    pub(super) async fn wait_in_queue(
+        &mut self,
+        ticket: &mut Option<QueueTicket>,
+        seen: u64,
+    ) -> QueueOutcome {
         if let Some(ticket) = ticket {
-            ticket.return_to_place();
+            ticket.return_to_place(seen);
             return self.wait_for_turn(ticket).await;
         }
-        match self.context.waiting.join(&self.plan.service, self.queue_entry()) {
+        match self.context.waiting.join(&self.plan.service, self.queue_entry(), seen) {
             Ok(joined) => self.wait_for_turn(ticket.insert(joined)).await,
             Err(cause) => self.refuse_waiting(cause),
         }
--- a/crates/gateway/src/waiting/episode.rs
+++ b/crates/gateway/src/waiting/episode.rs
@@ -58,6 +58,10 @@
     /// Records that a request was refused, and logs the first one.
     pub(super) fn record_refused(&mut self, service: &Name, cause: &str, waiting: usize) {
         self.refused += 1;
+        if self.is_empty {
+            // A queue that refuses all that would join has not ended its period.
+            self.empty_since = Instant::now();
+        }
         if self.refused == 1 {
             log::warn!(service:% = service, cause, waiting; "waiting-refuses");
         }
--- a/crates/gateway/src/waiting/mod.rs
+++ b/crates/gateway/src/waiting/mod.rs
@@ -5,7 +5,7 @@
 mod ticket;
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,9 @@
     started: Instant,
     /// Number of waiting requests over all services, so that events cost next to nothing while there are none.
     waiting: AtomicUsize,
+    /// Number of changes of the capacity of any target. By it, a request that joins sees that capacity was freed
+    /// between its choice of a target and its joining, when it could not be woken.
+    changes: AtomicU64,
     services: Mutex<HashMap<Name, ServiceQueue>>,
 }
 
@@ -60,6 +63,8 @@
     Yielded,
     /// The request that was woken before left or was placed.
     Next,
+    /// Capacity changed while a request that joined or returned to its place was looking for a target.
+    Missed,
     /// None was woken for the guard time.
     Guard,
 }
@@ -71,6 +76,7 @@
             WakeCause::Report => "report",
             WakeCause::Yielded => "yielded",
             WakeCause::Next => "next",
+            WakeCause::Missed => "missed",
             WakeCause::Guard => "guard",
         }
     }
@@ -92,6 +98,7 @@
             closed: AtomicBool::new(false),
             started: Instant::now(),
             waiting: AtomicUsize::new(0),
+            changes: AtomicU64::new(0),
             services: Mutex::default(),
         })
     }
@@ -103,7 +110,14 @@
 
     /// Returns whether any request waits.
     pub(crate) fn has_waiting(&self) -> bool {
-        self.waiting.load(Ordering::Acquire) > 0
+        // With the count of changes, this needs one order of all operations: of a request that joins and an event that
+        // frees capacity, at least one must see the other.
+        self.waiting.load(Ordering::SeqCst) > 0
+    }
+
+    /// Returns the number of changes of capacity so far.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes.load(Ordering::SeqCst)
     }
 
     /// Returns the number of requests that wait for a service.
@@ -117,7 +131,7 @@
         TimePoint::default() + time.saturating_duration_since(self.started)
     }
 
-    /// Adds a request to the queue of its service.
+    /// Adds a request to the queue of its service. `seen` is the number of changes before it looked for a target.
     ///
     /// # Errors
     /// The request is refused at once.
@@ -125,9 +139,20 @@
         self: &Arc<Self>,
         service: &Name,
         entry: QueueEntry,
+        seen: u64,
     ) -> Result<QueueTicket, RefusalCause> {
         let now = self.now();
-        self.with_service(service, |queue| self.join_at(now, service, queue, entry))
+        let joined = self.with_service(service, |queue| self.join_at(now, service, queue, entry));
+        self.wake_if_changed(service, seen);
+        joined
+    }
+
+    /// Wakes a request of the service if capacity has changed since the number of changes was `seen`.
+    fn wake_if_changed(&self, service: &Name, seen: u64) {
+        if self.changes() != seen {
+            let now = self.now();
+            self.update_service(service, WakeCause::Missed, |queue| queue.on_unknown_room(now));
+        }
     }
 
     /// Adds a request that could use `room` to the queue if it must leave the room to a waiting one, which is woken.
@@ -164,6 +189,20 @@
         core.capacity_of(now, key)?.room
     }
 
+    /// Returns the room at a target whose load has just changed, and counts the change.
+    pub(crate) fn room_after_change(
+        &self,
+        core: &SteerCore,
+        now: TimePoint,
+        key: TargetKey,
+    ) -> Option<TargetRoom> {
+        if !self.enabled {
+            return None;
+        }
+        self.changes.fetch_add(1, Ordering::SeqCst);
+        self.room_at(core, now, key)
+    }
+
     /// Wakes requests for the room at targets whose load or eligibility may have changed, one request for each. The
     /// core is unlocked first.
     pub(crate) fn offer_room(
@@ -172,6 +211,9 @@
         now: TimePoint,
         keys: impl IntoIterator<Item = TargetKey>,
     ) {
+        if self.enabled {
+            self.changes.fetch_add(1, Ordering::SeqCst);
+        }
         if !self.has_waiting() {
             return;
         }
@@ -333,7 +375,7 @@
         let result = use_queue(queue);
         let after = queue.waiters.len();
         // The lock is held, so that the count changes in the order of the operations.
-        self.waiting.fetch_add(after.wrapping_sub(before), Ordering::AcqRel);
+        self.waiting.fetch_add(after.wrapping_sub(before), Ordering::SeqCst);
         result
     }
 }
--- a/crates/gateway/src/waiting/ticket.rs
+++ b/crates/gateway/src/waiting/ticket.rs
@@ -61,12 +61,14 @@
         }
     }
 
-    /// Returns the request to its place, because it found no capacity on its turn.
-    pub(crate) fn return_to_place(&self) {
+    /// Returns the request to its place, because it found no capacity on its turn. `seen` is the number of changes
+    /// before it looked for a target.
+    pub(crate) fn return_to_place(&self, seen: u64) {
         let now = self.queues.now();
         self.queues.update_service(&self.service, WakeCause::Next, |queue| {
             queue.return_to_place(now, self.id)
         });
+        self.queues.wake_if_changed(&self.service, seen);
     }
 
     /// Leaves the queue, because an attempt was started. The next request is woken only if the target still has
