Waiting queue: a request that misses its goal waits behind those in time, and is refused only when its deadline is out of reach

Cause: a request whose goal could not be met any more was refused, with seconds left until its deadline. A late answer is worth less to its caller than one in time, but more than none.

Change: such a request moves behind all requests that can meet their goal, whatever its rank, and gets no aged turns. It is refused at once when the learned rates say that its deadline is out of reach.

--- a/crates/decide/src/waiting/entry.rs
+++ b/crates/decide/src/waiting/entry.rs
@@ -48,11 +48,17 @@
     ///
     /// Under overload requests start close to this moment. Without the margin, about half of them would take
     /// longer than typical and miss their goal.
-    pub fn latest_start(&self, now: TimePoint, wait: Duration) -> TimePoint {
+    pub fn latest_start(&self, now: TimePoint, wait: Duration) -> LatestStart {
         let goal_at = self.goal_at.min(self.deadline);
         let starts = [self.safe_time, self.typical_time].map(|time| goal_at.before(time + wait));
         let reachable = starts.into_iter().find(|start| *start >= now);
-        reachable.unwrap_or_else(|| self.deadline.before(self.typical_time + wait))
+        let in_goal = reachable.map(|at| LatestStart { at, is_late: false });
+        in_goal.unwrap_or_else(|| self.late_start(wait))
+    }
+
+    /// Returns the latest moment at which a start still meets the deadline, for a request that misses its goal.
+    pub(super) fn late_start(&self, wait: Duration) -> LatestStart {
+        LatestStart { at: self.deadline.before(self.typical_time + wait), is_late: true }
     }
 
     /// Returns whether the request may be placed at the target.
@@ -62,9 +68,23 @@
     }
 }
 
+/// The latest moment at which a request is to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LatestStart {
+    /// The moment.
+    pub at: TimePoint,
+    /// Whether a start then meets the deadline alone, because the goal is out of reach.
+    pub is_late: bool,
+}
+
+/// First of the ranks of requests that miss their goal. They get the capacity that those in time leave, whatever their
+/// own ranks: a late answer is worth less to its caller.
+const LATE_RANKS: u32 = 1 << 31;
+
 /// The place of a request in the order of its queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
+    /// Rank of the request, [`LATE_RANKS`] and more for one that misses its goal.
     pub(super) rank: u32,
     /// Whether it is not a return at the told time.
     pub(super) is_new: bool,
@@ -72,3 +92,27 @@
     pub(super) deadline: TimePoint,
     pub(super) id: TicketId,
 }
+
+impl Position {
+    /// Returns the place of a request with the number `id` that is to start by `start`.
+    pub(super) fn new(entry: &QueueEntry, start: LatestStart, id: u64) -> Position {
+        let position = Position {
+            rank: entry.rank.min(LATE_RANKS - 1),
+            is_new: !entry.due_return,
+            latest_start: start.at,
+            deadline: entry.deadline,
+            id: TicketId(id),
+        };
+        if start.is_late { position.postponed(start) } else { position }
+    }
+
+    /// Returns whether the request misses its goal.
+    pub(super) fn is_late(&self) -> bool {
+        self.rank >= LATE_RANKS
+    }
+
+    /// Returns the place of the request once it misses its goal and is to start by `start`.
+    pub(super) fn postponed(self, start: LatestStart) -> Position {
+        Position { rank: self.rank | LATE_RANKS, latest_start: start.at, ..self }
+    }
+}
--- a/crates/decide/src/waiting/mod.rs
+++ b/crates/decide/src/waiting/mod.rs
@@ -15,7 +15,7 @@
 use entry::Position;
 use learned::{AttemptStats, EventRate, JoinRates};
 
-pub use entry::{QueueEntry, TargetRoom, TicketId};
+pub use entry::{LatestStart, QueueEntry, TargetRoom, TicketId};
 
 /// Maximum number of requests that wait for one service in one box. With goals of some seconds at most, a queue of
 /// this length is served in time only at some hundred requests a second, far above the rate of a box.
@@ -34,7 +34,7 @@
 /// The reason why a request is refused by a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RefusalCause {
-    /// The request can't be served in time.
+    /// The request can't be served before its deadline.
     TooLate,
     /// The queue is full.
     Full,
@@ -85,7 +85,8 @@
     requests: usize,
     /// Requests per second that join and go before it.
     joining: f64,
-    /// Number of requests that get an aged turn before it; `None` for a request of the first rank, which gets none.
+    /// Number of requests that get an aged turn before it; `None` for a request of the first rank or one that misses
+    /// its goal, which get none.
     lower: Option<usize>,
     /// Whether aged turns are given.
     has_lower: bool,
@@ -100,8 +101,10 @@
                 let in_order = requests <= seconds * (capacity - self.joining);
                 in_order || (lower + 1) as f64 * interval <= seconds * capacity
             }
-            None if self.has_lower => requests * interval / (interval - 1.0) <= seconds * capacity,
-            None => requests <= seconds * capacity,
+            None => {
+                let in_order = if self.has_lower { (interval - 1.0) / interval } else { 1.0 };
+                requests <= seconds * (capacity * in_order - self.joining)
+            }
         }
     }
 }
@@ -157,17 +160,15 @@
             return Err(RefusalCause::Stopping);
         }
         self.joined += 1;
-        let position = Position {
-            rank: entry.rank,
-            is_new: !entry.due_return,
-            latest_start: entry.latest_start(now, self.attempts.mean_wait()),
-            deadline: entry.deadline,
-            id: TicketId(self.joined),
-        };
-        let index = self.order.partition_point(|other| *other < position);
+        let wait = self.attempts.mean_wait();
+        let mut position = Position::new(&entry, entry.latest_start(now, wait), self.joined);
+        let mut index = self.order.partition_point(|other| *other < position);
         self.joins.record(now, position.rank);
-        let before = self.turns_before(now, &position, index);
-        if is_too_late(now, &position, &before, self.capacity(now)) {
+        if !position.is_late() && self.comes_too_late(now, &position, index) {
+            position = position.postponed(entry.late_start(wait));
+            index = self.order.partition_point(|other| *other < position);
+        }
+        if position.is_late() && self.comes_too_late(now, &position, index) {
             return Err(RefusalCause::TooLate);
         }
         if self.order.len() >= MAX_WAITING {
@@ -268,13 +269,7 @@
     pub fn must_yield(&self, now: TimePoint, entry: &QueueEntry, room: &TargetRoom) -> bool {
         let latest_start = entry.latest_start(now, self.attempts.mean_wait());
         // Of equal places, the one that waits goes first.
-        let place = Position {
-            rank: entry.rank,
-            is_new: !entry.due_return,
-            latest_start,
-            deadline: entry.deadline,
-            id: TicketId(u64::MAX),
-        };
+        let place = Position::new(entry, latest_start, u64::MAX);
         let goes_before = |other: &&Position| **other < place;
         let mut before = self.order.iter().take_while(goes_before);
         before.any(|other| self.requests[&other.id].entry.may_use(room))
@@ -304,7 +299,9 @@
         let first =
             self.order.iter().find(|position| may_wake(&self.requests[&position.id])).copied()?;
         let is_aged_turn = self.turns + 1 >= AGED_TURN_INTERVAL;
-        let is_lower = |request: &WaitingRequest| request.position.rank > first.rank;
+        let is_lower = |request: &WaitingRequest| {
+            request.position.rank > first.rank && !request.position.is_late()
+        };
         let mut by_age = self.requests.values().filter(|_| is_aged_turn);
         let aged = by_age.find(|request| is_lower(request) && may_wake(request));
         let aged = aged.map(|request| request.position.id);
@@ -332,29 +329,31 @@
         QueueSignals { woken: None, refused: self.check(now) }
     }
 
-    /// Removes and returns the requests that can't be served in time by what waits before them. A woken request
-    /// stays, since it is being placed.
+    /// Removes and returns the requests that can't be served before their deadline by what waits before them. Those
+    /// that can't meet their goal move behind the others of their rank. A woken request stays, since it is being
+    /// placed.
     fn check(&mut self, now: TimePoint) -> Vec<(TicketId, RefusalCause)> {
         self.checked_at = now;
-        let mut refused = Vec::new();
+        let (mut refused, mut late) = (Vec::new(), Vec::new());
+        let wait = self.attempts.mean_wait();
         let (mut kept, mut lower) = (0, 0);
         let first_rank = self.order.first().map_or(0, |first| first.rank);
-        let has_lower = self.order.last().is_some_and(|last| last.rank > first_rank);
+        let has_lower = self.has_lower_rank(first_rank);
         let capacity = self.capacity(now);
-        let (mut rank, mut joining) = (first_rank, 0.0);
         let mut order = std::mem::take(&mut self.order);
         order.retain(|position| {
-            let is_lower = position.rank > first_rank;
-            if position.rank != rank {
-                rank = position.rank;
-                joining = self.joins.before(now, rank);
-            }
+            let is_lower = position.rank > first_rank && !position.is_late();
+            let joining = self.joining_before(now, position, first_rank);
             let lower_before = is_lower.then_some(lower);
             let before = TurnsBefore { requests: kept, joining, lower: lower_before, has_lower };
-            if is_too_late(now, position, &before, capacity)
-                && self.requests[&position.id].wake.is_none()
-            {
-                refused.push((position.id, RefusalCause::TooLate));
+            let request = &self.requests[&position.id];
+            if is_too_late(now, position, &before, capacity) && request.wake.is_none() {
+                let late_start = request.entry.late_start(wait);
+                if !position.is_late() && late_start.at >= now {
+                    late.push(position.postponed(late_start));
+                } else {
+                    refused.push((position.id, RefusalCause::TooLate));
+                }
                 return false;
             }
             kept += 1;
@@ -365,9 +364,33 @@
         for (id, _) in &refused {
             self.requests.remove(id);
         }
+        for position in late {
+            let index = self.order.partition_point(|other| *other < position);
+            self.order.insert(index, position);
+            if let Some(request) = self.requests.get_mut(&position.id) {
+                request.position = position;
+            }
+        }
         refused
     }
 
+    /// Returns whether a request that joins at `index` of the order can't start by its latest start.
+    fn comes_too_late(&self, now: TimePoint, position: &Position, index: usize) -> bool {
+        is_too_late(now, position, &self.turns_before(now, position, index), self.capacity(now))
+    }
+
+    /// Returns the requests per second that join and go before `position`.
+    fn joining_before(&self, now: TimePoint, position: &Position, first_rank: u32) -> f64 {
+        let has_before = position.is_late() || position.rank > first_rank;
+        if has_before { self.joins.before(now, position.rank) } else { 0.0 }
+    }
+
+    /// Returns whether requests of a lower rank than `first_rank` get aged turns.
+    fn has_lower_rank(&self, first_rank: u32) -> bool {
+        let in_time = self.order.partition_point(|position| !position.is_late());
+        self.order[..in_time].last().is_some_and(|last| last.rank > first_rank)
+    }
+
     /// Returns the learned capacity of the service for this box in requests per second, if it is known. At the
     /// beginning of an overload it is higher than the rate of the past seconds, and the open attempts show it.
     fn capacity(&self, now: TimePoint) -> Option<f64> {
@@ -379,11 +402,12 @@
     fn turns_before(&self, now: TimePoint, position: &Position, index: usize) -> TurnsBefore {
         let first_rank = self.order.first().map_or(position.rank, |first| first.rank);
         let first_rank_end = self.order.partition_point(|other| other.rank <= first_rank);
-        let lower = self.order.len() - first_rank_end;
-        let is_lower = position.rank > first_rank;
+        let in_time = self.order.partition_point(|other| !other.is_late());
+        let lower = in_time.saturating_sub(first_rank_end);
+        let is_lower = position.rank > first_rank && !position.is_late();
         TurnsBefore {
             requests: index,
-            joining: self.joins.before(now, position.rank),
+            joining: self.joining_before(now, position, first_rank),
             lower: is_lower.then_some(lower),
             has_lower: lower > 0,
         }
