Placement: plans by demand and capacity of the data centres, and picks that follow them

Leaving a data centre cost a constant whatever the free capacity here and there, so that requests were held in a short data centre while others had free slots.

With placement enabled, the steering core keeps by service the demand and capacity of each data centre, computes a plan by water-filling, damps it, and draws for each request whether it leaves and where to. A request that would be held at home goes where the plan leaves capacity free. While a service is loaded, targets are weighed by the time that they were observed to take.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod names;
 pub mod permits;
 pub mod pick;
+pub mod placement;
 pub mod queue;
 pub mod quota;
 mod requests;
--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -84,6 +84,8 @@
     pub busy: f64,
     /// Whether the attempt is a trial of a target that got no request for a while.
     pub trial: bool,
+    /// Whether the request left the data centre by the placement plan of its service.
+    pub placed: bool,
     /// Limit of the target over all boxes. If there is one, the attempt needs a permit.
     pub limit: Option<RequestRate>,
     /// Whether the target is cold, so that a limit applies until it is warm.
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -21,6 +21,7 @@
 mod notices;
 mod open;
 pub mod peer_subset;
+mod placing;
 mod pool;
 pub mod record;
 pub mod relay;
@@ -37,11 +38,13 @@
 use rand::{Rng, SeedableRng};
 
 use crate::names::{Name, TargetKey};
-use crate::steer::choose::{candidates, sample_candidate};
+use crate::placement::PlacementTable;
+use crate::steer::choose::{Weighing, candidates, sample_candidate};
 use crate::steer::latency_ratios::OVERDUE_SHARE;
 use crate::steer::ledger::{RetryBounds, RetryCounts, RetryLedger};
 use crate::steer::mechanism::Mechanism;
 use crate::steer::peer_subset::reporting_boxes;
+use crate::steer::placing::sample_in;
 use crate::steer::pool::{ASSUMED_TIME, TargetPool};
 use crate::steer::record::{SteerTarget, TargetRecord};
 use crate::steer::routes::RouteStats;
@@ -94,6 +97,8 @@
     local_boxes: usize,
     boxes: usize,
     random: SmallRng,
+    /// Placement between data centres, if it is in use.
+    placement: Option<PlacementTable>,
 }
 
 /// Minimum number of boxes that are assumed to share the retry slack, so that a box without known peers
@@ -114,6 +119,7 @@
             local_boxes: 1,
             boxes: 1,
             random,
+            placement: None,
         }
     }
 
@@ -164,6 +170,9 @@
         if let Some(pool) = self.pools.get_mut(service) {
             pool.record_request(now);
         }
+        if let Some(placement) = &mut self.placement {
+            placement.record_request(now, service);
+        }
         self.ledger(service).record_request(now);
     }
 
@@ -226,6 +235,10 @@
         now: TimePoint,
         request: &SteerRequest<'_>,
     ) -> Result<SteerPick, PickError> {
+        self.refresh_placement(now, request.service);
+        // A further attempt goes where it is served best: the first one has left already if its turn was to leave.
+        let destination =
+            if request.tried.is_empty() { self.sample_destination(request.service) } else { None };
         let Some(pool) = self.pools.get(request.service) else {
             return Err(PickError::NoTarget);
         };
@@ -237,7 +250,16 @@
             return Ok(make_pick(key, pool, now, true));
         }
         let typical = self.routes.typical_time(request.route).unwrap_or(pool.typical_time());
-        let candidates = candidates(now, pool, request, typical, &self.setup, subset);
+        if let Some(destination) = destination
+            && let Some(key) =
+                sample_in(now, pool, request, typical, &self.setup, &destination, &mut self.random)
+        {
+            let pick = make_pick(key, pool, now, false);
+            return Ok(self.place(pick, request.service));
+        }
+        let weighing =
+            Weighing { destination: None, by_rate: self.loaded_work(now, request.service) };
+        let candidates = candidates(now, pool, request, typical, &self.setup, subset, weighing);
         if candidates.is_empty() {
             let first = pool.time_to_first(now, request.homes);
             return Err(first.map_or(PickError::NoTarget, PickError::BackingOff));
@@ -250,7 +272,14 @@
         };
         let holds_back = self.setup.mechanisms.has(Mechanism::HoldBack);
         if holds_back && chosen.wait > MIN_SATURATED_WAIT && request.remaining > request.goal {
-            return Err(PickError::Saturated);
+            let table = self.placement.as_mut();
+            let spare = table.and_then(|table| table.sample_spare(request.service));
+            let key = spare.and_then(|spare| {
+                sample_in(now, pool, request, typical, &self.setup, &spare, &mut self.random)
+            });
+            let key = key.ok_or(PickError::Saturated)?;
+            let pick = make_pick(key, pool, now, false);
+            return Ok(self.place(pick, request.service));
         }
         Ok(make_pick(chosen.key, pool, now, false))
     }
@@ -275,10 +304,15 @@
     ) -> AttemptHandle {
         let pool = self.pool_of(key);
         let typical = pool.map_or(ASSUMED_TIME, TargetPool::typical_time);
+        let is_loaded =
+            self.services.get(&key).is_some_and(|service| self.loaded_work(now, service).is_some());
+        let slot_expected_at = |pool: &TargetPool| {
+            if is_loaded { pool.loaded_slot_at(now, key) } else { pool.slot_expected_at(now, key) }
+        };
         let handle = AttemptHandle {
             key,
             started: now,
-            slot_expected_at: pool.map_or(now, |pool| pool.slot_expected_at(now, key)),
+            slot_expected_at: pool.map_or(now, slot_expected_at),
             typical: self.routes.typical_time(route).unwrap_or(typical),
             informative: timed && self.routes.is_informative(route),
             timed,
@@ -316,6 +350,7 @@
             && handle.timed
         {
             pool.record_answer(time, bytes);
+            pool.record_work(work_time);
             latency_ratio =
                 known.map(|typical| work_time.as_secs_f64() / typical.as_secs_f64().max(0.001));
         }
@@ -499,6 +534,7 @@
         risk: pool.risk(now, record),
         busy: record.busy(now),
         trial,
+        placed: false,
         limit: record.limit(now),
         is_cold: record.cold_rate(now).is_some(),
     }
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::names::{Name, TargetKey};
+use crate::placement::OwnFigures;
 use crate::steer::average::RunningAverage;
 use crate::steer::failure_estimate::{EpisodeStats, OutcomeSample};
 use crate::steer::latency_ratios::LatencyRatios;
@@ -83,6 +84,8 @@
     /// The number of targets in each data centre.
     data_centres: HashMap<Name, usize>,
     typical: RunningAverage,
+    /// The time of good answers without the wait for a slot, in seconds.
+    work: RunningAverage,
     latency_ratios: LatencyRatios,
     /// The properties that the failure episodes of the targets share.
     episode_stats: EpisodeStats,
@@ -112,6 +115,7 @@
             records: BTreeMap::new(),
             data_centres: HashMap::new(),
             typical: RunningAverage::new(AVERAGE_WINDOW),
+            work: RunningAverage::new(AVERAGE_WINDOW),
             latency_ratios: LatencyRatios::default(),
             episode_stats: EpisodeStats::default(),
             failed: 0.0,
@@ -135,8 +139,10 @@
         latency_ratio: f64,
     ) {
         self.latency_ratios.record(now, latency_ratio);
+        let typical = self.typical_work();
         if let Some(record) = self.records.get_mut(&key) {
             record.record_latency_ratio(latency_ratio);
+            record.record_work(now, latency_ratio, typical);
         }
     }
 
@@ -363,6 +369,59 @@
         self.typical.get().map_or(ASSUMED_TIME, Duration::from_secs_f64)
     }
 
+    /// Returns the typical time of a request to the service without its wait for a slot.
+    pub(crate) fn typical_work(&self) -> Duration {
+        self.work.get().map_or(ASSUMED_TIME, Duration::from_secs_f64)
+    }
+
+    /// Records the time of a good answer without the wait for a slot.
+    pub(crate) fn record_work(&mut self, time: Duration) {
+        self.work.add(time.as_secs_f64());
+    }
+
+    /// Returns what the targets in a data centre finish, and the open attempts of this box.
+    pub(crate) fn figures(&self, now: TimePoint, data_centre: &str) -> OwnFigures {
+        let typical = self.typical_work();
+        let (mut capacity, mut slots, mut rate) = (0.0, 0.0, 0.0);
+        let in_use = self.records_in(data_centre).filter(|record| record.is_trusted(now));
+        for record in in_use {
+            let own_slots = f64::from(record.setup.slots);
+            let own_rate = own_slots / record.work_time(now, typical).as_secs_f64().max(0.001);
+            capacity += record.bounded_rate(now, own_rate);
+            slots += own_slots;
+            rate += own_rate;
+        }
+        let work = if rate > 0.0 { Duration::from_secs_f64(slots / rate) } else { typical };
+        OwnFigures { capacity, open: self.own_open(), work }
+    }
+
+    /// Returns the requests a second that the targets in a data centre could finish if all were healthy and as fast
+    /// as the service's targets on average; infinite before an answer was received.
+    pub(crate) fn listed_capacity(&self, now: TimePoint, data_centre: &str) -> f64 {
+        let slots = self.records_in(data_centre).filter(|record| record.takes_requests(now));
+        let slots: f64 = slots.map(|record| f64::from(record.setup.slots)).sum();
+        if slots == 0.0 {
+            return 0.0;
+        }
+        self.work.get().map_or(f64::INFINITY, |time| slots / time.max(0.001))
+    }
+
+    /// Returns whether a target in the data centre was used within `time` and did not fail.
+    pub(crate) fn has_answered(&self, now: TimePoint, data_centre: &str, time: Duration) -> bool {
+        self.records_in(data_centre).any(|record| {
+            record.takes_requests(now) && !record.last_failed() && record.idle_time(now) < time
+        })
+    }
+
+    /// Returns the number of attempts that this box has open.
+    pub(crate) fn own_open(&self) -> u32 {
+        self.records.values().map(|record| record.open.own_count()).sum()
+    }
+
+    fn records_in<'p>(&'p self, data_centre: &'p str) -> impl Iterator<Item = &'p TargetRecord> {
+        self.records.values().filter(move |record| *record.setup.data_centre == *data_centre)
+    }
+
     /// Returns the expected kilobytes that an attempt transfers: the request and the answer with their
     /// headers.
     pub(crate) fn transfer_kb(&self, request: &SteerRequest<'_>) -> f64 {
@@ -497,6 +556,13 @@
         now + wait.unwrap_or_default()
     }
 
+    /// Returns when an attempt that begins now is expected to have a slot at the target, while the service is loaded.
+    pub(crate) fn loaded_slot_at(&self, now: TimePoint, key: TargetKey) -> TimePoint {
+        let wait =
+            self.records.get(&key).map(|record| record.loaded_wait(now, self.typical_work()));
+        now + wait.unwrap_or_default()
+    }
+
     /// Records the time and size of a good answer.
     pub(crate) fn record_answer(&mut self, time: Duration, bytes: usize) {
         /// Largest size of an answer that counts as small.
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -30,6 +30,16 @@
 const REPORTED_COLD_LIFETIME: Duration = Duration::from_secs(3);
 /// Factor by which a cold target takes longer; the users state a factor of two.
 const COLD_FACTOR: f64 = 2.0;
+/// Weight of the newest work time in the learned one of a target. The capacity of a data centre follows a change of
+/// speed within four answers of each target; the error of single targets by chance averages out in the sum.
+const WORK_WEIGHT: f64 = 0.25;
+/// Time constant with which the learned work time of a target without answers returns to the one of its service, so
+/// that a target that was slow is used again.
+const WORK_MEMORY: Duration = Duration::from_secs(10);
+/// Weight of the newest report in the average load of a target. Boxes hear of each target some two times a second.
+const HELD_WEIGHT: f64 = 0.2;
+/// Weight of the newest answer or refusal in the share of requests that a target with free slots refuses.
+const DECLINED_WEIGHT: f64 = 0.1;
 /// A suspect is trusted again once its risk is below this.
 const MAX_TRUSTED_RISK: f64 = 0.1;
 /// Minimum failure probability at which a target is a suspect.
@@ -98,8 +108,14 @@
     pub(crate) open: OpenAttempts,
     held: u32,
     held_at: TimePoint,
+    /// Average of the reported loads.
+    held_average: f64,
     /// Average latency ratio of the target's good answers.
     slowness: f64,
+    /// Average time of the target's good answers in seconds, as if it were warm, and when the last one arrived.
+    work: Option<(f64, TimePoint)>,
+    /// Share of the requests that the target refused although it reported free slots.
+    declined: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -135,7 +151,10 @@
             open: OpenAttempts::default(),
             held: 0,
             held_at: now,
+            held_average: 0.0,
             slowness: 1.0,
+            work: None,
+            declined: 0.0,
         }
     }
 
@@ -299,21 +318,76 @@
         if self.is_full(now) {
             return f64::from(self.setup.slots) * FULL_LOAD_FACTOR;
         }
+        self.expected_load(now, 0.0)
+    }
+
+    /// Returns the estimated number of requests that the target holds while its service is loaded. The last reported
+    /// load then returns to the average one: at a target of another data centre, and at one that serves requests from
+    /// there, most of the load is not known to this box otherwise.
+    pub(crate) fn loaded_busy(&self, now: TimePoint) -> f64 {
+        if self.is_full(now) {
+            return f64::from(self.setup.slots) * FULL_LOAD_FACTOR;
+        }
+        self.expected_load(now, self.held_average)
+    }
+
+    /// Returns the last reported load, which returns to `average` over time, plus the attempts of this box since, and
+    /// no less than the number of attempts that are known to be open.
+    fn expected_load(&self, now: TimePoint, average: f64) -> f64 {
         let age = now.since(self.held_at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
         let since = self.open.own_count_since(self.held_at);
-        let reported = f64::from(self.held) * (-age).exp2() + f64::from(since);
-        reported.max(f64::from(self.open.total_count(now)))
+        let held = average + (f64::from(self.held) - average) * (-age).exp2();
+        (held + f64::from(since)).max(f64::from(self.open.total_count(now)))
     }
 
     /// Returns the expected delay of a request at the target: its wait for a slot, plus the time by which
     /// the target works longer than `typical`.
     pub(crate) fn wait(&self, now: TimePoint, typical: Duration) -> Duration {
-        let slots = f64::from(self.setup.slots.max(1));
-        let ahead = (self.busy(now) + 1.0 - slots).max(0.0) / slots;
-        let cold = if self.cold_remaining(now).is_zero() { 1.0 } else { COLD_FACTOR };
         let slowness = if self.slowness > MIN_SLOWNESS { self.slowness } else { 1.0 };
-        let own = typical.mul_f64(slowness * cold);
-        own.mul_f64(ahead) + own.saturating_sub(typical)
+        let own = typical.mul_f64(slowness * self.cold_factor(now));
+        own.mul_f64(self.rounds_ahead(self.busy(now))) + own.saturating_sub(typical)
+    }
+
+    /// Returns the time that the target takes for a request that takes `typical` on average at the targets of its
+    /// service, by its answers.
+    pub(crate) fn work_time(&self, now: TimePoint, typical: Duration) -> Duration {
+        let typical = typical.as_secs_f64();
+        let learned = self.work.map_or(typical, |(work, learned_at)| {
+            let memory = -now.since(learned_at).as_secs_f64() / WORK_MEMORY.as_secs_f64();
+            typical + (work - typical) * memory.exp()
+        });
+        Duration::from_secs_f64(learned * self.cold_factor(now))
+    }
+
+    /// Returns whether the target counts for the capacity of its data centre.
+    pub(crate) fn is_trusted(&self, now: TimePoint) -> bool {
+        self.takes_requests(now) && !self.is_suspect(now)
+    }
+
+    /// Returns how much of `rate`, the requests a second for which the target has slots, it accepts.
+    pub(crate) fn bounded_rate(&self, now: TimePoint, rate: f64) -> f64 {
+        let accepted = rate * (1.0 - self.declined);
+        self.limit(now).map_or(accepted, |limit| accepted.min(limit.per_second()))
+    }
+
+    /// Returns whether the target may get requests, apart from permits: their limit is a part of the capacity.
+    pub(crate) fn takes_requests(&self, now: TimePoint) -> bool {
+        !self.replaced && !self.setup.evacuated && self.notices.ineligibility(now).is_none()
+    }
+
+    /// Returns the number of rounds of work that a new request waits for if the target holds `busy` requests.
+    pub(crate) fn rounds_ahead(&self, busy: f64) -> f64 {
+        let slots = f64::from(self.setup.slots.max(1));
+        (busy + 1.0 - slots).max(0.0) / slots
+    }
+
+    /// Returns the wait for a slot by what the target was observed to finish, while its service is loaded.
+    pub(crate) fn loaded_wait(&self, now: TimePoint, typical: Duration) -> Duration {
+        self.work_time(now, typical).mul_f64(self.rounds_ahead(self.loaded_busy(now)))
+    }
+
+    fn cold_factor(&self, now: TimePoint) -> f64 {
+        if self.cold_remaining(now).is_zero() { 1.0 } else { COLD_FACTOR }
     }
 
     pub(crate) fn begin(&mut self, handle: AttemptHandle) {
@@ -326,6 +400,11 @@
     pub(crate) fn record_load(&mut self, now: TimePoint, held: u32) {
         self.held = held;
         self.held_at = now;
+        self.held_average += (f64::from(held) - self.held_average) * HELD_WEIGHT;
+        // The report of a refusal arrives with it.
+        if self.full_at == Some(now) && held < self.setup.slots {
+            self.declined += (1.0 - self.declined) * DECLINED_WEIGHT;
+        }
     }
 
     /// Records the latency ratio of a good answer.
@@ -333,6 +412,17 @@
         self.slowness += (latency_ratio - self.slowness) * SLOWNESS_WEIGHT;
     }
 
+    /// Records the time of a good answer without the wait for a slot, relative to the typical one of its route, where
+    /// requests to the service take `typical` on average.
+    pub(crate) fn record_work(&mut self, now: TimePoint, latency_ratio: f64, typical: Duration) {
+        let newest = latency_ratio * typical.as_secs_f64() / self.cold_factor(now);
+        if !newest.is_finite() || newest <= 0.0 {
+            return;
+        }
+        let known = self.work.map_or(newest, |(work, _)| work);
+        self.work = Some((known + (newest - known) * WORK_WEIGHT, now));
+    }
+
     /// Merges a peer's report of its open attempts. An open attempt of a peer counts as an attempt at the target,
     /// so that no other box makes a trial at the same time: without this, several boxes tried one stalled target
     /// at once, and half of the orders that were lost within a minute were trials.
@@ -357,6 +447,7 @@
             SteerOutcome::Good(_) => {
                 self.path_failed_at = None;
                 self.full_at = None;
+                self.declined -= self.declined * DECLINED_WEIGHT;
             }
             SteerOutcome::Shed => self.full_at = Some(now),
             _ => {}
