--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -107,7 +107,7 @@
         handles: TaskHandles,
         seed: u64,
     ) -> Arc<BoxContext> {
-        let core = SteerCore::new(SteerSetup {
+        let mut core = SteerCore::new(SteerSetup {
             data_centre: settings.data_centre.as_str().into(),
             cross_cost: settings.cross_cost,
             retries: RetryBounds {
@@ -118,6 +118,9 @@
             seed,
             mechanisms: settings.mechanisms.clone(),
         });
+        if settings.overload.places() {
+            core.enable_placement();
+        }
         let peers = PeerTable::new(&settings, seed);
         let returns = ReturnPlanner::new(settings.overload, seed);
         let suspension = SuspensionWatch::new(port.suspended());
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -148,7 +148,7 @@
             limits: limits.clone(),
             ..Heartbeat::default()
         };
-        self.send_heartbeat(&local, heartbeat).await;
+        self.send_local_heartbeat(&local, heartbeat).await;
         if let Some(remote) = remote {
             let view_version = self.view_version();
             let heartbeat = Heartbeat {
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 
 mod heartbeats;
 mod reports;
+mod service_loads;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::AtomicU64;
@@ -20,6 +21,7 @@
 
 use crate::context::BoxContext;
 use crate::peers::PeerInfo;
+use crate::placement::messages::RowSender;
 use crate::quota_manager::token_requester;
 use crate::view_exchange::fetch_targets;
 
@@ -38,6 +40,7 @@
     /// Number of updates that were sent to relays of other data centres.
     update_count: AtomicU64,
     received_updates: Mutex<DuplicateFilter>,
+    row_rounds: service_loads::RowRounds,
 }
 
 impl Gossip {
@@ -49,7 +52,16 @@
         fetching: async_channel::Sender<IpAddr>,
     ) -> Arc<Gossip> {
         let (update_count, received_updates) = (AtomicU64::new(0), Mutex::default());
-        Arc::new(Gossip { context, socket, incarnation, fetching, update_count, received_updates })
+        let row_rounds = service_loads::RowRounds::default();
+        Arc::new(Gossip {
+            context,
+            socket,
+            incarnation,
+            fetching,
+            update_count,
+            received_updates,
+            row_rounds,
+        })
     }
 
     /// Returns the identifier of this process, which peers use to detect a restart of the box.
@@ -105,7 +117,10 @@
             self.update_box_counts();
         }
         match body {
-            Some(DatagramBody::Heartbeat(heartbeat)) => {
+            Some(DatagramBody::Heartbeat(mut heartbeat)) => {
+                let rows = std::mem::take(&mut heartbeat.service_loads);
+                let sender = RowSender { data_centre: &data_centre, incarnation };
+                self.on_service_loads(sender, rows).await;
                 if heartbeat.stopping {
                     self.context.quotas.record_box_stopped(token_requester(&box_id, incarnation));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod passive_samples;
 mod peers;
 mod permit_manager;
+pub mod placement;
 mod policies;
 pub mod ports;
 mod quota_manager;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -223,6 +223,14 @@
         self.local_peers().filter(|peer| weight(peer.link_mbps, &peer.box_id) > own).count()
     }
 
+    /// Returns the rank of this box among those of its data centre that send the sums of its load to others. Another
+    /// subject than that of [`PeerTable::read_priority`] gives the two tasks to different boxes.
+    pub(crate) fn sum_rank(&self) -> usize {
+        let subject = format!("load sums of {}", self.own_centre);
+        let own = rendezvous_weight(&subject, &self.own_id);
+        self.local_peers().filter(|peer| rendezvous_weight(&subject, &peer.box_id) > own).count()
+    }
+
     /// Returns whether this box receives heartbeats from all known boxes of its data centre, except those that
     /// announced that they are stopping. If so, it is not partitioned from a part of them.
     pub(crate) fn reaches_all(&self, now: Instant) -> bool {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -47,6 +47,8 @@
     /// Failure probability of `target`, followed by "trial" if the attempt was a trial.
     risk: String,
     busy: String,
+    /// Data centre to which the request left by the placement plan of its service; empty if it did not.
+    placed: String,
     /// Each attempt that gave no answer for the caller, with the reason, and the reason why no further attempt was
     /// made.
     tried: String,
@@ -139,6 +141,7 @@
         self.target = pick.id.to_string();
         self.data_centre = pick.data_centre.to_string();
         self.risk = format!("{:.3}{}", pick.risk, if pick.trial { " trial" } else { "" });
+        self.placed = if pick.placed { self.data_centre.clone() } else { String::new() };
         self.busy = format!("{:.1}", pick.busy);
     }
 
@@ -187,7 +190,7 @@
         customer:% = trace.customer, key:% = trace.key, config_version = trace.config_version,
         held_ms = trace.held_ms, attempts = trace.attempts, hedged_ms:% = trace.hedged_ms,
         left_out:% = trace.excluded, target:% = trace.target, target_centre:% = trace.data_centre,
-        risk:% = trace.risk, busy:% = trace.busy, tried:% = trace.tried,
+        risk:% = trace.risk, busy:% = trace.busy, placed:% = trace.placed, tried:% = trace.tried,
         targets_ended = trace.targets_ended, refusal = trace.refusal, return_ms:% = trace.return_ms,
         return_useful = trace.return_useful, returned = trace.returned,
         status = answer.status, outcome, why = answer.reason,
