Service loads carry told returns and the capacity of the data centre

Cause: the returns of refused callers and the messages about the load of services were built side by side. Boxes did not tell each other their told returns, and planned returns without the capacity that their data centre shares.

--- a/crates/gateway/src/gossip/service_loads.rs
+++ b/crates/gateway/src/gossip/service_loads.rs
@@ -6,7 +6,9 @@
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use wingbridge_decide::{Name, TimePoint};
 use wingbridge_wire::gossip::{DatagramBody, Heartbeat};
 use wingbridge_wire::overload::ServiceLoad;
 
@@ -33,11 +35,9 @@
             return self.send(local, DatagramBody::Heartbeat(heartbeat)).await;
         }
         let now = self.context.now();
-        let rows = {
-            let mut core = self.context.core();
-            // Told returns of refused callers are added here.
-            own_rows(&mut core, now, None)
-        };
+        self.share_capacity(now, local.len() + 1);
+        let returns = self.context.returns.all_told_counts(now);
+        let rows = own_rows(&mut self.context.core(), now, Some(&returns));
         if rows.is_empty() {
             self.send(local, DatagramBody::Heartbeat(heartbeat)).await;
         } else {
@@ -54,6 +54,15 @@
         self.report_placement();
     }
 
+    /// Gives the returns of refused callers the capacity that the `boxes` of the data centre share.
+    fn share_capacity(&self, now: TimePoint, boxes: usize) {
+        let loads = self.context.core().data_centre_loads(now);
+        for (service, load) in loads {
+            let returns = &self.context.returns;
+            returns.set_capacity(now, &service, load.sum.capacity, boxes as u32);
+        }
+    }
+
     /// Sends the sums of the own data centre to the others, if this box is one of their senders.
     async fn send_sums(&self) {
         if self.context.peers().sum_rank() >= SUM_SENDERS {
@@ -77,7 +86,11 @@
         let now = self.context.now();
         let own = &self.context.settings.data_centre;
         let merged = merge_rows(&mut self.context.core(), now, own, sender, rows);
-        // Told returns of refused callers are read from `merged.peer_rows` here.
+        for row in merged.peer_rows {
+            let (service, returns) = (Name::from(row.service.as_str()), &self.context.returns);
+            let age = Duration::from_millis(u64::from(row.age_ms));
+            returns.merge_peer_counts(now, &service, sender.incarnation, age, &row.returns);
+        }
         if let Some((service, reason)) = merged.dropped {
             let data_centre = sender.data_centre;
             log::warn!(service = service.as_str(), data_centre, reason; "service-load-dropped");
--- a/crates/gateway/src/returns/mod.rs
+++ b/crates/gateway/src/returns/mod.rs
@@ -118,6 +118,14 @@
         arrival
     }
 
+    /// Returns the counts of [`ReturnPlanner::told_counts`] for all services that have any.
+    pub fn all_told_counts(&self, now: TimePoint) -> Vec<(Name, Vec<u32>)> {
+        let mut state = lock(&self.state);
+        let reports = state.schedules.iter_mut();
+        let reports = reports.map(|(service, schedule)| (service.clone(), schedule.report(now)));
+        reports.filter(|(_, counts)| !counts.is_empty()).collect()
+    }
+
     /// Returns how many callers this box has told to return to `service` in each of the next 16 times 100 ms, for
     /// its peers; empty if there are none.
     pub fn told_counts(&self, now: TimePoint, service: &str) -> Vec<u32> {
