--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 mod requests;
 pub mod returns;
+pub mod retries;
 mod self_check;
 pub mod service;
 pub mod setup;
