--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod queue;
 pub mod quota;
 mod requests;
+pub mod retries;
 pub mod returns;
 mod self_check;
 pub mod service;
