--- a/crates/bench/src/steer/cost.rs
+++ b/crates/bench/src/steer/cost.rs
@@ -113,7 +113,6 @@
         data_centre: "c0".into(),
         cross_cost: 0.01,
         retries: RetryBounds { share: 0.2, slack: 100.0, window: Duration::from_secs(10) },
-        paces_retries: false,
         seed: 1,
         mechanisms: MechanismSet::default(),
     });
--- a/crates/bench/src/steer/world/mod.rs
+++ b/crates/bench/src/steer/world/mod.rs
@@ -110,7 +110,6 @@
                 data_centre: format!("c{}", number % plan.centres).into(),
                 cross_cost: plan.cross_cost,
                 retries: RETRIES,
-                paces_retries: false,
                 seed: plan.seed + number as u64,
                 mechanisms: without.clone(),
             });
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod queue;
 pub mod quota;
 mod requests;
-pub mod retries;
 pub mod returns;
 mod self_check;
 pub mod service;
--- a/crates/decide/src/steer/choose.rs
+++ b/crates/decide/src/steer/choose.rs
@@ -28,9 +28,6 @@
 const WAIT_MARGIN: f64 = 1.3;
 /// Cost of a target that has just refused a request for lack of room, since it likely takes a retry.
 const FULL_COST: f64 = 0.5;
-/// Cost of a target that refused a request within the last second, for a second attempt: it likely takes another
-/// retry. The cost is the same as that of a full target.
-const REFUSED_COST: f64 = 0.5;
 /// Cost of each busy slot, which spreads the work over equal targets.
 const BUSY_COST: f64 = 0.06;
 /// Cost of a remote target in addition to the cost of the transferred bytes: its load and successes are
@@ -140,14 +137,7 @@
         }
         let loss = if request.repeatable { LOST_COST * REPEAT_SHARE } else { LOST_COST };
         let late = pool.lateness(wait.mul_f64(WAIT_MARGIN), scale);
-        let is_full = record.is_full(*now);
-        let full = if is_full { FULL_COST } else { 0.0 };
-        let is_second = !request.tried.is_empty();
-        let refused = if !is_full && is_second && record.has_refused_recently(*now) {
-            REFUSED_COST
-        } else {
-            0.0
-        };
+        let full = if record.is_full(*now) { FULL_COST } else { 0.0 };
         let cold = record.cold_remaining(*now).as_secs_f64().min(1.0);
         let remote = record.setup.data_centre != setup.data_centre;
         let crossing = if remote && setup.mechanisms.has(Mechanism::CrossDataCentreCost) {
@@ -161,7 +151,6 @@
         pool.risk(*now, record) * loss
             + late * LATE_COST
             + full
-            + refused
             + record.busy(*now) / f64::from(record.setup.slots.max(1)) * BUSY_COST
             + cold * BUSY_COST
             + crossing
--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -11,8 +11,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::retries::BudgetUse;
-use crate::retries::window::{RetryHistory, SLOT, WindowUse};
 use crate::time::TimePoint;
 
 /// Length of one interval of the window: the resolution with which old counts expire.
@@ -22,9 +20,6 @@
 /// Time without a report after which a peer's requests no longer add to the budget: it may be partitioned
 /// from this box and spend that budget itself. A box reports with each request, about once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
-/// Share of what is left of the budget that one box takes before its peers can have received the report. Without this,
-/// boxes whose reports were up to half a second late took the last part of a small budget several times.
-const UNSEEN_SHARE: f64 = 0.125;
 
 /// Bounds on the retries of all boxes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -57,8 +52,6 @@
     peers: HashMap<u64, (RetryCounts, TimePoint)>,
     /// Whether this box has counted anything since its last report.
     has_unreported: bool,
-    /// Counts of all windows that the bound counts, if the budget is checked against each of them.
-    history: Option<RetryHistory>,
 }
 
 /// Counts of this box in one interval of the window.
@@ -70,35 +63,21 @@
 }
 
 impl RetryLedger {
-    /// Creates a ledger whose budget counts the requests that the bound counts for each window of that length.
-    pub fn with_history(window: Duration) -> RetryLedger {
-        RetryLedger { history: Some(RetryHistory::new(window)), ..RetryLedger::default() }
-    }
-
     /// Counts a request of this box.
     pub fn record_request(&mut self, now: TimePoint) {
         self.current_interval(now).requests += 1;
-        if let Some(history) = &mut self.history {
-            history.record_request(now);
-        }
         self.has_unreported = true;
     }
 
     /// Counts a retry of this box.
     pub fn record_retry(&mut self, now: TimePoint) {
         self.current_interval(now).retries += 1;
-        if let Some(history) = &mut self.history {
-            history.record_retry(now);
-        }
         self.has_unreported = true;
     }
 
     /// Stores the report of the peer with the incarnation `peer`, in place of its previous one.
     pub fn record_peer(&mut self, now: TimePoint, peer: u64, counts: RetryCounts) {
         self.peers.insert(peer, (counts, now));
-        if let Some(history) = &mut self.history {
-            history.record_peer(now, peer, counts);
-        }
     }
 
     /// Returns the report of this box to its peers, if it counted anything since the last one. Idle services
@@ -144,61 +123,16 @@
         f64::from(retries) + f64::from(unresponsive) + 1.0 <= max * USED_SHARE
     }
 
-    /// Returns the use of the budget in the window that ends now, or `None` if one more retry would exceed the bounds
-    /// in any window that contains it. `sees_all` states whether all boxes report to this one; the other parameters
-    /// are those of [`Self::allows`]. A ledger without a history has no such budget.
-    pub(crate) fn budget(
-        &mut self,
-        now: TimePoint,
-        bounds: &RetryBounds,
-        reporting: usize,
-        all: usize,
-        sees_all: bool,
-    ) -> Option<BudgetUse> {
-        let unresponsive = self.own_counts(now, bounds.window).unresponsive_retries;
-        let responsive =
-            self.peers.values().filter(|(_, received)| !is_unresponsive(now, *received));
-        let unresponsive =
-            responsive.map(|(counts, _)| counts.unresponsive_retries).fold(unresponsive, u32::max);
-        let slack = bounds.slack * reporting as f64 / all.max(reporting).max(1) as f64;
-        let peers = &self.peers;
-        let is_responsive =
-            |peer| peers.get(&peer).is_some_and(|(_, received)| !is_unresponsive(now, *received));
-        let history = self.history.as_mut()?;
-        let windows = history.windows(now, is_responsive);
-        let counted = if sees_all { WindowUse::largest } else { WindowUse::part };
-        let budget_of = |window: &WindowUse| BudgetUse {
-            max: (bounds.share * counted(window) + slack) * USED_SHARE,
-            used: window.retries as f64 + f64::from(unresponsive),
-        };
-        let room = |window| {
-            let BudgetUse { max, used } = budget_of(window);
-            max - used
-        };
-        let room = windows.iter().map(room).fold(f64::INFINITY, f64::min);
-        // Other boxes may be about to take the same room.
-        let unseen = if reporting > 1 { f64::from(history.own_recent_retries(now)) } else { 0.0 };
-        if room < 1.0 || unseen > room * UNSEEN_SHARE {
-            return None;
-        }
-        windows.first().map(budget_of)
-    }
-
     fn current_interval(&mut self, now: TimePoint) -> &mut WindowInterval {
-        let length = self.interval_length();
-        if self.intervals.back().is_none_or(|last| now.since(last.started) >= length) {
+        if self.intervals.back().is_none_or(|last| now.since(last.started) >= INTERVAL) {
             self.intervals.push_back(WindowInterval { started: now, requests: 0, retries: 0 });
         }
         self.intervals.back_mut().expect("an interval was just added")
     }
 
-    fn interval_length(&self) -> Duration {
-        if self.history.is_some() { SLOT } else { INTERVAL }
-    }
-
     fn expire(&mut self, now: TimePoint, window: Duration) {
-        let length = self.interval_length();
-        let is_expired = |interval: &WindowInterval| now.since(interval.started) >= window + length;
+        let is_expired =
+            |interval: &WindowInterval| now.since(interval.started) >= window + INTERVAL;
         while self.intervals.front().is_some_and(is_expired) {
             self.intervals.pop_front();
         }
--- a/crates/decide/src/steer/messages.rs
+++ b/crates/decide/src/steer/messages.rs
@@ -18,9 +18,6 @@
     pub cross_cost: f64,
     /// Bounds on the retries of all boxes together.
     pub retries: RetryBounds,
-    /// Whether the budget is spent where it saves most, and evenly while targets refuse many sends. Otherwise it is
-    /// first come, first served.
-    pub paces_retries: bool,
     /// Seed of the random choices.
     pub seed: u64,
     /// Mechanisms of the choice that are in use; measurements switch some of them off.
@@ -98,30 +95,18 @@
 /// The purpose of a retry. All uses share one budget, and some are worth more than others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryUse {
-    /// A further attempt after the target refused the request and nothing ran. An order has no other way to be
-    /// served.
-    Refused,
-    /// A further attempt after one that failed. Without it the request is lost.
+    /// A further attempt after one that failed or was refused. Without it the request is lost.
     Repeat,
     /// A hedge: a second attempt while the first one has been open for a long time and may still be answered.
     Hedge,
 }
 
 impl RetryUse {
-    /// Returns the label of the use in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            RetryUse::Refused => "refused",
-            RetryUse::Repeat => "repeat",
-            RetryUse::Hedge => "hedge",
-        }
-    }
-
     /// Returns the share of the budget that this use may take. Hedges leave a part for requests that are
     /// certainly lost without a retry.
     pub(crate) fn budget_share(self) -> f64 {
         match self {
-            RetryUse::Refused | RetryUse::Repeat => 1.0,
+            RetryUse::Repeat => 1.0,
             RetryUse::Hedge => 0.9,
         }
     }
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -39,7 +39,6 @@
 
 use crate::names::{Name, TargetKey};
 use crate::placement::PlacementTable;
-use crate::retries::{RetryDenial, RetryPolicy, RetryRequest};
 use crate::steer::choose::{Weighing, candidates, sample_candidate};
 use crate::steer::latency_ratios::OVERDUE_SHARE;
 use crate::steer::ledger::{RetryBounds, RetryCounts, RetryLedger};
@@ -94,8 +93,6 @@
     services: HashMap<TargetKey, Name>,
     unlisted: UnlistedNotices,
     ledgers: HashMap<Name, RetryLedger>,
-    /// Which retries are worth a part of the budget, by service; empty unless retries are paced.
-    retry_policies: HashMap<Name, RetryPolicy>,
     routes: RouteStats,
     local_boxes: usize,
     boxes: usize,
@@ -118,7 +115,6 @@
             services: HashMap::new(),
             unlisted: UnlistedNotices::default(),
             ledgers: HashMap::new(),
-            retry_policies: HashMap::new(),
             routes: RouteStats::default(),
             local_boxes: 1,
             boxes: 1,
@@ -190,48 +186,20 @@
 
     /// Takes a retry from the budget that all boxes share; returns false if the budget has none for that use.
     pub fn spend_retry(&mut self, now: TimePoint, service: &str, usage: RetryUse) -> bool {
-        self.take_retry(now, service, &RetryRequest { usage, loss: 1.0 }).is_ok()
-    }
-
-    /// Takes a retry from the budget that all boxes share.
-    ///
-    /// # Errors
-    /// The budget is used up, or retries are paced and it has none for this request now.
-    pub fn take_retry(
-        &mut self,
-        now: TimePoint,
-        service: &str,
-        request: &RetryRequest,
-    ) -> Result<(), RetryDenial> {
         let (bounds, reporting) = (self.setup.retries, reporting_boxes(self.local_boxes));
         let all = self.boxes.max(MIN_BOXES);
         // The retries of this box and its peers before it started are unknown. If the whole fleet was
         // restarted, the slack may have been used up just before.
         let is_window_known = now.since(TimePoint::default()) >= bounds.window;
         let slack = if is_window_known { bounds.slack } else { 0.0 };
-        if self.setup.paces_retries {
-            let bounds = RetryBounds { slack, ..bounds };
-            let sees_all = reporting >= self.boxes;
-            let budget = self.ledger(service).budget(now, &bounds, reporting, all, sees_all);
-            let policy = self.retry_policy(service);
-            let denial = match budget {
-                Some(budget) => policy.denial(now, request, budget, &bounds),
-                None => Some(RetryDenial::UsedUp),
-            };
-            if let Some(denial) = denial {
-                return Err(denial);
-            }
-            self.ledger(service).record_retry(now);
-            return Ok(());
-        }
-        let part = request.usage.budget_share();
+        let part = usage.budget_share();
         let bounds = RetryBounds { slack: slack * part, share: bounds.share * part, ..bounds };
         let ledger = self.ledger(service);
-        if !ledger.allows(now, &bounds, reporting, all) {
-            return Err(RetryDenial::UsedUp);
+        let allowed = ledger.allows(now, &bounds, reporting, all);
+        if allowed {
+            ledger.record_retry(now);
         }
-        ledger.record_retry(now);
-        Ok(())
+        allowed
     }
 
     /// Merges the counts of a service that the peer with the incarnation `peer`, in the own data centre,
@@ -367,7 +335,6 @@
     ) -> AttemptEffect {
         let known = self.routes.typical_time(route);
         let work_time = work_time(now, handle);
-        self.record_send(now, handle.key, outcome);
         match outcome {
             SteerOutcome::Good(_) if handle.timed => self.routes.record_answer(route, work_time),
             SteerOutcome::DeadlineExceeded if handle.timed => {
@@ -530,41 +497,9 @@
         }
     }
 
-    /// Records the end of a send for the pace of retries, if they are paced.
-    fn record_send(&mut self, now: TimePoint, key: TargetKey, outcome: SteerOutcome) {
-        let (refused, served) = match outcome {
-            SteerOutcome::Good(_) => (false, true),
-            SteerOutcome::Shed => (true, false),
-            SteerOutcome::Failed | SteerOutcome::Incomplete | SteerOutcome::DeadlineExceeded => {
-                (false, false)
-            }
-            SteerOutcome::ConnectFailed | SteerOutcome::WrongTarget | SteerOutcome::Cancelled => {
-                return;
-            }
-        };
-        let service = self.services.get(&key).filter(|_| self.setup.paces_retries).cloned();
-        let Some(service) = service else { return };
-        self.retry_policy(&service).record_send(now, refused, served);
-        if refused && let Some(record) = self.record_mut(key) {
-            record.record_refusal(now);
-        }
-    }
-
-    fn retry_policy(&mut self, service: &str) -> &mut RetryPolicy {
-        if !self.retry_policies.contains_key(service) {
-            self.retry_policies.insert(service.into(), RetryPolicy::default());
-        }
-        self.retry_policies.get_mut(service).expect("the policy was just inserted")
-    }
-
     fn ledger(&mut self, service: &str) -> &mut RetryLedger {
         if !self.ledgers.contains_key(service) {
-            let ledger = if self.setup.paces_retries {
-                RetryLedger::with_history(self.setup.retries.window)
-            } else {
-                RetryLedger::default()
-            };
-            self.ledgers.insert(service.into(), ledger);
+            self.ledgers.insert(service.into(), RetryLedger::default());
         }
         self.ledgers.get_mut(service).expect("the ledger was just inserted")
     }
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -14,8 +14,6 @@
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Time for which a target counts as full after it refused a request for lack of room.
 const FULL_DURATION: Duration = Duration::from_millis(200);
-/// Time for which second attempts prefer targets other than one that refused a request.
-const REFUSAL_DURATION: Duration = Duration::from_secs(1);
 /// Number of requests that a full target is assumed to hold, as a multiple of its slots.
 const FULL_LOAD_FACTOR: f64 = 5.0;
 /// Time for which a network path is avoided after it failed, if there is another target.
@@ -106,8 +104,6 @@
     reported_cold: Option<ReportedCold>,
     path_failed_at: Option<TimePoint>,
     full_at: Option<TimePoint>,
-    /// When the target last refused a request, if refusals are told apart from a lack of room.
-    refused_at: Option<TimePoint>,
     /// The attempts that this box and its peers have open at the target.
     pub(crate) open: OpenAttempts,
     held: u32,
@@ -152,7 +148,6 @@
             reported_cold: None,
             path_failed_at: None,
             full_at: None,
-            refused_at: None,
             open: OpenAttempts::default(),
             held: 0,
             held_at: now,
@@ -314,24 +309,7 @@
 
     /// Returns whether the target has just refused a request for lack of room.
     pub(crate) fn is_full(&self, now: TimePoint) -> bool {
-        let is_recent = self.full_at.is_some_and(|full| now.since(full) < FULL_DURATION);
-        is_recent && !self.has_refused_with_room()
-    }
-
-    /// Returns whether the target reported free slots with its last refusal. Such a target has no queue.
-    fn has_refused_with_room(&self) -> bool {
-        let has_reported_since = self.refused_at.is_some_and(|refused| self.held_at >= refused);
-        has_reported_since && self.held < self.setup.slots
-    }
-
-    /// Returns whether the target refused a request within the last second, if that is recorded.
-    pub(crate) fn has_refused_recently(&self, now: TimePoint) -> bool {
-        self.refused_at.is_some_and(|refused| now.since(refused) < REFUSAL_DURATION)
-    }
-
-    /// Records that the target refused a request, whether for lack of room or for another reason.
-    pub(crate) fn record_refusal(&mut self, now: TimePoint) {
-        self.refused_at = Some(now);
+        self.full_at.is_some_and(|full| now.since(full) < FULL_DURATION)
     }
 
     /// Returns the estimated number of requests that the target holds: the last reported load, decayed,
--- a/crates/decide/tests/peer_subset.rs
+++ b/crates/decide/tests/peer_subset.rs
@@ -72,7 +72,6 @@
         data_centre: "near".into(),
         cross_cost: 0.012,
         retries: RetryBounds { share: 0.2, slack: 630.0, window },
-        paces_retries: false,
         seed: 7,
         mechanisms: MechanismSet::default(),
     });
--- a/crates/decide/tests/placement_fleet/mod.rs
+++ b/crates/decide/tests/placement_fleet/mod.rs
@@ -228,7 +228,6 @@
 
     fn new_core(&self, index: usize) -> SteerCore {
         let mut core = SteerCore::new(SteerSetup {
-            paces_retries: false,
             data_centre: CENTRES[self.centre_of(index)].into(),
             cross_cost: 0.015,
             retries: RetryBounds { share: 0.2, slack: 58.0, window: Duration::from_secs(10) },
--- a/crates/decide/tests/steering/mod.rs
+++ b/crates/decide/tests/steering/mod.rs
@@ -31,23 +31,13 @@
 }
 
 pub fn core_with_seed(seed: u64) -> SteerCore {
-    SteerCore::new(setup(seed))
-}
-
-/// Returns a core that spends its retries as under overload control.
-pub fn core_with_pacing() -> SteerCore {
-    SteerCore::new(SteerSetup { paces_retries: true, ..setup(7) })
-}
-
-fn setup(seed: u64) -> SteerSetup {
-    SteerSetup {
+    SteerCore::new(SteerSetup {
         data_centre: "near".into(),
         cross_cost: 0.012,
         retries: bounds(),
-        paces_retries: false,
         seed,
         mechanisms: MechanismSet::default(),
-    }
+    })
 }
 
 pub fn at(millis: u64) -> TimePoint {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -115,7 +115,6 @@
                 slack: settings.retry_slack,
                 window: settings.retry_window,
             },
-            paces_retries: settings.overload.sheds_load(),
             seed,
             mechanisms: settings.mechanisms.clone(),
         });
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,6 @@
 
 use wingbridge_decide::Fingerprint;
 use wingbridge_decide::crashes::CrashVerdict;
-use wingbridge_decide::retries::RetryDenial;
 use wingbridge_decide::returns::ReturnArrival;
 use wingbridge_decide::steer::{ExcludedTargets, SteerPick};
 
@@ -130,14 +129,10 @@
         self.hedged_ms = millis(after).to_string();
     }
 
-    /// Records that a due hedge was not started as the retry budget gave no retry.
-    pub(crate) fn record_no_hedge(&mut self, denial: RetryDenial) {
+    /// Records that a due hedge was not started as the retry budget was used up.
+    pub(crate) fn record_no_hedge(&mut self) {
         if self.hedged_ms.is_empty() {
-            let reason = match denial {
-                RetryDenial::UsedUp => "no retry was left",
-                RetryDenial::Paced | RetryDenial::Reserved => "retries are kept for others",
-            };
-            self.hedged_ms = reason.to_string();
+            self.hedged_ms = "no retry was left".to_string();
         }
     }
 
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -12,7 +12,6 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
-use wingbridge_decide::retries::{RetryDenial, RetryRequest};
 use wingbridge_decide::returns::ReturnArrival;
 use wingbridge_decide::steer::{
     HomeRegions, LoadReport, PickError, RetryUse, SteerOutcome, SteerPick, SteerRequest,
@@ -327,8 +326,11 @@
         // A hedge uses no target with a rate limit: its capacity is reserved for requests that have no other
         // target.
         let pick = self.pick(remaining).ok().filter(|pick| pick.limit.is_none())?;
-        if let Err(denial) = self.take_retry(RetryUse::Hedge) {
-            self.trace.record_no_hedge(denial);
+        let context = &self.context;
+        let service = &self.plan.service;
+        let has_retry = context.core().spend_retry(context.now(), service, RetryUse::Hedge);
+        if !has_retry {
+            self.trace.record_no_hedge();
             return None;
         }
         self.trace.record_hedge(self.received_at.elapsed());
@@ -478,42 +480,13 @@
         if !context.core().has_eligible_target(context.now(), service, &self.tried, homes) {
             return Some("there is no other target");
         }
-        let usage = if self.possible_runs == 0 { RetryUse::Refused } else { RetryUse::Repeat };
-        match self.take_retry(usage) {
-            Ok(()) => {
-                metrics::counter!("wingbridge_retries").increment(1);
-                None
-            }
-            Err(denial) => {
-                self.refusal_signs.record_no_retry();
-                Some(match denial {
-                    RetryDenial::UsedUp => "the retry budget is used up",
-                    RetryDenial::Paced => "retries are spread over time, as many are refused",
-                    RetryDenial::Reserved => "the rest of the retry budget is kept for others",
-                })
-            }
-        }
-    }
-
-    /// Takes a retry from the budget and counts it, or the reason why there is none.
-    fn take_retry(&self, usage: RetryUse) -> Result<(), RetryDenial> {
-        let (now, service) = (self.context.now(), &self.plan.service);
-        let mut core = self.context.core();
-        // Without a hedge the request is lost only if the open attempt fails.
-        let open = self.tried.last().filter(|_| usage == RetryUse::Hedge);
-        let loss = open.and_then(|key| core.risk(now, *key)).unwrap_or(1.0);
-        let result = core.take_retry(now, service, &RetryRequest { usage, loss });
-        drop(core);
-        match result {
-            Ok(()) => {
-                metrics::counter!("wingbridge_retries_taken", "use" => usage.as_str()).increment(1);
-            }
-            Err(denial) => {
-                metrics::counter!("wingbridge_retries_withheld", "cause" => denial.as_str())
-                    .increment(1);
-            }
+        let has_retry = context.core().spend_retry(context.now(), service, RetryUse::Repeat);
+        if has_retry {
+            metrics::counter!("wingbridge_retries").increment(1);
+            return None;
         }
-        result
+        self.refusal_signs.record_no_retry();
+        Some("the retry budget is used up")
     }
 
     /// Returns the time by which the request must be answered, corrected for suspensions of the machine.
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -151,7 +151,6 @@
 
 fn core(services: usize) -> SteerCore {
     let mut core = SteerCore::new(SteerSetup {
-        paces_retries: false,
         data_centre: "centre".into(),
         cross_cost: 0.01,
         retries: RetryBounds { share: 0.2, slack: 58.0, window: Duration::from_secs(10) },
