--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -79,6 +79,8 @@
     pub locations: Vec<BoxLocation>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Value of the boxes' setting of overload control.
+    pub overload: String,
     /// Directory for the log files of the boxes.
     pub directory: PathBuf,
 }
@@ -123,6 +125,7 @@
             format!("--store={}", self.store_relay.address()),
             format!("--stop-time={}ms", STOP_TIMEOUT.as_millis()),
             format!("--retry-slack={RETRY_SLACK}"),
+            format!("--overload-control={}", setup.overload),
             format!("--link-mbps={}", LINK_MBPS[self.location.index % LINK_MBPS.len()]),
         ];
         let child = Command::new(&setup.program)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,7 @@
         program: settings.program.clone(),
         locations: locations.clone(),
         store: environment.store.address(),
+        overload: settings.overload.clone(),
         directory: directory.clone(),
     };
     let size = PlanSize {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -28,6 +28,8 @@
     pub routes: usize,
     /// Average number of faults per second. Faults overlap.
     pub faults_per_s: f64,
+    /// Value of the boxes' setting of overload control.
+    pub overload: String,
     /// Directory for logs and event traces.
     pub directory: PathBuf,
 }
@@ -56,6 +58,10 @@
             .default_value("0"),
         )
         .arg(setting("faults", "Average number of faults in ten seconds", "1 to 100.").default_value("8"))
+        .arg(
+            setting("overload", "Overload control of the boxes", "off, auto or on.")
+                .default_value("off"),
+        )
         .arg(
             setting("directory", "Directory for logs and event traces", "A path; created if missing.")
                 .default_value("target/soak"),
@@ -82,6 +88,15 @@
         callers: settings::number(matches, "callers", 1..=200)? as usize,
         routes: settings::number(matches, "routes", 0..=5000)? as usize,
         faults_per_s: settings::number(matches, "faults", 1..=100)? as f64 / 10.0,
+        overload: overload(matches)?,
         directory: PathBuf::from(raw_text(matches, "directory")),
     })
 }
+
+fn overload(matches: &ArgMatches) -> Result<String, SettingError> {
+    let raw = raw_text(matches, "overload");
+    if ["off", "auto", "on"].contains(&raw.as_str()) {
+        return Ok(raw);
+    }
+    Err(SettingError::new("overload", &raw, "off, auto or on"))
+}
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -14,6 +14,7 @@
     routes: usize,
     targets: usize,
     faults_per_s: f64,
+    overload: &'static str,
     cause: &'static str,
 }
 
@@ -24,6 +25,7 @@
         routes: 0,
         targets: 9,
         faults_per_s: 1.0,
+        overload: "off",
         cause: "the default short run, which has not failed",
     },
     RegressionSeed {
@@ -32,6 +34,7 @@
         routes: 4000,
         targets: 9,
         faults_per_s: 1.0,
+        overload: "off",
         cause: "large configurations, which boxes transfer to each other; it has not failed",
     },
     RegressionSeed {
@@ -40,6 +43,7 @@
         routes: 0,
         targets: 40,
         faults_per_s: 0.1,
+        overload: "off",
         cause: "two poison orders: boxes that did not recognize a repeated request sent them 9 and 7 times later \
                 than 3 s after the third target had ended",
     },
@@ -49,9 +53,19 @@
         routes: 0,
         targets: 9,
         faults_per_s: 0.6,
+        overload: "off",
         cause: "a target that had asked for back-off got 13 requests of one box: it had the same key as another \
                 target, so that each listing treated one of them as new",
     },
+    RegressionSeed {
+        seed: 53001,
+        seconds: 8,
+        routes: 0,
+        targets: 9,
+        faults_per_s: 1.0,
+        overload: "on",
+        cause: "overload control under faults, which has not failed",
+    },
 ];
 
 fn settings(case: &RegressionSeed) -> SoakSettings {
@@ -65,6 +79,7 @@
         callers: 8,
         routes: case.routes,
         faults_per_s: case.faults_per_s,
+        overload: case.overload.into(),
         directory: std::env::temp_dir().join("wingbridge-soak"),
     }
 }
