--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -120,6 +120,23 @@
     }
 }
 
+/// Guards against boxes of a data centre that tell refused callers to return at the same moment, because none knows
+/// what the others told theirs.
+#[test]
+fn told_returns_are_reported_to_peers_of_the_data_centre() {
+    let (target, _store, gateway) = start(OverloadControl::On);
+    target.set_script(Script::Sheds);
+    let peer = PeerStandin::start("centre");
+    peer.send(&gateway, Heartbeat { wants_reply: true, ..Heartbeat::default() });
+    peer.receive();
+    for _ in 0..3 {
+        assert_eq!(gateway.request("POST", "/r/x").status, 503);
+    }
+    let row = peer.receive_row(|row| !row.returns.is_empty());
+    assert_eq!((row.service.as_str(), row.data_centre.as_str()), ("service", ""));
+    assert!(row.returns.iter().sum::<u32>() >= 1, "{row:?}");
+}
+
 /// Guards against sums that stay with the box that received them, and against a data centre that doesn't report its own
 /// load when another one is short of capacity.
 #[test]
