Placement: the frugal limits never weigh targets by their learned times

Cause, as read: while a plan is in force, weighing by times concentrates requests on the fast targets.

Change: with frugal limits targets are weighed as without placement; a plan only decides what leaves. With balanced ones nothing changes.

--- a/crates/decide/src/placement/service.rs
+++ b/crates/decide/src/placement/service.rs
@@ -149,9 +149,6 @@
         if self.own.utilization() > SEND_UTILIZATION {
             self.send_until = Some(now + LOAD_HOLD);
         }
-        if limits.weighed_above.is_some_and(|above| self.own.utilization() > above) {
-            self.loaded_until = Some(now + LOAD_HOLD);
-        }
         self.plan = if self.sums.is_empty() {
             None
         } else {
@@ -164,6 +161,10 @@
                 std::iter::once(home).chain(self.sums.iter().cloned()).collect();
             PlacementPlan::new(own, &loads, limits)
         };
+        let weighs = |above| self.own.utilization() > above || self.is_active();
+        if limits.weighed_above.is_some_and(weighs) {
+            self.loaded_until = Some(now + LOAD_HOLD);
+        }
         self.damp(now);
         self.refreshed_at = Some(now);
     }
@@ -191,10 +192,9 @@
         });
     }
 
-    /// Returns the mean time of the targets of the own data centre, if they are loaded so far that their unequal speeds
-    /// matter.
+    /// Returns the mean time of the targets of the own data centre, if they are to be weighed by their learned times.
     pub fn loaded_work(&self, now: TimePoint) -> Option<Duration> {
-        let is_loaded = self.loaded_until.is_some_and(|until| now < until) || self.is_active();
+        let is_loaded = self.loaded_until.is_some_and(|until| now < until);
         is_loaded.then_some(self.own_work)
     }
 
