Test of told returns: the peer stays known, and callers are refused until a row comes

A row lists the returns of the next 1.6 s alone.

The stand-in sends a heartbeat in each round now, and one more caller is refused; the row must come within twenty heartbeats.

--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -20,6 +20,9 @@
 use wingbridge_wire::gossip::{Datagram, DatagramBody, Heartbeat};
 use wingbridge_wire::overload::ServiceLoad;
 
+/// Heartbeats within which a box reports that it told a caller to return.
+const ROUNDS: usize = 20;
+
 /// A box of the data centre `data_centre` that the test plays.
 struct PeerStandin {
     socket: UdpSocket,
@@ -128,12 +131,13 @@
     let (target, _store, gateway) = start(OverloadControl::On);
     target.set_script(Script::Sheds);
     let peer = PeerStandin::start("centre");
-    peer.send(&gateway, Heartbeat { wants_reply: true, ..Heartbeat::default() });
-    peer.receive();
-    for _ in 0..3 {
+    // A row has the returns of the next 1.6 s, and callers are told to return within 6.4 s.
+    let row = (0..ROUNDS).find_map(|_| {
+        peer.send(&gateway, Heartbeat::default());
         assert_eq!(gateway.request("POST", "/r/x").status, 503);
-    }
-    let row = peer.receive_row(|row| !row.returns.is_empty());
+        peer.receive().service_loads.into_iter().find(|row| !row.returns.is_empty())
+    });
+    let row = row.expect("told returns are reported");
     assert_eq!((row.service.as_str(), row.data_centre.as_str()), ("service", ""));
     assert!(row.returns.iter().sum::<u32>() >= 1, "{row:?}");
 }
