Placement: say that requests which leave are weighed by learned times

Requests that leave by a plan are still weighed so within their destination (placing.rs, sample_in), with either limits.

--- a/crates/decide/src/placement/plan.rs
+++ b/crates/decide/src/placement/plan.rs
@@ -23,7 +23,7 @@
     /// Utilization up to which a data centre serves its own demand, once a plan is made.
     pub level: f64,
     /// Utilization of the own data centre above which targets are weighed by their learned times, as they are while a
-    /// plan is in force. `None`: never.
+    /// plan is in force. `None`: never, except for requests that leave by a plan.
     pub weighed_above: Option<f64>,
 }
 
@@ -35,8 +35,8 @@
         weighed_above: Some(MIN_THRESHOLD),
     };
     /// Requests leave once most would wait at home. Below that, the bytes cost more than the time that is gained.
-    /// Targets are not weighed by their times: that sends more requests to those that fail fast, and fewer healthy
-    /// targets get any.
+    /// For requests that stay, targets are not weighed by their times: that sends more requests to those that fail
+    /// fast, and fewer healthy targets get any.
     pub const FRUGAL: PlacementLimits =
         PlacementLimits { planned_above: 0.9, level: 0.85, weighed_above: None };
 }
