Failure share: one type for both shares; no figures computed that nothing uses

Cause: the share of requests that were not served was written beside the share of failed attempts, with the same decay. The rows of a box took an optional list that is always given, and the capacity of the data centre was computed each second also where no returns are planned.

Change: DecayedShare serves both; own_rows takes a slice; share_capacity ends early without load shedding. Behaviour is as before.

--- a/crates/decide/src/steer/placing.rs
+++ b/crates/decide/src/steer/placing.rs
@@ -6,10 +6,9 @@
 use rand::rngs::SmallRng;
 
 use crate::names::{Name, TargetKey};
-use crate::placement::PlacementLimits;
 use crate::placement::{
-    CapacitySum, DataCentreLoad, OwnFigures, PlacementChange, PlacementTable, ServiceDemand,
-    ServicePlacement, ServiceReport,
+    CapacitySum, DataCentreLoad, OwnFigures, PlacementChange, PlacementLimits, PlacementTable,
+    ServiceDemand, ServicePlacement, ServiceReport,
 };
 use crate::steer::choose::{Weighing, candidates, sample_candidate};
 use crate::steer::messages::{SteerPick, SteerRequest, SteerSetup};
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -58,22 +58,23 @@
 }
 
 impl DecayedShare {
-    fn record(&mut self, now: TimePoint, matches: bool) {
-        let decay = decay_since(self.updated_at, now);
-        self.matching = self.matching * decay + f64::from(u8::from(matches));
-        self.all = self.all * decay + 1.0;
+    /// Counts `all` events, `matching` of which are of the kind.
+    fn record(&mut self, now: TimePoint, matching: u32, all: u32) {
+        let decay = self.decay(now);
+        self.matching = self.matching * decay + f64::from(matching);
+        self.all = self.all * decay + f64::from(all);
         self.updated_at = now;
     }
 
     fn share(&self, now: TimePoint) -> f64 {
-        let decay = decay_since(self.updated_at, now);
+        let decay = self.decay(now);
         self.matching * decay / (self.all * decay + ASSUMED_SUCCESSES)
     }
-}
 
-/// Returns the factor by which counts of the failure share have decayed since `updated_at`.
-fn decay_since(updated_at: TimePoint, now: TimePoint) -> f64 {
-    (-now.since(updated_at).as_secs_f64() / FAILURE_SHARE_TIME.as_secs_f64()).exp()
+    /// Returns the factor by which the counts have decayed since their last update.
+    fn decay(&self, now: TimePoint) -> f64 {
+        (-now.since(self.updated_at).as_secs_f64() / FAILURE_SHARE_TIME.as_secs_f64()).exp()
+    }
 }
 
 /// The targets of one service.
@@ -89,12 +90,8 @@
     latency_ratios: LatencyRatios,
     /// The properties that the failure episodes of the targets share.
     episode_stats: EpisodeStats,
-    /// The number of attempts that failed, decayed over [`FAILURE_SHARE_TIME`].
-    failed: f64,
-    /// The number of attempts that ended, decayed over [`FAILURE_SHARE_TIME`].
-    ended: f64,
-    /// When `failed` and `ended` were last updated.
-    ended_at: TimePoint,
+    /// Attempts that ended, and those among them that failed.
+    attempts: DecayedShare,
     /// Requests of this box that ended, and those among them that were not served, whatever the reason.
     results: DecayedShare,
     small_bytes: RunningAverage,
@@ -118,9 +115,7 @@
             work: RunningAverage::new(AVERAGE_WINDOW),
             latency_ratios: LatencyRatios::default(),
             episode_stats: EpisodeStats::default(),
-            failed: 0.0,
-            ended: 0.0,
-            ended_at: TimePoint::default(),
+            attempts: DecayedShare::default(),
             results: DecayedShare::default(),
             small_bytes: RunningAverage::new(AVERAGE_WINDOW),
             rate: 0.0,
@@ -264,7 +259,7 @@
         sample: OutcomeSample,
     ) -> Option<SuspicionChange> {
         let failed = u32::from(sample != OutcomeSample::Good);
-        self.count_ended(now, failed, 1);
+        self.attempts.record(now, failed, 1);
         self.update_estimate(now, key, sample)
     }
 
@@ -486,14 +481,13 @@
 
     /// Returns the share of recent attempts that failed, as far as boxes of the data centre report them.
     pub(crate) fn failure_share(&self, now: TimePoint) -> f64 {
-        let decay = self.ended_decay(now);
-        self.failed * decay / (self.ended * decay + ASSUMED_SUCCESSES)
+        self.attempts.share(now)
     }
 
     /// Records the end of a request of this box, and whether it was served. Refusals by the box itself are no
     /// attempts, so that [`TargetPool::failure_share`] does not contain them.
     pub(crate) fn record_result(&mut self, now: TimePoint, served: bool) {
-        self.results.record(now, !served);
+        self.results.record(now, u32::from(!served), 1);
     }
 
     /// Returns the share of this box's recent requests that were not served.
@@ -508,22 +502,10 @@
     fn count_peer_sample(&mut self, now: TimePoint, sample: &PeerSample) {
         let failed = sample.bad + sample.overdue;
         if failed + sample.good > 0 {
-            self.count_ended(now, failed, failed + sample.good);
+            self.attempts.record(now, failed, failed + sample.good);
         }
     }
 
-    fn count_ended(&mut self, now: TimePoint, failed: u32, ended: u32) {
-        let decay = self.ended_decay(now);
-        self.failed = self.failed * decay + f64::from(failed);
-        self.ended = self.ended * decay + f64::from(ended);
-        self.ended_at = now;
-    }
-
-    /// Returns the factor by which the counts of ended attempts have decayed since their last update.
-    fn ended_decay(&self, now: TimePoint) -> f64 {
-        decay_since(self.ended_at, now)
-    }
-
     /// Returns the lowest latency ratio that no more than `share` of healthy answers exceed.
     pub(crate) fn ratio_exceeded_by(&self, share: f64) -> f64 {
         self.latency_ratios.ratio_exceeded_by(share)
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -6,8 +6,7 @@
 use std::f64::consts::TAU;
 
 use placement_fleet::{CENTRES, Fleet, FleetSetup, SERVICE};
-use wingbridge_decide::placement::PlacementLimits;
-use wingbridge_decide::placement::{CapacitySum, DataCentreLoad};
+use wingbridge_decide::placement::{CapacitySum, DataCentreLoad, PlacementLimits};
 
 /// Requests a second that a target of normal speed finishes.
 const TARGET_RATE: f64 = 10.0;
--- a/crates/gateway/src/gossip/service_loads.rs
+++ b/crates/gateway/src/gossip/service_loads.rs
@@ -37,7 +37,7 @@
         let now = self.context.now();
         self.share_capacity(now, local.len() + 1);
         let returns = self.context.returns.all_told_counts(now);
-        let rows = own_rows(&mut self.context.core(), now, Some(&returns));
+        let rows = own_rows(&mut self.context.core(), now, &returns);
         if rows.is_empty() {
             self.send(local, DatagramBody::Heartbeat(heartbeat)).await;
         } else {
@@ -56,6 +56,9 @@
 
     /// Gives the returns of refused callers the capacity that the `boxes` of the data centre share.
     fn share_capacity(&self, now: TimePoint, boxes: usize) {
+        if !self.context.settings.overload.sheds_load() {
+            return;
+        }
         let loads = self.context.core().data_centre_loads(now);
         for (service, load) in loads {
             let returns = &self.context.returns;
--- a/crates/gateway/src/placement/messages.rs
+++ b/crates/gateway/src/placement/messages.rs
@@ -36,10 +36,10 @@
 pub fn own_rows(
     core: &mut SteerCore,
     now: TimePoint,
-    returns: Option<&[(Name, Vec<u32>)]>,
+    returns: &[(Name, Vec<u32>)],
 ) -> Vec<ServiceLoad> {
     let mut rows: Vec<ServiceLoad> = core.service_demands(now).iter().map(own_row).collect();
-    for (service, counts) in returns.unwrap_or_default() {
+    for (service, counts) in returns {
         let known = rows.iter().position(|row| row.service == **service);
         let index = known.unwrap_or_else(|| {
             rows.push(ServiceLoad { service: service.to_string(), ..ServiceLoad::default() });
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -280,9 +280,9 @@
 fn told_returns_travel_with_the_own_rows() {
     let mut core = core(2);
     let now = TimePoint::from_micros(9_000_000);
-    assert!(own_rows(&mut core, now, None).is_empty());
+    assert!(own_rows(&mut core, now, &[]).is_empty());
     let returns: Vec<(Name, Vec<u32>)> = vec![(service_name(1).as_str().into(), vec![0, 3, 1])];
-    let rows = own_rows(&mut core, now, Some(&returns));
+    let rows = own_rows(&mut core, now, &returns);
     assert_eq!(rows.len(), 1);
     assert_eq!(
         (rows[0].service.clone(), rows[0].returns.clone()),
@@ -313,7 +313,7 @@
     let local = boxes / 3;
     let peers = (local - 1).min(36);
     let (mut core, now) = loaded_core(services);
-    let rows = own_rows(&mut core, now, None);
+    let rows = own_rows(&mut core, now, &[]);
     let sums = data_centre_rows(&mut core, now);
     assert_eq!((rows.len(), sums.len()), (services, services));
     let (mut own_bytes, mut sum_bytes) = (0, 0);
