Paths: runs of attempts without contact are counted and logged, by service and over all

Cause: the lines of a box name four targets of each refused request; nothing said that a box reaches no target at all, since when, and at which services.

A counter has the attempts without contact by kind. Nothing is decided by it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 pub mod messages;
 pub mod names;
+pub mod paths;
 pub mod permits;
 pub mod pick;
 pub mod placement;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,6 +20,7 @@
 use crate::listing_source::ListingSource;
 use crate::newer_config::NewerConfig;
 use crate::passive_samples::SampleBuffer;
+use crate::paths::PathTracker;
 use crate::peers::PeerTable;
 use crate::permit_manager::PermitManager;
 use crate::policies::PolicySet;
@@ -67,6 +68,8 @@
     /// Grants permits to send to targets that have a rate limit.
     pub(crate) permits: PermitManager,
     pub(crate) passive_samples: SampleBuffer,
+    /// Tracks whether this box reaches targets.
+    pub(crate) paths: PathTracker,
     /// Requests that wait for capacity of their services, with overload control.
     pub(crate) waiting: Arc<WaitingQueues>,
     /// Tracks which requests terminate targets.
@@ -139,6 +142,7 @@
             quotas: handles.quotas,
             permits: handles.permits,
             passive_samples: handles.passive_samples,
+            paths: PathTracker::default(),
             crashes: CrashTracker::new(),
             returns,
             view_changed: handles.view_changed,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod notices;
 mod open_attempt;
 mod passive_samples;
+mod paths;
 mod peers;
 mod permit_manager;
 pub mod placement;
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -12,7 +12,7 @@
 use wingbridge_decide::steer::{
     ExcludedTargets, Ineligibility, LimitUpdate, NoticeChange, RequestRate, SteerPick, TargetNotice,
 };
-use wingbridge_decide::{TargetKey, TimePoint};
+use wingbridge_decide::{Name, TargetKey, TimePoint};
 use wingbridge_http::raw::RawResponseHead;
 
 use crate::attempt::is_for_other_request;
@@ -31,6 +31,7 @@
     context: &'a BoxContext,
     key: TargetKey,
     target: &'a str,
+    service: &'a Name,
     /// The caller's id of the request, if it has one.
     request: Option<&'a str>,
     /// Time at which the attempt began.
@@ -70,10 +71,11 @@
 }
 
 impl<'a> AttemptNotices<'a> {
-    /// Creates the notices of an attempt at the target `pick`. `request` is the caller's id of the request, if any.
+    /// Creates the notices of an attempt at the target `pick` of `service`. `request` is the caller's id of the request, if any.
     pub(crate) fn new(
         context: &'a BoxContext,
         pick: &'a SteerPick,
+        service: &'a Name,
         request: Option<&'a str>,
         permit: Option<SendPermit>,
     ) -> AttemptNotices<'a> {
@@ -83,6 +85,7 @@
             context,
             key: pick.key,
             target: &pick.id,
+            service,
             request,
             started,
             permit,
@@ -93,6 +96,7 @@
     /// Applies the notices in the head of an answer.
     pub(crate) fn apply_head(&self, head: &RawResponseHead) {
         self.is_head_read.store(true, Ordering::Release);
+        self.context.paths.record_contact(self.context.now(), self.service);
         let names = &self.context.headers;
         if !is_from_target(head, names, self.request) {
             return;
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -13,6 +13,7 @@
 use crate::context::{BoxContext, ObservedBy, log_suspicion};
 use crate::notices::AttemptNotices;
 use crate::passive_samples::ObservedOutcome;
+use crate::paths::TrackedAttempt;
 use crate::permit_manager::SendPermit;
 
 /// An attempt that was started. Its end is reported to the core, also if its future is dropped.
@@ -107,6 +108,7 @@
         self.ended = true;
         let key = self.pick.key;
         let now = self.context.now();
+        self.context.paths.record_end(now, self.tracked(), outcome);
         let mut core = self.context.core();
         let effect = core.end(now, &self.handle, &self.route, outcome, bytes);
         if let Some(load) = load {
@@ -144,6 +146,7 @@
             notices: AttemptNotices::new(
                 context,
                 &self.pick,
+                &self.service,
                 request.request_id.as_deref(),
                 self.permit,
             ),
@@ -167,8 +170,14 @@
         log_suspicion(effect.change, ObservedBy::Own);
         if effect.stalled {
             context.passive_samples.record_stall(self.pick.key);
+            context.paths.record_silent(context.now(), self.tracked());
         }
     }
+
+    fn tracked(&self) -> TrackedAttempt<'_> {
+        let (service, target) = (&self.service, self.pick.key);
+        TrackedAttempt { service, target, started: self.handle.started }
+    }
 }
 
 impl Drop for OpenAttempt {
