Failing test: boxes without paths to the targets refuse what their peers could serve

What callers saw: at boxes that had lost their paths to all targets 4 of 422 first tries were served, at the others 241 of 245.

Change: a table of cuts (hanging, reset, refused, left unread; one box, a whole data centre, all but one) against four boxes in two data centres. Connections to targets are opened by the port to the environment, so that a test can cut the paths of one box.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::answers::{AnswerBody, AnswerStream, LAST_CHUNK, encode_chunk, write_content_length};
 use crate::notices::{AttemptNotices, UnreadHead};
-use crate::ports::HeaderNames;
+use crate::ports::{EnvironmentPort, HeaderNames};
 use crate::streamed_body::{BodyChunk, BodyStream};
 
 /// Timeout for connecting. A round trip between data centres takes about 3 ms; a connection that takes
@@ -97,6 +97,7 @@
 
 /// Target and circumstances of an attempt.
 pub(crate) struct AttemptPlan<'a> {
+    pub(crate) port: &'a dyn EnvironmentPort,
     pub(crate) address: &'a str,
     /// Id of the instance that was chosen; another instance at the address must refuse the request.
     pub(crate) instance: &'a str,
@@ -111,7 +112,7 @@
 
 /// Makes the attempt. Dropping the future closes the connection, which cancels the work at the target.
 pub(crate) async fn attempt(request: &OutgoingRequest, plan: &AttemptPlan<'_>) -> AttemptResult {
-    let connect = TcpStream::connect(plan.address);
+    let connect = plan.port.connect_target(plan.address);
     let mut stream = match async_std::future::timeout(CONNECT_TIMEOUT, connect).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -207,7 +208,7 @@
 /// connections.
 async fn has_ended(plan: &AttemptPlan<'_>) -> bool {
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let connect = TcpStream::connect(plan.address);
+    let connect = plan.port.connect_target(plan.address);
     let result = async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await;
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -138,6 +138,7 @@
         let context = &self.context;
         let overdue = context.core().overdue_after(&self.handle);
         let plan = AttemptPlan {
+            port: &*context.port,
             address: &self.pick.address,
             instance: &self.pick.id,
             customer: self.customer.as_deref(),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -2,10 +2,12 @@
 //! store, the stored formats and the headers of a platform.
 
 use std::fmt;
+use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::net::TcpStream;
 use futures::future::BoxFuture;
 use wingbridge_decide::Name;
 use wingbridge_process::suspension::suspended_time;
@@ -136,6 +138,11 @@
         note: &'a [u8],
     ) -> BoxFuture<'a, Result<(), StoreError>>;
 
+    /// Opens a connection to the target at `address`.
+    fn connect_target<'a>(&'a self, address: &'a str) -> BoxFuture<'a, io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
+
     /// Returns the total time for which this machine was suspended.
     /// [`Instant`](std::time::Instant) doesn't count it.
     fn suspended(&self) -> Duration {
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod gateway;
 mod load;
+mod paths;
 mod peer;
 mod store;
 mod target;
@@ -26,6 +27,7 @@
 pub use caller::{CallerReply, CallerStandin};
 pub use gateway::{BoxUnderTest, EXCHANGE, GOSSIP};
 pub use load::{max_within, request_while};
+pub use paths::{PathMode, TargetPaths};
 pub use peer::{connect_exchange, exchange_on, fetch_targets, packed, unpacked};
 pub use store::StoreStandin;
 pub use target::{
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -1,10 +1,12 @@
 //! A store whose contents are set by tests.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_std::net::TcpStream;
 use async_std::task;
 
 use futures::future::BoxFuture;
@@ -21,7 +23,7 @@
 use wingbridge_gateway::view::{ConfigText, StoreView, TargetEntry};
 use wingbridge_wire::gossip::CrashNote;
 
-use super::lock;
+use super::{TargetPaths, lock};
 
 /// Time until the transfer of a configuration over a stalled link fails: longer than any test waits for a
 /// condition.
@@ -210,12 +212,17 @@
 
     /// Returns a port to this store. If `reachable` is false, all its calls fail.
     pub fn port(&self, reachable: bool) -> Arc<dyn EnvironmentPort> {
-        Arc::new(StandinPort { store: self.clone(), reachable, stalls: false })
+        Arc::new(StandinPort::new(self, reachable))
+    }
+
+    /// Returns a port of a box whose paths to the targets follow `paths`.
+    pub fn port_with_paths(&self, paths: &TargetPaths) -> Arc<dyn EnvironmentPort> {
+        Arc::new(StandinPort { paths: paths.clone(), ..StandinPort::new(self, true) })
     }
 
     /// Returns a port over a link on which configurations that are read separately never arrive.
     pub fn stalling_port(&self) -> Arc<dyn EnvironmentPort> {
-        Arc::new(StandinPort { store: self.clone(), reachable: true, stalls: true })
+        Arc::new(StandinPort { stalls: true, ..StandinPort::new(self, true) })
     }
 }
 
@@ -231,9 +238,19 @@
     store: StoreStandin,
     reachable: bool,
     stalls: bool,
+    paths: TargetPaths,
 }
 
 impl StandinPort {
+    fn new(store: &StoreStandin, reachable: bool) -> StandinPort {
+        StandinPort {
+            store: store.clone(),
+            reachable,
+            stalls: false,
+            paths: TargetPaths::default(),
+        }
+    }
+
     fn access<T>(&self, work: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
         let mut state = lock(&self.store.state);
         if state.unreachable || !self.reachable {
@@ -358,6 +375,10 @@
         Box::pin(async { written })
     }
 
+    fn connect_target<'a>(&'a self, address: &'a str) -> BoxFuture<'a, io::Result<TcpStream>> {
+        self.paths.connect(address)
+    }
+
     fn suspended(&self) -> Duration {
         lock(&self.store.state).suspended
     }
--- /dev/null
+++ b/crates/gateway/tests/lost_paths.rs
@@ -0,0 +1,132 @@
+//! Boxes that have lost their paths to the targets, while callers, the store and the other boxes still reach them.
+
+mod harness;
+
+use std::net::IpAddr;
+use std::thread;
+use std::time::Duration;
+
+use harness::{
+    BoxUnderTest, PathMode, Script, StoreStandin, TargetPaths, TargetStandin, config, own_host,
+    request_while, route,
+};
+use wingbridge_gateway::routes::RouteKind;
+
+const SERVICES: [(&str, RouteKind); 2] =
+    [("reads", RouteKind::Repeatable), ("orders", RouteKind::AtMostOnce)];
+const TARGETS_PER_SERVICE: usize = 4;
+/// Pause between two requests at a box.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Number of requests of each service that a box must have served one after the other.
+const SERVED_IN_A_ROW: usize = 10;
+
+/// Boxes in two data centres, the box with number N in the data centre N modulo 2, and their targets.
+struct World {
+    _targets: Vec<TargetStandin>,
+    boxes: Vec<BoxUnderTest>,
+    paths: Vec<TargetPaths>,
+}
+
+impl World {
+    fn start(boxes: usize) -> World {
+        let targets: Vec<TargetStandin> = SERVICES
+            .iter()
+            .flat_map(|(service, _)| {
+                let start = move |number| {
+                    let id = format!("{service}-{number}");
+                    TargetStandin::start(&id, service, Script::Good)
+                };
+                (0..TARGETS_PER_SERVICE).map(start)
+            })
+            .collect();
+        let store = StoreStandin::default();
+        let routes = SERVICES.iter().map(|(service, kind)| route(service, service, *kind));
+        store.put_config(config(1, routes.collect()));
+        store.put_targets(targets.iter().map(|target| target.entry.clone()).collect());
+        let paths: Vec<TargetPaths> = (0..boxes).map(|_| TargetPaths::default()).collect();
+        let hosts: Vec<IpAddr> = (0..boxes).map(|_| own_host()).collect();
+        let start = |(number, paths): (usize, &TargetPaths)| {
+            let port = store.port_with_paths(paths);
+            BoxUnderTest::start_at(hosts[number], port, &hosts, |settings| {
+                settings.data_centre = format!("centre-{}", number % 2);
+            })
+        };
+        let boxes: Vec<BoxUnderTest> = paths.iter().enumerate().map(start).collect();
+        for gateway in &boxes {
+            gateway.wait_ready();
+        }
+        World { _targets: targets, boxes, paths }
+    }
+
+    fn set_paths(&self, cut: &[usize], mode: PathMode) {
+        cut.iter().for_each(|number| self.paths[*number].set_mode(mode));
+    }
+
+    /// Performs `work` while callers send requests to all boxes.
+    fn with_load<T>(&self, work: impl FnOnce() -> T) -> T {
+        let request = |gateway: &BoxUnderTest| {
+            for (service, _) in SERVICES {
+                drop(gateway.request("GET", &format!("/{service}/load")));
+            }
+        };
+        request_while(&self.boxes, request, PAUSE, work)
+    }
+}
+
+/// Waits until the box serves some requests of each service, one after the other. Each check ends at the first request
+/// that is not served, which takes half a second at most.
+fn wait_until_served(gateway: &BoxUnderTest, when: &str) {
+    /// Number of checks, in which paths are lost or found again many times over.
+    const MAX_CHECKS: usize = 30;
+    let is_served = (0..MAX_CHECKS).any(|_| {
+        thread::sleep(PAUSE);
+        serves(gateway)
+    });
+    assert!(is_served, "{when}: the box at {} does not serve", gateway.host());
+}
+
+/// Returns whether the box serves some requests of each service, one after the other.
+fn serves(gateway: &BoxUnderTest) -> bool {
+    (0..SERVED_IN_A_ROW).all(|number| {
+        SERVICES.iter().all(|(service, _)| {
+            gateway.request("GET", &format!("/{service}/probe-{number}")).status == 200
+        })
+    })
+}
+
+struct CutCase {
+    name: &'static str,
+    /// Numbers of the boxes without paths.
+    cut: &'static [usize],
+    mode: PathMode,
+}
+
+const CUT_CASES: &[CutCase] = &[
+    CutCase { name: "one box, connections hang", cut: &[0], mode: PathMode::Hangs },
+    CutCase { name: "one box, connections are reset", cut: &[0], mode: PathMode::Reset },
+    CutCase { name: "one box, connections are refused", cut: &[3], mode: PathMode::Refused },
+    CutCase { name: "one box, connections are left unread", cut: &[2], mode: PathMode::Unread },
+    CutCase { name: "a whole data centre, connections hang", cut: &[0, 2], mode: PathMode::Hangs },
+    CutCase { name: "a whole data centre, reset", cut: &[1, 3], mode: PathMode::Reset },
+    CutCase { name: "all but one, refused", cut: &[0, 1, 2], mode: PathMode::Refused },
+];
+
+/// Boxes that had lost their paths to the targets refused all requests, while the others served theirs.
+#[test]
+fn boxes_without_paths_to_targets_have_requests_served_by_peers() {
+    for case in CUT_CASES {
+        let world = World::start(4);
+        world.with_load(|| {
+            let wait = |numbers: &[usize], when: &str| {
+                for number in numbers {
+                    wait_until_served(&world.boxes[*number], &format!("{}: {when}", case.name));
+                }
+            };
+            wait(&[0, 1, 2, 3], "before the cut");
+            world.set_paths(case.cut, case.mode);
+            wait(case.cut, "during the cut");
+            world.set_paths(case.cut, PathMode::Open);
+            wait(&[0, 1, 2, 3], "after the cut");
+        });
+    }
+}
