Crash reports: a refused connection counts as the end of a target only if another target is reached

What callers would have seen: a lookup that was open at three boxes when their connections were reset and new ones refused counted as one that ends targets; every box refused it for ten minutes. Found on the search for the same class: a box took its own view of an address for the target's state.

Cause: after a connection closed without an answer, an address that refused the next one meant 'the target has ended', and the record went to all boxes. A box that has lost its paths is refused everywhere.

Change: such a refusal counts only if a connection to another target, of which nothing speaks against being up, is established.

--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -416,6 +416,23 @@
         }
     }
 
+    /// Returns the target at a random place, from 0 to 1, among those of all services other than `key` of which nothing
+    /// speaks against being up; `None` if there is none.
+    pub fn random_sound(
+        &self,
+        now: TimePoint,
+        key: TargetKey,
+        random: f64,
+    ) -> Option<&SteerTarget> {
+        let is_sound = |record: &&TargetRecord| {
+            record.setup.key() != key && record.is_eligible(now) && record.is_believed_up()
+        };
+        let records = self.pools.values().flat_map(TargetPool::all_records);
+        let sound: Vec<&TargetRecord> = records.filter(is_sound).collect();
+        let index = (random * sound.len() as f64) as usize;
+        sound.get(index).map(|record| &record.setup)
+    }
+
     /// Returns the target at a random place, from 0 to 1, among those of `service` that may be chosen now, and the number
     /// of these; of all services if none is given.
     pub fn random_eligible(
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -261,6 +261,12 @@
     }
 
     /// Returns whether the last attempt at the target failed.
+    /// Returns whether the last attempt, here or at a peer, did not fail, and no connection from this box has failed since
+    /// the last one that came up.
+    pub(crate) fn is_believed_up(&self) -> bool {
+        !self.last_failed && self.path_failed_at.is_none()
+    }
+
     pub(crate) fn last_failed(&self) -> bool {
         self.last_failed
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -116,7 +116,12 @@
     let mut stream = match async_std::future::timeout(CONNECT_TIMEOUT, connect).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return AttemptResult::NotConnected(CONNECTION_REFUSED);
+            let is_target = reaches_other_target(plan).await;
+            return AttemptResult::NotConnected(if is_target {
+                CONNECTION_REFUSED
+            } else {
+                "the connection was refused, and so are those to other targets"
+            });
         }
         Ok(Err(_)) => return AttemptResult::NotConnected("the connection was reset"),
         Err(_) => return AttemptResult::NotConnected("the connection did not come up"),
@@ -205,13 +210,26 @@
     request.body_stream.is_some() && !matches!(request.declared_length, BodyLength::Known(_))
 }
 
-/// Returns whether the target that closed a connection has ended. In that case its address refuses new
-/// connections.
+/// Returns whether the target that closed a connection has ended. In that case its address refuses new connections,
+/// while other targets accept them.
 async fn has_ended(plan: &AttemptPlan<'_>) -> bool {
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
     let connect = plan.port.connect_target(plan.address);
     let result = async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await;
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        && reaches_other_target(plan).await
+}
+
+/// Returns whether a connection comes up to another target that is believed to be up, or there is none. Otherwise a
+/// refused connection is no sign that its target has ended: this box may have lost its paths to all of them.
+async fn reaches_other_target(plan: &AttemptPlan<'_>) -> bool {
+    let Some(address) = plan.notices.address_of_sound_target() else {
+        return true;
+    };
+    let remaining = plan.deadline.saturating_duration_since(Instant::now());
+    let connect = plan.port.connect_target(&address);
+    let result = async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await;
+    matches!(result, Ok(Ok(_)))
 }
 
 /// The part of a body that was read, and the decoder for the remainder.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Returns the address of a random target other than the one of the attempt, which is believed to be up; `None` if
+    /// there is none.
+    pub(crate) fn address_of_sound_target(&self) -> Option<Name> {
+        let random: f64 = rand::random();
+        let core = self.context.core();
+        let sound = core.random_sound(self.context.now(), self.key, random);
+        sound.map(|target| target.address.clone())
+    }
+
     /// Returns whether the head of an answer has been read.
     pub(crate) fn is_head_read(&self) -> bool {
         self.is_head_read.load(Ordering::Acquire)
--- a/crates/gateway/tests/harness/paths.rs
+++ b/crates/gateway/tests/harness/paths.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -40,6 +40,8 @@
     addresses: Option<BTreeSet<String>>,
     /// Address at which connections are accepted and left unread.
     unread: Option<SocketAddr>,
+    /// Connections that were established, if they are kept. A connection that is kept does not close when the box drops it.
+    established: Option<Vec<TcpStream>>,
 }
 
 impl TargetPaths {
@@ -57,6 +59,19 @@
         state.addresses = Some(addresses.into_iter().map(str::to_string).collect());
     }
 
+    /// Keeps the connections that are established from now on, for [`TargetPaths::close_established`].
+    pub fn keep_established(&self) {
+        lock(&self.state).established = Some(Vec::new());
+    }
+
+    /// Closes the connections that were kept.
+    pub fn close_established(&self) {
+        for stream in lock(&self.state).established.take().into_iter().flatten() {
+            // Connections of completed requests are already closed.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Opens a connection to `address` by the mode.
     pub fn connect<'a>(&self, address: &'a str) -> BoxFuture<'a, io::Result<TcpStream>> {
         let (mode, unread) = {
@@ -67,14 +82,19 @@
                 .then(|| *state.unread.get_or_insert_with(listen_without_reading));
             (mode, unread)
         };
+        let paths = self.clone();
         Box::pin(async move {
-            match (mode, unread) {
+            let connected = match (mode, unread) {
                 (PathMode::Hangs, _) => futures::future::pending().await,
                 (PathMode::Reset, _) => Err(ErrorKind::ConnectionReset.into()),
                 (PathMode::Refused, _) => Err(ErrorKind::ConnectionRefused.into()),
                 (_, Some(unread)) => TcpStream::connect(unread).await,
                 (_, None) => TcpStream::connect(address).await,
+            };
+            if let Some(established) = &mut lock(&paths.state).established {
+                established.extend(connected.iter().cloned());
             }
+            connected
         })
     }
 }
--- a/crates/gateway/tests/lost_paths.rs
+++ b/crates/gateway/tests/lost_paths.rs
@@ -8,7 +8,7 @@
 
 use harness::{
     BoxUnderTest, CallerReply, PathMode, Script, StoreStandin, TargetPaths, TargetStandin, config,
-    own_host, request_while, route,
+    eventually, own_host, request_while, route,
 };
 use wingbridge_gateway::routes::RouteKind;
 
@@ -22,7 +22,7 @@
 
 /// Boxes in two data centres, the box with number N in the data centre N modulo 2, and their targets.
 struct World {
-    _targets: Vec<TargetStandin>,
+    targets: Vec<TargetStandin>,
     boxes: Vec<BoxUnderTest>,
     paths: Vec<TargetPaths>,
 }
@@ -55,7 +55,7 @@
         for gateway in &boxes {
             gateway.wait_ready();
         }
-        World { _targets: targets, boxes, paths }
+        World { targets, boxes, paths }
     }
 
     fn set_paths(&self, cut: &[usize], mode: PathMode) {
@@ -135,3 +135,39 @@
         });
     }
 }
+
+/// Boxes whose connections were reset and whose new ones were refused took the targets for ended, and the same lookup at
+/// three of them for a request that ends targets: every box refused it for ten minutes.
+#[test]
+fn requests_that_were_open_when_paths_were_lost_do_not_count_as_poison() {
+    const PATH: &str = "/reads/popular";
+    let world = World::start(4);
+    let reads = || world.targets.iter().filter(|target| &*target.entry.service == "reads");
+    reads().for_each(|target| target.set_script(Script::WaitsForRelease));
+    let cut = [0, 1, 2];
+    cut.iter().for_each(|number| world.paths[*number].keep_established());
+    thread::scope(|scope| {
+        let is_held = || reads().filter(|target| !target.requests().is_empty()).count() >= 3;
+        eventually("three targets hold the lookup", || {
+            for number in cut {
+                scope.spawn({
+                    let gateway = &world.boxes[number];
+                    move || drop(request(gateway, PATH))
+                });
+            }
+            thread::sleep(PAUSE);
+            is_held()
+        });
+        world.set_paths(&cut, PathMode::Refused);
+        cut.iter().for_each(|number| world.paths[*number].close_established());
+    });
+    reads().for_each(TargetStandin::release);
+    for gateway in &world.boxes[3..] {
+        assert_eq!(request(gateway, PATH).status, 200, "the lookup is served");
+    }
+    world.set_paths(&cut, PathMode::Open);
+    for gateway in &world.boxes {
+        wait_until_served(gateway, "after the cut");
+        assert_eq!(request(gateway, PATH).status, 200, "the lookup is served after the cut");
+    }
+}
