Explain: boxes without paths, and requests that other boxes handled

Cause: a relayed request has a line of each box, so that the report counted it twice, and nothing showed which boxes had lost their paths.

Change: the line of the box that handled it counts for its row alone; a table has losses, returns, relayed and handled requests by box.

--- a/crates/ctl/src/explain/log_line.rs
+++ b/crates/ctl/src/explain/log_line.rs
@@ -6,6 +6,7 @@
 
 use super::excluded_targets::{ExclusionCause, ExclusionLine};
 use super::limited_targets::{LimitEvent, LimitLine};
+use super::lost_paths::PathEvent;
 use super::poison_requests::EndedLine;
 use super::propagation::{InForceLine, UnlistedLine};
 
@@ -54,6 +55,8 @@
     pub(super) targets_ended: u32,
     /// Whether a target ended during one of the attempts.
     pub(super) target_ended: bool,
+    /// Whether another box handled the request.
+    pub(super) relayed: bool,
 }
 
 /// A decoded log line, with the name of the box that wrote it.
@@ -78,6 +81,11 @@
     Excluded(ExclusionLine),
     /// A target announced or ended its limit, or received a request under it.
     Limit(LimitLine),
+    /// Paths of a box to the targets were lost or restored, or a request was handled for another box.
+    Paths {
+        at_ms: i64,
+        event: PathEvent,
+    },
     /// Any other event, which the report does not use.
     Other,
 }
@@ -133,6 +141,10 @@
     backoff_ms: String,
     #[serde(default)]
     per_second: String,
+    #[serde(default)]
+    relayed_from: String,
+    #[serde(default)]
+    relayed_to: String,
 }
 
 /// Decodes the JSON object of a log line.
@@ -148,6 +160,10 @@
 
 fn decode_event(raw: RawLine) -> eyre::Result<LogEvent> {
     match raw.event.as_str() {
+        // The line of the box that accepted the request counts for it.
+        "request" if !raw.relayed_from.is_empty() => path_event(&raw, PathEvent::RelayedFrom),
+        "paths-lost" => path_event(&raw, PathEvent::Lost),
+        "paths-restored" => path_event(&raw, PathEvent::Restored),
         "request" => Ok(LogEvent::Request(Box::new(decode_request(raw)?))),
         "started" => Ok(LogEvent::Started(raw.data_centre)),
         "configuration-in-force" => Ok(LogEvent::InForce(InForceLine {
@@ -180,6 +196,10 @@
     }
 }
 
+fn path_event(raw: &RawLine, event: PathEvent) -> eyre::Result<LogEvent> {
+    Ok(LogEvent::Paths { at_ms: time_ms(&raw.time)?, event })
+}
+
 fn exclusion(raw: RawLine, cause: ExclusionCause) -> eyre::Result<LogEvent> {
     let at_ms = time_ms(&raw.time)?;
     Ok(LogEvent::Excluded(ExclusionLine { target: raw.target, at_ms, cause }))
@@ -209,6 +229,7 @@
         view_age_ms: raw.view_age_ms.parse().unwrap_or_default(),
         targets_ended: raw.targets_ended.parse().unwrap_or_default(),
         target_ended: raw.attempt_log.contains(TARGET_ENDED),
+        relayed: !raw.relayed_to.is_empty(),
         fingerprint: raw.fingerprint,
         path: raw.path,
         customer: raw.customer,
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -16,6 +16,7 @@
 mod log_line;
 mod log_objects;
 mod losses;
+mod lost_paths;
 mod poison_requests;
 mod propagation;
 mod report;
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -13,6 +13,7 @@
 use super::log_line::{BoxLine, LogEvent, decode};
 use super::log_objects::{LogObject, log_objects};
 use super::losses::{LossCounts, LossRow, ServiceRow};
+use super::lost_paths::{LostPathsCounts, LostPathsRow, PathEvent};
 use super::poison_requests::{PoisonCounts, PoisonRow};
 use super::propagation::{PropagationTimes, UnlistedReport, VersionRow};
 use super::seconds::{SecondCounts, SecondRow};
@@ -62,6 +63,8 @@
     /// Targets that had a limit for some of the time, with the requests that they received.
     #[serde(rename = "limited")]
     pub limited_targets: Vec<LimitedRow>,
+    /// Boxes that had lost their paths to the targets, and those that handled requests for them.
+    pub lost_paths: Vec<LostPathsRow>,
 }
 
 /// A JSON object of a log that can't be decoded.
@@ -108,6 +111,7 @@
     poison_requests: PoisonCounts,
     excluded_targets: ExclusionCounts,
     limited_targets: LimitCounts,
+    lost_paths: LostPathsCounts,
 }
 
 impl ReportBuilder {
@@ -140,6 +144,9 @@
                 self.seconds.record(&line);
                 self.poison_requests.record_request(box_name, &line);
                 self.excluded_targets.record_request(&line);
+                if line.relayed {
+                    self.lost_paths.record(box_name, line.ended_ms, PathEvent::RelayedTo);
+                }
             }
             LogEvent::Ended(line) => self.poison_requests.record_ended(line),
             LogEvent::Started(data_centre) => {
@@ -154,6 +161,7 @@
             }
             LogEvent::Excluded(line) => self.excluded_targets.record(box_name, &line),
             LogEvent::Limit(line) => self.limited_targets.record(box_name, &line),
+            LogEvent::Paths { at_ms, event } => self.lost_paths.record(box_name, at_ms, event),
             LogEvent::Request(_) | LogEvent::Other => {}
         }
         Ok(())
@@ -177,6 +185,7 @@
             poison_requests: self.poison_requests.rows(),
             excluded_targets: self.excluded_targets.rows(),
             limited_targets: self.limited_targets.rows(),
+            lost_paths: self.lost_paths.rows(),
         }
     }
 }
--- a/crates/ctl/src/explain/tables.rs
+++ b/crates/ctl/src/explain/tables.rs
@@ -4,12 +4,15 @@
 use super::excluded_targets::ExcludedRow;
 use super::limited_targets::LimitedRow;
 use super::losses::{LossRow, ServiceRow};
+use super::lost_paths::LostPathsRow;
 use super::poison_requests::PoisonRow;
 use super::propagation::VersionRow;
 use super::report::{LogReport, OLD_VIEW_MS};
 use super::seconds::SecondRow;
 use crate::output::table;
 
+/// Maximum number of rows in the table of boxes without paths. The JSON report has all rows.
+const MAX_LOST_PATHS_ROWS: usize = 40;
 /// Maximum number of rows in the table of losses. The JSON report has all rows.
 const MAX_LOSS_ROWS: usize = 20;
 /// Minimum number of requests of a row in the calibration table. Rows with fewer requests say little about the
@@ -62,6 +65,8 @@
             self.excluded_table(),
             "targets that named a limit, with the requests of all boxes in 4 s:".to_string(),
             self.limited_table(),
+            "boxes without paths to targets, and requests that others handled:".to_string(),
+            self.lost_paths_table(),
         ]
         .join("\n\n")
     }
@@ -216,6 +221,23 @@
         table(&headings, &rows)
     }
 
+    fn lost_paths_table(&self) -> String {
+        let row = |row: &LostPathsRow| {
+            vec![
+                row.box_name.clone(),
+                row.losses.to_string(),
+                row.restored.to_string(),
+                row.since_ms.to_string(),
+                row.relayed.to_string(),
+                row.handled.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> =
+            self.lost_paths.iter().take(MAX_LOST_PATHS_ROWS).map(row).collect();
+        let headings = ["box", "losses", "restored", "since ms", "relayed", "handled for others"];
+        table(&headings, &rows)
+    }
+
     fn version_table(&self) -> String {
         let row = |row: &VersionRow| {
             vec![
