Settings: the address from which targets are connected to

Cause: on a machine with several addresses the system chose one, and a relay in front of a target could not tell boxes apart, which the soak needs to cut single boxes from all targets.

Metrics count a relayed request once, at the box that accepted it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod routing;
 pub mod run;
 pub mod settings;
+pub mod source_address;
 mod stopping;
 mod store_backoff;
 pub mod store_revision;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -219,6 +219,11 @@
         "request"
     );
     let labels = [("service", trace.service), ("outcome", outcome.to_string())];
+    if !trace.relayed_from.is_empty() {
+        // The box that accepted the request counts it.
+        metrics::counter!("wingbridge_relayed_requests", &labels).increment(1);
+        return;
+    }
     metrics::counter!("wingbridge_requests", &labels).increment(1);
     metrics::histogram!("wingbridge_request_millis")
         .record(received_at.elapsed().as_secs_f64() * 1000.0);
