Tests of relays: what may run, what the peer learns, and who is served

Cause: the table of cuts shows that requests are served; nothing showed what holds while a peer handles them.

Change: a scripted peer (answers, declines, closes after the request, reaches nothing, other key, hangs) and real boxes: refusals are true, a link that dies after the request means 'unknown', the customer's key never leaves the first box, a stranger without the fleet key is not served, a caller that leaves is known at the target through both boxes, bodies of 3 MiB in and 2 MiB out pass whole, all cut is refused as not run, a service that is down for all and one that is lost alone.

--- /dev/null
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -0,0 +1,137 @@
+//! A peer that handles requests for a box by a script.
+
+use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use prost::Message;
+use wingbridge_wire::gossip::{Datagram, DatagramBody, ExchangeRequest, Heartbeat};
+use wingbridge_wire::handshake::prove;
+use wingbridge_wire::paths::PathStatement;
+use wingbridge_wire::relay::{RelayDecision, RelayOutcome, RelayRequest, RelayResult};
+use wingbridge_wire::{FleetKey, HandshakeSide, WireError, receive_exact, send_message};
+
+use super::{EXCHANGE, GOSSIP, lock};
+
+/// What the peer does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayScript {
+    /// Answers it with the status 200.
+    Answers,
+    /// Does not take it.
+    Declines,
+    /// Takes it, reads it and closes the connection.
+    ClosesAfterRequest,
+    /// Answers that it reached no target.
+    ReachesNoTarget,
+    /// Has another fleet key.
+    OtherKey,
+    /// Sends nothing.
+    Silent,
+}
+
+/// A peer that states contacts with targets and handles requests by a script.
+pub struct RelayPeer {
+    /// The requests that it was offered, each with its head and the beginning of its body.
+    received: Arc<Mutex<Vec<(RelayRequest, Vec<u8>)>>>,
+}
+
+impl RelayPeer {
+    /// Starts a peer at `host` that makes itself known to the box at `known_to`.
+    pub fn start(host: IpAddr, known_to: IpAddr, script: RelayScript) -> RelayPeer {
+        let socket = UdpSocket::bind(SocketAddr::new(host, GOSSIP)).expect("the address is free");
+        let sending = socket.try_clone().expect("a socket can be shared");
+        thread::spawn(move || {
+            let address = SocketAddr::new(known_to, GOSSIP);
+            // The box may end before the test does.
+            while sending.send_to(&heartbeat(), address).is_ok() {
+                thread::sleep(Duration::from_millis(200));
+            }
+        });
+        thread::spawn(move || state_contacts(&socket));
+        let listener = task::block_on(TcpListener::bind(SocketAddr::new(host, EXCHANGE)));
+        let listener = listener.expect("the address is free");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let recorded = Arc::clone(&received);
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // The box closes connections that it has no use for.
+                let _ = serve(stream, script, &recorded).await;
+            }
+        });
+        RelayPeer { received }
+    }
+
+    /// Returns the requests that the peer was offered, with what it read of them.
+    pub fn received(&self) -> Vec<(RelayRequest, Vec<u8>)> {
+        lock(&self.received).clone()
+    }
+}
+
+fn datagram(body: DatagramBody) -> Vec<u8> {
+    let (box_id, data_centre) = ("peer".into(), "centre".into());
+    Datagram { box_id, data_centre, incarnation: 1, body: Some(body), link_mbps: 0 }.encode_to_vec()
+}
+
+fn heartbeat() -> Vec<u8> {
+    datagram(DatagramBody::Heartbeat(Heartbeat::default()))
+}
+
+fn state_contacts(socket: &UdpSocket) {
+    let mut buffer = [0; 4096];
+    while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+        let Ok(Datagram { body: Some(DatagramBody::PathQuestion(question)), .. }) =
+            Datagram::decode(&buffer[..length])
+        else {
+            continue;
+        };
+        let statement = PathStatement {
+            service: question.service,
+            run: question.run,
+            contacts: 20,
+            ..PathStatement::default()
+        };
+        // A statement that is lost is asked for again.
+        let _ = socket.send_to(&datagram(DatagramBody::PathStatement(statement)), from);
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    script: RelayScript,
+    received: &Mutex<Vec<(RelayRequest, Vec<u8>)>>,
+) -> Result<(), WireError> {
+    let _offer: ExchangeRequest = receive_exact(&mut stream, 1024).await?;
+    if script == RelayScript::Silent {
+        task::sleep(Duration::from_secs(5)).await;
+    }
+    let secret = if script == RelayScript::OtherKey { "another" } else { "" };
+    prove(&mut stream, &FleetKey::derive(secret), HandshakeSide::Server).await?;
+    let request: RelayRequest = receive_exact(&mut stream, 64 * 1024).await?;
+    lock(received).push((request, Vec::new()));
+    if script == RelayScript::Declines {
+        return send_message(&stream, &RelayDecision { declined: "not now".into() }).await;
+    }
+    send_message(&stream, &RelayDecision::default()).await?;
+    let mut beginning = vec![0; 4096];
+    let length = stream.read(&mut beginning).await?;
+    beginning.truncate(length);
+    if let Some(last) = lock(received).last_mut() {
+        last.1 = beginning;
+    }
+    let (outcome, runs, head) = match script {
+        RelayScript::ReachesNoTarget => {
+            (RelayOutcome::NotRun, 0, "HTTP/1.1 503 Unavailable\r\nRetry-After: 0.5\r\n")
+        }
+        RelayScript::Answers => (RelayOutcome::Answered, 1, "HTTP/1.1 200 Fine\r\n"),
+        _ => return Ok(()),
+    };
+    let result = RelayResult { outcome: outcome.into(), possible_runs: runs, deliveries: runs };
+    send_message(&stream, &result).await?;
+    stream.write_all(format!("{head}Content-Length: 5\r\n\r\nhello").as_bytes()).await?;
+    Ok(())
+}
