Soak: boxes lose their paths to all targets, and are compared with the others

Cause: relays stood in front of single targets, for 0.3 to 5 s, and no check compared boxes with each other, so that a box whose every request was refused broke nothing.

Change: one box, all but one, or a data centre lose their paths (silent, one way, closed) for 0.5 to 12 s, once in ten seconds of faults, from a seed of its own. From 3 s on, requests at these boxes must be served at least two thirds as often as at the others, but for 10 and one in 50.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -40,6 +40,8 @@
 const MAX_SENDS_AFTER: usize = 3;
 /// Number of targets that end before a request has to count as a poison request.
 const POISON_THRESHOLD: usize = 3;
+/// Number of requests that may fail at boxes without paths to the targets, beside one in fifty of all.
+const MAX_FAILED_IN_CUTS: usize = 10;
 /// Maximum number of retries per request.
 const MAX_RETRY_RATIO: f64 = 0.2;
 /// Time window in which requests and retries are counted.
@@ -125,6 +127,7 @@
             poison_over_limit(evidence),
             0,
         ),
+        Violation::of("boxes without paths have requests served", unserved_in_cuts(evidence), 0),
         Violation::of("processes run until they are stopped", evidence.process_faults.clone(), 0),
         Violation::of("service returns after faults", not_recovered, 0),
     ];
@@ -359,6 +362,56 @@
     cases
 }
 
+/// Compares the requests at boxes that have lost their paths to all targets with those at the others at the same time,
+/// once the boxes had time to notice.
+fn unserved_in_cuts(evidence: &SoakEvidence) -> Vec<String> {
+    let spans = &evidence.spans;
+    let covers = |index: usize, at: Instant| {
+        let from = at.checked_sub(CONNECTED_AFTER + evidence.margin).unwrap_or(at);
+        spans.covers(&SpanScope::Paths(index), from, at)
+    };
+    let touches = |index: usize, at: Instant| {
+        let from = at.checked_sub(CONNECTED_AFTER).unwrap_or(at);
+        spans.overlaps(&SpanScope::Paths(index), from, at)
+    };
+    let boxes = evidence.records.iter().map(|record| record.index).max().map_or(0, |last| last + 1);
+    let (mut cut, mut others) = (ServedCount::default(), ServedCount::default());
+    for record in &evidence.records {
+        let (index, at) = (record.index, record.sent);
+        if !spans.was_connected(index, at, record.ended, CONNECTED_AFTER) {
+            continue;
+        }
+        if covers(index, at) {
+            cut.add(record);
+        } else if !touches(index, at) && (0..boxes).any(|other| covers(other, at)) {
+            others.add(record);
+        }
+    }
+    let failed = cut.all - cut.served;
+    let is_worse =
+        cut.served as f64 * others.all as f64 * 1.5 < others.served as f64 * cut.all as f64;
+    let is_broken = is_worse && failed > MAX_FAILED_IN_CUTS + (cut.all + others.all) / 50;
+    let text = || {
+        let ServedCount { served, all } = others;
+        format!("{} of {} served, at the others {served} of {all}", cut.served, cut.all)
+    };
+    is_broken.then(text).into_iter().collect()
+}
+
+/// Requests, and those that were served.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServedCount {
+    all: usize,
+    served: usize,
+}
+
+impl ServedCount {
+    fn add(&mut self, record: &CallerRecord) {
+        self.all += 1;
+        self.served += usize::from(matches!(record.end, CallerEnd::Answered(200..=299, _)));
+    }
+}
+
 /// Returns the index of the box that received a request, which the request's id contains.
 pub(crate) fn box_of(request: &str) -> Option<usize> {
     request.split_once('-')?.0.parse().ok()
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -9,8 +9,8 @@
 use wingbridge_platform_standins::{StoreMode, TargetMode};
 
 use crate::environment::SoakEnvironment;
-use crate::fleet::{BoxProcess, BoxSetup, STOP_TIMEOUT};
-use crate::plan::{FaultPlan, PlannedFault};
+use crate::fleet::{BoxLocation, BoxProcess, BoxSetup, STOP_TIMEOUT};
+use crate::plan::{CutScope, FaultPlan, PlannedFault};
 use crate::relay::RelayMode;
 use crate::spans::{SpanLog, SpanScope};
 use crate::starvation::{STARVATION_THRESHOLD, StarvationMonitor};
@@ -58,6 +58,7 @@
     RewriteLost,
     EndStorePath(usize, usize),
     EndTargetPath(usize),
+    EndCut(CutScope, usize),
     EndTarget(usize),
     EndRest(usize),
     EndLimit(usize),
@@ -167,8 +168,9 @@
     /// Returns an error if a process can't be started or signalled.
     pub fn run_plan(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.started = Instant::now();
-        for (at, fault) in
-            plan.faults.iter().chain(&plan.notices).chain(&plan.limits).chain(&plan.returns)
+        for (at, fault) in [&plan.faults, &plan.notices, &plan.limits, &plan.returns, &plan.cuts]
+            .into_iter()
+            .flatten()
         {
             self.schedule_at(*at, DriverStep::Begin(*fault));
         }
@@ -276,6 +278,12 @@
             DriverStep::EndTargetPath(index) => {
                 self.environment.set_target_relay_mode(index, RelayMode::Open)
             }
+            DriverStep::EndCut(scope, first_span) => {
+                self.set_box_paths(scope, None);
+                for number in 0..self.cut_boxes(scope).count() {
+                    self.spans.end(first_span + number);
+                }
+            }
             DriverStep::EndTarget(index) => {
                 self.environment.set_target_mode(index, TargetMode::Healthy)
             }
@@ -338,6 +346,16 @@
                 self.environment.set_target_relay_mode(index, mode);
                 self.schedule_in(time, DriverStep::EndTargetPath(index));
             }
+            PlannedFault::CutBoxes(scope, mode, time) => {
+                self.set_box_paths(scope, Some(mode));
+                let spans = self.cut_boxes(scope);
+                let spans =
+                    spans.map(|location| self.spans.begin(SpanScope::Paths(location.index)));
+                // The spans of a cut have consecutive numbers, since only this thread begins spans.
+                if let Some(first_span) = spans.min() {
+                    self.schedule_in(time, DriverStep::EndCut(scope, first_span));
+                }
+            }
             PlannedFault::Target(index, mode, time) => {
                 self.environment.set_target_mode(index, mode);
                 self.schedule_in(time, DriverStep::EndTarget(index));
@@ -374,6 +392,16 @@
         Ok(())
     }
 
+    fn set_box_paths(&self, scope: CutScope, mode: Option<RelayMode>) {
+        for location in self.cut_boxes(scope) {
+            self.environment.set_box_path_mode(location.host, mode);
+        }
+    }
+
+    fn cut_boxes(&self, scope: CutScope) -> impl Iterator<Item = &BoxLocation> {
+        self.setup.locations.iter().filter(move |location| scope.contains(location.index))
+    }
+
     fn kill_box(&mut self, index: usize) -> std::io::Result<()> {
         let state = self.states[index];
         if let BoxState::Down { .. } = state {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -1,6 +1,7 @@
 //! The environment of the boxes: the store, targets behind relays, and the configuration.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 };
 
 use crate::lock;
-use crate::relay::{LoopbackRelay, RelayMode};
+use crate::relay::{ClientPaths, LoopbackRelay, RelayMode};
 
 /// Names of the services for repeatable requests, orders and downloads.
 pub const SERVICES: [&str; 3] = ["reads", "orders", "loads"];
@@ -31,6 +32,8 @@
     /// Requests that reached targets.
     pub arrivals: ArrivalLog,
     slots: Vec<TargetSlot>,
+    /// Paths from each box to all targets.
+    box_paths: ClientPaths,
     instances: u64,
     config: ConfigHistory,
     /// Number of routes in each configuration that callers do not use.
@@ -81,6 +84,7 @@
             store: StoreStandin::start("127.0.0.1")?,
             arrivals: ArrivalLog::default(),
             slots: Vec::new(),
+            box_paths: ClientPaths::default(),
             instances: 0,
             config: ConfigHistory::default(),
             extra_routes,
@@ -89,7 +93,8 @@
         for index in 0..targets {
             // Half of the targets serve orders, as most requests are orders.
             let service = SERVICES[[1, 0, 1, 2][index % 4]];
-            let relay = LoopbackRelay::start("127.0.0.1", None)?;
+            let relay =
+                LoopbackRelay::start_with("127.0.0.1", None, environment.box_paths.clone())?;
             let slot = environment.start_target(relay, service, index)?;
             environment.slots.push(slot);
         }
@@ -117,6 +122,11 @@
         self.slots[index].relay.set_mode(mode);
     }
 
+    /// Sets how connections from the box at `host` to all targets are relayed; `None` for the mode of each target.
+    pub fn set_box_path_mode(&self, host: IpAddr, mode: Option<RelayMode>) {
+        self.box_paths.set_mode(host, mode);
+    }
+
     /// Sets the fault mode of the target.
     pub fn set_target_mode(&self, index: usize, mode: TargetMode) {
         self.slots[index].target.set_mode(mode);
@@ -186,7 +196,7 @@
             true => SERVICES[(index + 1) % SERVICES.len()],
             false => service,
         };
-        let relay = LoopbackRelay::start("127.0.0.1", None)?;
+        let relay = LoopbackRelay::start_with("127.0.0.1", None, self.box_paths.clone())?;
         // A relay that has stopped can't listen again, so the target gets a new address.
         let relay = match self.slots[index].relay.has_stopped() {
             true => relay,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -123,6 +123,7 @@
             format!("--gossip-port={GOSSIP}", GOSSIP = GOSSIP_PORT),
             format!("--seeds={}", seeds.join(",")),
             format!("--store={}", self.store_relay.address()),
+            format!("--source-address={host}"),
             format!("--stop-time={}ms", STOP_TIMEOUT.as_millis()),
             format!("--retry-slack={RETRY_SLACK}"),
             format!("--overload-control={}", setup.overload),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -49,11 +49,35 @@
     /// Some configurations are written. Then the store has this fault for this time and comes back from a
     /// copy of this age. The operators and the targets write again what it has lost.
     ReturnFromCopy(StoreMode, Duration, Duration),
+    /// The paths from these boxes to all targets have this mode for this time.
+    CutBoxes(CutScope, RelayMode, Duration),
     /// A target announces this limit in its answers, in millionths of a request per second, for
     /// this time.
     NameLimit(usize, u64, Duration),
 }
 
+/// The boxes that lose their paths to the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutScope {
+    /// One box.
+    One(usize),
+    /// All but one box.
+    AllBut(usize),
+    /// The boxes of a data centre, those whose number has this remainder when divided by two.
+    DataCentre(usize),
+}
+
+impl CutScope {
+    /// Returns whether the box with that number loses its paths.
+    pub fn contains(self, index: usize) -> bool {
+        match self {
+            CutScope::One(one) => index == one,
+            CutScope::AllBut(other) => index != other,
+            CutScope::DataCentre(remainder) => index % 2 == remainder,
+        }
+    }
+}
+
 /// All faults of a run, with the times at which they begin.
 #[derive(Debug, Clone)]
 pub struct FaultPlan {
@@ -66,6 +90,8 @@
     pub limits: Vec<(Duration, PlannedFault)>,
     /// Returns of the store from a copy, with the times at which the changes before them begin.
     pub returns: Vec<(Duration, PlannedFault)>,
+    /// Boxes that lose their paths to the targets, with the times at which that begins.
+    pub cuts: Vec<(Duration, PlannedFault)>,
     /// Poison requests.
     pub poison_rounds: Vec<PoisonRound>,
 }
@@ -97,7 +123,10 @@
 /// Returns of the store from a copy per second of faults.
 const RETURNS_PER_S: f64 = 0.1;
 const RETURN_SEED: u64 = 0xc0b1;
-/// Poison requests, like notices, limits and returns, are drawn from a random source of their own, so that
+/// Times per second of faults at which boxes lose their paths to all targets.
+const CUTS_PER_S: f64 = 0.1;
+const CUT_SEED: u64 = 0x0c07;
+/// Poison requests, like notices, limits, returns and cuts, are drawn from a random source of their own, so that
 /// adding them left the other faults of each seed unchanged.
 const POISON_SEED: u64 = 0xdead;
 
@@ -125,7 +154,8 @@
         faults.sort_by_key(|(at, _)| *at);
         let (notices, poison_rounds) = (draw_notices(seed, size), draw_poison_rounds(seed, size));
         let (limits, returns) = (draw_limits(seed, size), draw_returns(seed, size));
-        FaultPlan { faults, notices, limits, returns, poison_rounds }
+        let cuts = draw_cuts(seed, size);
+        FaultPlan { faults, notices, limits, returns, cuts, poison_rounds }
     }
 }
 
@@ -201,6 +231,34 @@
     (0..count).map(&mut draw).collect()
 }
 
+fn draw_cuts(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ CUT_SEED);
+    let count = (size.time.as_secs_f64() * CUTS_PER_S).ceil() as usize;
+    let mut draw = |_| {
+        let at = size.time.mul_f64(random.random());
+        let index = random.random_range(0..size.boxes);
+        let scope = match random.random_range(0..3) {
+            0 => CutScope::One(index),
+            1 => CutScope::AllBut(index),
+            _ => CutScope::DataCentre(index % 2),
+        };
+        let mode = match random.random_range(0..3) {
+            0 => RelayMode::Silent,
+            1 => RelayMode::OneWay,
+            _ => RelayMode::Closed,
+        };
+        (
+            at,
+            PlannedFault::CutBoxes(
+                scope,
+                mode,
+                Duration::from_millis(random.random_range(500..12_000)),
+            ),
+        )
+    };
+    (0..count).map(&mut draw).collect()
+}
+
 fn draw_poison_rounds(seed: u64, size: &PlanSize) -> Vec<PoisonRound> {
     let mut random = StdRng::seed_from_u64(seed ^ POISON_SEED);
     let count = (size.time.as_secs_f64() * POISON_ROUNDS_PER_S).ceil() as usize;
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -1,7 +1,8 @@
 //! A TCP relay on loopback that injects network faults: delays, silence and closed connections.
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -28,6 +29,27 @@
     Closed,
 }
 
+/// The paths of single clients, which several relays share: the mode that replaces the one of each relay, by the
+/// address from which a client connects.
+#[derive(Debug, Clone, Default)]
+pub struct ClientPaths {
+    modes: Arc<Mutex<HashMap<IpAddr, RelayMode>>>,
+}
+
+impl ClientPaths {
+    /// Sets the mode of the connections from `client`; `None` for the mode of each relay.
+    pub fn set_mode(&self, client: IpAddr, mode: Option<RelayMode>) {
+        match mode {
+            Some(mode) => drop(lock(&self.modes).insert(client, mode)),
+            None => drop(lock(&self.modes).remove(&client)),
+        }
+    }
+
+    fn mode(&self, client: IpAddr) -> Option<RelayMode> {
+        lock(&self.modes).get(&client).copied()
+    }
+}
+
 /// A relay that listens on a port chosen by the system.
 #[derive(Debug)]
 pub struct LoopbackRelay {
@@ -38,6 +60,7 @@
 #[derive(Debug)]
 struct RelayShared {
     mode: Mutex<RelayMode>,
+    client_paths: ClientPaths,
     /// Address to which new connections are relayed; `None` while there is no server.
     upstream: Mutex<Option<SocketAddr>>,
     /// Whether the relay no longer listens.
@@ -50,10 +73,23 @@
     /// # Errors
     /// Returns an error if no port of `host` can be bound.
     pub fn start(host: &str, upstream: Option<SocketAddr>) -> std::io::Result<LoopbackRelay> {
+        LoopbackRelay::start_with(host, upstream, ClientPaths::default())
+    }
+
+    /// Starts a relay like [`LoopbackRelay::start`], whose clients have the paths `client_paths`.
+    ///
+    /// # Errors
+    /// Returns an error if no port of `host` can be bound.
+    pub fn start_with(
+        host: &str,
+        upstream: Option<SocketAddr>,
+        client_paths: ClientPaths,
+    ) -> std::io::Result<LoopbackRelay> {
         let listener = TcpListener::bind((host, 0))?;
         let address = listener.local_addr()?;
         let shared = Arc::new(RelayShared {
             mode: Mutex::new(RelayMode::Open),
+            client_paths,
             upstream: Mutex::new(upstream),
             stopped: AtomicBool::new(false),
         });
@@ -100,14 +136,19 @@
 }
 
 impl RelayShared {
-    fn mode(&self) -> RelayMode {
-        *lock(&self.mode)
+    fn mode(&self, client: IpAddr) -> RelayMode {
+        self.client_paths.mode(client).unwrap_or(*lock(&self.mode))
     }
 }
 
 fn relay_connection(client: &TcpStream, shared: &Arc<RelayShared>) {
     let upstream = *lock(&shared.upstream);
-    if shared.mode() == RelayMode::Closed {
+    // An error means that the connection is closed already.
+    let Ok(peer) = client.peer_addr() else {
+        return;
+    };
+    let client_ip = peer.ip();
+    if shared.mode(client_ip) == RelayMode::Closed {
         return;
     }
     let Some(server) = upstream.and_then(|address| TcpStream::connect(address).ok()) else {
@@ -117,22 +158,28 @@
         return;
     };
     let answer_shared = Arc::clone(shared);
-    let answers = thread::spawn(move || copy(server, client_out, &answer_shared, true));
+    let answers = thread::spawn(move || copy(server, client_out, &answer_shared, client_ip, true));
     if let Ok(client_in) = client.try_clone() {
-        copy(client_in, server_out, shared, false);
+        copy(client_in, server_out, shared, client_ip, false);
     }
     // A panic in the copying thread affects this connection only.
     let _ = answers.join();
 }
 
 /// Copies one direction until its source ends, and then closes that direction at the destination.
-fn copy(mut from: TcpStream, mut to: TcpStream, shared: &RelayShared, is_answer: bool) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    shared: &RelayShared,
+    client: IpAddr,
+    is_answer: bool,
+) {
     let mut chunk = vec![0; CHUNK_BYTES];
     if from.set_read_timeout(Some(HOLD_POLL_INTERVAL)).is_err() {
         return;
     }
     loop {
-        let mode = shared.mode();
+        let mode = shared.mode(client);
         if mode == RelayMode::Closed {
             break;
         }
--- a/crates/soak/src/spans.rs
+++ b/crates/soak/src/spans.rs
@@ -12,6 +12,8 @@
     Box(usize),
     /// The box with this index, by a planned stop.
     PlannedStop(usize),
+    /// The paths from the box with this index to all targets.
+    Paths(usize),
     /// The store, which affects all boxes.
     Store,
 }
@@ -60,6 +62,13 @@
         of_scope.any(|span| span.from <= until && span.until.is_none_or(|end| end >= from))
     }
 
+    /// Returns whether `scope` was disturbed all the time between `from` and `until`.
+    pub fn covers(&self, scope: &SpanScope, from: Instant, until: Instant) -> bool {
+        let spans = lock(&self.spans);
+        let mut of_scope = spans.iter().filter(|span| span.scope == *scope);
+        of_scope.any(|span| span.from <= from && span.until.is_none_or(|end| end >= until))
+    }
+
     /// Returns whether box `index` was connected: neither the box nor the store was disturbed
     /// between `from` and `until`, nor during `lead_time` before `from`.
     pub fn was_connected(
