Suspects in the store: nothing is noted that was seen on lost paths

What callers would have seen: a box that reached no target noted all of them as suspects, and boxes that started avoided healthy targets. Found on the search for the same class: the writer's own view went for the targets' state.

Cause: the note has what the box that reads the store suspects, whatever its paths.

Change: while its last attempt came to no contact, or paths were lost within 5 s, the box keeps its last note.

--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -43,6 +43,9 @@
 const LOST_ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the last failure after which a run says nothing any more.
 const RUN_LIFETIME: Duration = Duration::from_secs(10);
+/// Time after which nothing that was seen on lost paths counts against a target any more: failure estimates fade in a few
+/// seconds.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Contacts that peers had this shortly after the paths began to fail may be from before that, since the boxes lose
 /// their paths at slightly different moments.
 const CONTACT_MARGIN: Duration = Duration::from_millis(50);
@@ -122,6 +125,8 @@
     scopes: HashMap<PathScope, ScopePaths>,
     recent: RecentAttempts,
     runs: u64,
+    /// When paths were last known to be lost.
+    lost_at: Option<TimePoint>,
 }
 
 /// The paths to the targets of a scope since the first of the attempts without a contact.
@@ -192,6 +197,9 @@
             }
             !is_dropped
         });
+        if self.scopes.values().any(|paths| paths.state == PathState::Lost) {
+            self.lost_at = Some(now);
+        }
         // If no service is reached, the questions about all of them say the same as those about each.
         let only_all = self.state_of(&PathScope::All) != PathState::Reaching;
         let asked = self.scopes.iter_mut().filter(|(scope, paths)| {
@@ -206,6 +214,14 @@
         self.scopes.values().any(|paths| paths.state != PathState::Reaching)
     }
 
+    /// Returns whether what this box knows of targets was seen on sound paths: its last attempt came to a contact, and no
+    /// paths were lost within [`SETTLE_TIME`].
+    pub fn is_settled(&self, now: TimePoint) -> bool {
+        !self.scopes.contains_key(&PathScope::All)
+            && !self.is_watching()
+            && self.lost_at.is_none_or(|lost_at| now.since(lost_at) >= SETTLE_TIME)
+    }
+
     /// Returns what this box states of its attempts within `age`, to a peer that asked.
     pub fn count_contacts(
         &self,
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -110,6 +110,11 @@
         self.state(service) == PathState::Lost
     }
 
+    /// Returns whether what this box knows of targets was seen on sound paths.
+    pub(crate) fn is_settled(&self, now: TimePoint) -> bool {
+        lock(&self.monitor).is_settled(now)
+    }
+
     /// Returns the state of the paths to the targets of `service`.
     pub(crate) fn state(&self, service: &Name) -> PathState {
         lock(&self.monitor).state(service)
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -331,13 +331,17 @@
         }
     }
 
-    /// Returns the suspects for the note. They are only noted where overload control sheds load, since each write
+    /// Returns the suspects for the note: those of the last one while this box can't tell. They are only noted where overload control sheds load, since each write
     /// is a call to the store.
     fn noted_suspects(&self) -> Vec<TargetKey> {
         let context = &self.context;
         if !context.settings.overload.sheds_load() {
             return Vec::new();
         }
+        // A box that reaches no target suspects all of them, and every box that starts would avoid them.
+        if !context.paths.is_settled(context.now()) {
+            return self.suspects_written.clone();
+        }
         let suspects = context.core().suspects(context.now(), &context.settings.data_centre);
         suspects.into_iter().take(MAX_NOTED_SUSPECTS).collect()
     }
--- a/crates/gateway/tests/lost_paths.rs
+++ b/crates/gateway/tests/lost_paths.rs
@@ -4,13 +4,14 @@
 
 use std::net::IpAddr;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::{
     BoxUnderTest, CallerReply, PathMode, Script, StoreStandin, TargetPaths, TargetStandin, config,
     eventually, own_host, request_while, route,
 };
 use wingbridge_gateway::routes::RouteKind;
+use wingbridge_gateway::{GatewaySettings, OverloadControl};
 
 const SERVICES: [(&str, RouteKind); 2] =
     [("reads", RouteKind::Repeatable), ("orders", RouteKind::AtMostOnce)];
@@ -22,6 +23,7 @@
 
 /// Boxes in two data centres, the box with number N in the data centre N modulo 2, and their targets.
 struct World {
+    store: StoreStandin,
     targets: Vec<TargetStandin>,
     boxes: Vec<BoxUnderTest>,
     paths: Vec<TargetPaths>,
@@ -29,6 +31,12 @@
 
 impl World {
     fn start(boxes: usize) -> World {
+        World::start_with(boxes, |number, settings| {
+            settings.data_centre = format!("centre-{}", number % 2);
+        })
+    }
+
+    fn start_with(boxes: usize, change: impl Fn(usize, &mut GatewaySettings)) -> World {
         let targets: Vec<TargetStandin> = SERVICES
             .iter()
             .flat_map(|(service, _)| {
@@ -47,15 +55,13 @@
         let hosts: Vec<IpAddr> = (0..boxes).map(|_| own_host()).collect();
         let start = |(number, paths): (usize, &TargetPaths)| {
             let port = store.port_with_paths(paths);
-            BoxUnderTest::start_at(hosts[number], port, &hosts, |settings| {
-                settings.data_centre = format!("centre-{}", number % 2);
-            })
+            BoxUnderTest::start_at(hosts[number], port, &hosts, |settings| change(number, settings))
         };
         let boxes: Vec<BoxUnderTest> = paths.iter().enumerate().map(start).collect();
         for gateway in &boxes {
             gateway.wait_ready();
         }
-        World { targets, boxes, paths }
+        World { store, targets, boxes, paths }
     }
 
     fn set_paths(&self, cut: &[usize], mode: PathMode) {
@@ -171,3 +177,30 @@
         assert_eq!(request(gateway, PATH).status, 200, "the lookup is served after the cut");
     }
 }
+
+/// A box that reached no target noted all of them as suspects in the store, for every box that starts.
+#[test]
+fn targets_behind_lost_paths_are_not_noted_as_suspects() {
+    /// Time of a cut, in which each of the two boxes that may write the note has found targets to be suspects.
+    const CUT_TIME: Duration = Duration::from_secs(4);
+    let world = World::start_with(4, |_, settings| settings.overload = OverloadControl::On);
+    // Attempts count as stalled only once the usual time of their route is known.
+    let all: Vec<usize> = (0..world.boxes.len()).collect();
+    world.with_load(|| {
+        for number in &all {
+            wait_until_served(&world.boxes[*number], "before the cut");
+        }
+        for cut in [[0, 2], [1, 3]] {
+            world.set_paths(&cut, PathMode::Unread);
+            let until = Instant::now() + CUT_TIME;
+            while Instant::now() < until {
+                assert_eq!(world.store.noted_suspects(), 0, "noted by the boxes {cut:?}");
+                thread::sleep(PAUSE);
+            }
+            world.set_paths(&cut, PathMode::Open);
+            for number in cut {
+                wait_until_served(&world.boxes[number], "after the cut");
+            }
+        }
+    });
+}
