Paths: a judgement by all peers that may be sound, and no way back by refusals alone

Change: a peer without contacts is left out only if chance is below 0.001 by the others' share; the share is raised by its standard error; above 0.8 nothing is judged; odds of ten million to one. A peer that declined isn't chosen until its next statement, and its contacts count on. Questions come at least each 0.6 s, as the 2 s before left one round between 1.5 and 3.5 s.

--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -38,7 +38,7 @@
 /// Time between two rounds of questions while paths are failing, at first. It doubles with each round.
 const FIRST_ASK_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time between two rounds of questions while paths are failing.
-const MAX_ASK_INTERVAL: Duration = Duration::from_secs(2);
+const MAX_ASK_INTERVAL: Duration = Duration::from_millis(600);
 /// Time between two rounds of questions while paths are lost, by which the peers in use change.
 const LOST_ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the last failure after which a run says nothing any more.
@@ -248,7 +248,7 @@
 
     /// Records that a peer did not handle a request for this box. It is chosen again after its next statement.
     pub fn record_declined(&mut self, peer: IpAddr) {
-        self.scopes.values_mut().for_each(|paths| paths.statements.remove(peer));
+        self.scopes.values_mut().for_each(|paths| paths.statements.record_declined(peer));
     }
 
     /// Returns whether the paths to the targets of a scope are lost, also as a part of a wider one.
--- a/crates/decide/src/paths/peers.rs
+++ b/crates/decide/src/paths/peers.rs
@@ -14,15 +14,16 @@
 const STATEMENT_LIFETIME: Duration = Duration::from_secs(2);
 /// Contacts of peers without which no judgement is made: a single one may be of a time before the paths were lost.
 const MIN_CONTACTS: u32 = 2;
-/// Failures without a contact from which a peer counts as one that may have lost its paths, too, and whose failures
+/// Probability below which a peer without contacts counts as one that may have lost its paths, too, and whose failures
 /// say nothing about the targets.
-const MIN_CUT_FAILURES: u32 = 4;
-/// Lowest share of attempts without contact that is assumed of healthy paths.
+const MAX_CHANCE: f64 = 0.001;
+/// Lowest share of attempts without contact that is assumed of sound paths.
 const MIN_FAILURE_SHARE: f64 = 0.1;
-/// Highest such share; above it no number of failures is evidence.
-const MAX_FAILURE_SHARE: f64 = 0.95;
-/// Natural logarithm of the odds against a run of failures by chance at which paths count as lost: a million to one.
-const LOG_ODDS: f64 = 13.8;
+/// Highest such share at which paths are judged. Above it peers serve few requests more than this box, and a run of
+/// failures is little evidence.
+const MAX_FAILURE_SHARE: f64 = 0.8;
+/// Natural logarithm of the odds against a run of failures by chance at which paths count as lost: ten million to one.
+const LOG_ODDS: f64 = 16.1;
 /// Peers whose loads are compared for one request. Two spread requests nearly as evenly as all would.
 const COMPARED_PEERS: usize = 2;
 
@@ -44,46 +45,52 @@
     fn is_reaching(&self) -> bool {
         self.counts.contacts > 0 && !self.is_lost
     }
-
-    /// Returns whether the peer has as little contact as the asking box.
-    fn may_be_cut(&self) -> bool {
-        self.is_lost || (self.counts.contacts == 0 && self.counts.failures >= MIN_CUT_FAILURES)
-    }
 }
 
 /// The last statement of each peer that was asked.
 #[derive(Debug, Default)]
 pub(crate) struct PeerStatements {
-    statements: HashMap<IpAddr, (PathStatement, TimePoint)>,
+    statements: HashMap<IpAddr, ReceivedStatement>,
+}
+
+#[derive(Debug)]
+struct ReceivedStatement {
+    statement: PathStatement,
+    received: TimePoint,
+    /// Whether the peer has not handled a request since.
+    has_declined: bool,
 }
 
 impl PeerStatements {
     pub(crate) fn insert(&mut self, now: TimePoint, peer: IpAddr, statement: PathStatement) {
-        self.statements.retain(|_, (_, received)| is_fresh(now, *received));
-        self.statements.insert(peer, (statement, now));
+        self.statements.retain(|_, one| is_fresh(now, one.received));
+        let received = ReceivedStatement { statement, received: now, has_declined: false };
+        self.statements.insert(peer, received);
     }
 
-    pub(crate) fn remove(&mut self, peer: IpAddr) {
-        self.statements.remove(&peer);
+    /// Records that a peer did not handle a request. It is not chosen until its next statement, but its contacts say as
+    /// much about the paths as before.
+    pub(crate) fn record_declined(&mut self, peer: IpAddr) {
+        if let Some(one) = self.statements.get_mut(&peer) {
+            one.has_declined = true;
+        }
     }
 
     /// Returns the number of attempts in a row without a contact from which they are no chance; `None` if too few
     /// peers have contacts.
     pub(crate) fn conclusive_failures(&self, now: TimePoint) -> Option<u32> {
-        let mut sum = ContactCounts::default();
-        for statement in self.fresh(now).map(|(_, statement)| statement) {
-            if !statement.may_be_cut() {
-                sum.contacts += statement.counts.contacts;
-                sum.failures += statement.counts.failures;
-            }
-        }
-        if sum.contacts < MIN_CONTACTS {
+        let counts = self.fresh(now).filter(|(_, statement)| !statement.is_lost);
+        let counts: Vec<ContactCounts> = counts.map(|(_, statement)| statement.counts).collect();
+        let reaching = sum(counts.iter().filter(|counts| counts.contacts > 0));
+        if reaching.contacts < MIN_CONTACTS {
             return None;
         }
-        let (contacts, failures) = (f64::from(sum.contacts), f64::from(sum.failures));
-        let share = (failures + 1.0) / (contacts + failures + 2.0);
-        let share = share.clamp(MIN_FAILURE_SHARE, MAX_FAILURE_SHARE);
-        Some((LOG_ODDS / -share.ln()).ceil() as u32)
+        let share = failure_share(reaching);
+        let is_chance = |counts: &&ContactCounts| {
+            counts.contacts > 0 || share.powf(counts.failures.into()) >= MAX_CHANCE
+        };
+        let share = failure_share(sum(counts.iter().filter(is_chance)));
+        (share <= MAX_FAILURE_SHARE).then(|| (LOG_ODDS / -share.ln()).ceil() as u32)
     }
 
     /// Returns whether a peer has contacts.
@@ -100,9 +107,10 @@
         open: impl Fn(IpAddr) -> u32,
         random: &mut impl Rng,
     ) -> Option<IpAddr> {
-        let reaching = self
-            .fresh(now)
-            .filter(|(peer, statement)| statement.is_reaching() && is_allowed(*peer));
+        let has_declined = |peer| self.statements.get(&peer).is_some_and(|one| one.has_declined);
+        let reaching = self.fresh(now).filter(|(peer, statement)| {
+            statement.is_reaching() && !has_declined(*peer) && is_allowed(*peer)
+        });
         let reaching: Vec<(IpAddr, &PathStatement)> = reaching.collect();
         let has_local = reaching.iter().any(|(_, statement)| statement.is_local);
         let preferred = reaching.into_iter().filter(|(_, one)| one.is_local || !has_local);
@@ -113,12 +121,28 @@
     }
 
     fn fresh(&self, now: TimePoint) -> impl Iterator<Item = (IpAddr, &PathStatement)> {
-        let fresh =
-            self.statements.iter().filter(move |(_, (_, received))| is_fresh(now, *received));
-        fresh.map(|(peer, (statement, _))| (*peer, statement))
+        let fresh = self.statements.iter().filter(move |(_, one)| is_fresh(now, one.received));
+        fresh.map(|(peer, one)| (*peer, &one.statement))
     }
 }
 
+fn sum<'a>(counts: impl Iterator<Item = &'a ContactCounts>) -> ContactCounts {
+    let mut sum = ContactCounts::default();
+    for one in counts {
+        sum.contacts += one.contacts;
+        sum.failures += one.failures;
+    }
+    sum
+}
+
+/// Returns the share of attempts without contact on sound paths, raised by its standard error.
+fn failure_share(counts: ContactCounts) -> f64 {
+    let (failures, all) =
+        (f64::from(counts.failures) + 1.0, f64::from(counts.contacts + counts.failures) + 2.0);
+    let share = (failures / all).max(MIN_FAILURE_SHARE);
+    share + (share * (1.0 - share) / all).sqrt()
+}
+
 fn is_fresh(now: TimePoint, received: TimePoint) -> bool {
     now.since(received) < STATEMENT_LIFETIME
 }
