Soak: what a target asks for binds the box that sent the request

By the logs the request was box 2's and box 4 handled it, so that box 4 was told (target-rests, 2-249) and kept it; box 2 sent three others and had heard nothing. The check went by the request's id alone, which was the sender until requests were relayed.

Change: the boxes' logs tell who handled a relayed request, and the checks of rests, limits, departures and poison requests go by that box. It is as strict: the box that was told is held to it, for its own requests and for those that it handles.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -73,6 +73,8 @@
     pub records: Vec<CallerRecord>,
     /// Requests that reached targets.
     pub arrivals: Vec<Arrival>,
+    /// Boxes that handled relayed requests, by the ids of the requests.
+    pub handlers: HashMap<String, usize>,
     /// Notices of targets in their answers.
     pub notices: Vec<NoticeRecord>,
     /// Probes for the configuration in force.
@@ -230,7 +232,7 @@
             .iter()
             .filter(|arrival| arrival.ran && arrival.target == *target && arrival.at > until);
         for arrival in late {
-            let Some(index) = box_of(&arrival.request) else { continue };
+            let Some(index) = evidence.sender_of(&arrival.request) else { continue };
             if evidence.spans.was_connected(index, *acknowledged, arrival.at, CONNECTED_AFTER) {
                 let after = (arrival.at - *acknowledged).as_millis();
                 cases.push(format!("{} at {target} {after} ms after it left", arrival.request));
@@ -352,7 +354,8 @@
             let was_connected = |index| {
                 evidence.spans.was_connected(index, arrival.at, arrival.at, CONNECTED_AFTER)
             };
-            arrival.at > reported_by && box_of(&arrival.request).is_some_and(was_connected)
+            arrival.at > reported_by
+                && evidence.sender_of(&arrival.request).is_some_and(was_connected)
         });
         let late = late.count();
         if late > MAX_SENDS_AFTER {
@@ -412,8 +415,16 @@
     }
 }
 
+impl SoakEvidence {
+    /// Returns the index of the box that sent a request to targets: the one that received it from its caller, or the
+    /// one that handled it for that one.
+    pub(crate) fn sender_of(&self, request: &str) -> Option<usize> {
+        self.handlers.get(request).copied().or_else(|| box_of(request))
+    }
+}
+
 /// Returns the index of the box that received a request, which the request's id contains.
-pub(crate) fn box_of(request: &str) -> Option<usize> {
+fn box_of(request: &str) -> Option<usize> {
     request.split_once('-')?.0.parse().ok()
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod environment;
 pub mod fleet;
+pub mod handlers;
 mod limits;
 mod notices;
 pub mod plan;
--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -5,7 +5,7 @@
 
 use wingbridge_platform_standins::TargetNotice;
 
-use crate::checks::{SoakEvidence, box_of};
+use crate::checks::SoakEvidence;
 use crate::notices::{records_by_id, was_answered, was_disturbed};
 
 /// Time window in which arrivals are counted.
@@ -34,7 +34,7 @@
     let mut cases = Vec::new();
     for (target, spans) in &spans {
         let counted = evidence.arrivals.iter().filter(|arrival| {
-            let index = box_of(&arrival.request);
+            let index = evidence.sender_of(&arrival.request);
             let reported = index.and_then(|index| reports.get(&(index, target.as_str())));
             let bound = reported.is_some_and(|reported| arrival.at >= *reported + APPLY_TIME);
             let disturbed = |index| was_disturbed(evidence, index, spans[0].first, arrival);
@@ -89,7 +89,7 @@
     let mut reports = HashMap::new();
     for notice in &evidence.notices {
         let has_limit = matches!(notice.notice, TargetNotice::Limit(_));
-        if let Some(index) = box_of(&notice.request)
+        if let Some(index) = evidence.sender_of(&notice.request)
             && has_limit
             && answered.contains(notice.request.as_str())
         {
--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -9,7 +9,7 @@
 use wingbridge_platform_standins::{Arrival, NoticeRecord, TargetNotice};
 
 use crate::callers::{CallerEnd, CallerRecord};
-use crate::checks::{MAX_CHANGE_TIME, SoakEvidence, box_of};
+use crate::checks::{MAX_CHANGE_TIME, SoakEvidence};
 use crate::spans::SpanScope;
 
 /// Time after the notice within which a request may have been sent before the notice was received.
@@ -27,13 +27,13 @@
     };
     let mut first_notices: HashMap<(usize, &str), Instant> = HashMap::new();
     for notice in evidence.notices.iter().filter(was_relayed) {
-        let Some(index) = box_of(&notice.request) else { continue };
+        let Some(index) = evidence.sender_of(&notice.request) else { continue };
         let first = first_notices.entry((index, &notice.target)).or_insert(notice.at);
         *first = notice.at.min(*first);
     }
     let mut cases = Vec::new();
     for arrival in &evidence.arrivals {
-        let Some(index) = box_of(&arrival.request) else { continue };
+        let Some(index) = evidence.sender_of(&arrival.request) else { continue };
         let Some(notified) = first_notices.get(&(index, arrival.target.as_str())) else { continue };
         let until = *notified + MAX_CHANGE_TIME + evidence.margin;
         let sent = records.get(arrival.request.as_str()).map(|record| record.sent);
@@ -57,12 +57,12 @@
     let mut cases = Vec::new();
     for notice in &evidence.notices {
         let TargetNotice::Backoff(backoff) = notice.notice else { continue };
-        let Some(index) = box_of(&notice.request) else { continue };
+        let Some(index) = evidence.sender_of(&notice.request) else { continue };
         let from = notice.at + IN_FLIGHT_TIME;
         let sent = evidence.arrivals.iter().filter(|arrival| {
             let sent = records.get(arrival.request.as_str()).map(|record| record.sent);
             arrival.target == notice.target
-                && box_of(&arrival.request) == Some(index)
+                && evidence.sender_of(&arrival.request) == Some(index)
                 && arrival.at < notice.at + backoff
                 // A request that was sent earlier may have been delayed by a disturbed relay.
                 && sent.is_some_and(|sent| sent > from)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::driver::{CurrentIncarnations, FaultDriver};
 use crate::environment::{ConfigHistory, SoakEnvironment, version_path};
 use crate::fleet::{BoxLocation, BoxSetup, is_ready};
+use crate::handlers::read_handlers;
 use crate::lock;
 use crate::plan::{FaultPlan, PlanSize};
 use crate::report::SoakReport;
@@ -85,6 +86,7 @@
     let (probes, lateness) = monitors.finish();
     driver.finish()?;
     let evidence = SoakEvidence {
+        handlers: read_handlers(&directory)?,
         records,
         arrivals: driver.environment().arrivals.all(),
         notices: driver.environment().arrivals.notices(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -22,6 +22,7 @@
             arrival("0-1", "/order/1", "orders", start, 10),
             arrival("0-2", "/read/2", "reads", start, 10),
         ],
+        handlers: Default::default(),
         notices: Vec::new(),
         probes: Vec::new(),
         departures: Vec::new(),
@@ -149,6 +150,31 @@
             send_later(run, start, 3);
         },
     },
+    CheckCase {
+        // The box that handled the request and the later ones for box 0 was told.
+        promise: "a target that asks for rest gets it",
+        break_promise: |run, start| {
+            run.notices.push(notice(start, TargetNotice::Backoff(Duration::from_secs(30))));
+            send_later(run, start, 3);
+            let ids = run.arrivals.iter().map(|arrival| arrival.request.clone());
+            run.handlers = ids.map(|id| (id, 1)).collect();
+        },
+    },
+    CheckCase {
+        promise: "boxes without paths have requests served",
+        break_promise: |run, start| {
+            run.spans.begin(SpanScope::Paths(0));
+            for number in 0..20 {
+                let sent = start + Duration::from_secs(10);
+                let id = format!("0-c{number}");
+                let refused = CallerEnd::Answered(503, AnswerCheck::Whole);
+                run.records.push(record(&id, "/read/c", sent, 10, refused));
+                let other = record(&format!("1-c{number}"), "/read/c", sent, 10, SERVED);
+                run.records.push(CallerRecord { index: 1, ..other });
+                run.arrivals.push(arrival(&format!("1-c{number}"), "/read/c", "reads", sent, 5));
+            }
+        },
+    },
     CheckCase {
         promise: "a target that names a limit gets no more",
         break_promise: |run, start| {
@@ -242,3 +268,15 @@
     let promises: Vec<&str> = found.iter().map(|violation| violation.promise).collect();
     assert_eq!(promises, ["an order runs once at most"]);
 }
+
+/// A rest that a target named to the box that handled a request was held against the box that had received it.
+#[test]
+fn a_rest_binds_the_box_that_handled_the_request() {
+    let start = Instant::now();
+    let mut run = faultless_run(start);
+    run.notices.push(notice(start, TargetNotice::Backoff(Duration::from_secs(30))));
+    let told = run.notices[0].request.clone();
+    send_later(&mut run, start, 3);
+    run.handlers.insert(told, 1);
+    assert!(check_all(&run).is_empty(), "{:?}", check_all(&run));
+}
