--- a/crates/gateway/tests/lost_paths.rs
+++ b/crates/gateway/tests/lost_paths.rs
@@ -205,3 +205,20 @@
         }
     });
 }
+
+/// A box that reads the store and has lost its paths noted the targets that it suspected by that.
+#[test]
+fn box_that_reaches_no_target_notes_none_as_suspects() {
+    /// Time of the cut. A note that differs in its suspects is written each three seconds at most.
+    const CUT_TIME: Duration = Duration::from_secs(4);
+    let world = World::start_with(1, |_, settings| settings.overload = OverloadControl::On);
+    world.with_load(|| {
+        wait_until_served(&world.boxes[0], "before the cut");
+        world.set_paths(&[0], PathMode::Unread);
+        let until = Instant::now() + CUT_TIME;
+        while Instant::now() < until {
+            assert_eq!(world.store.noted_suspects(), 0);
+            thread::sleep(PAUSE);
+        }
+    });
+}
