Relays: one place for the fleet key's error, one limit of an answer's head

Cause: read as a newcomer would: the same closure and constant stood in client and server, and paths were written out.

Change: FleetKeyCache::get gives the error of the wire; the limit is the one of attempts. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -33,7 +33,7 @@
 /// refuses the connection within a round trip, which takes about 3 ms between data centres.
 const LISTENING_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum length of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum length of an answer's body that is buffered, in bytes. If a buffered answer is cut short, the request
 /// can be sent to another target; longer answers are forwarded as they arrive.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -7,11 +7,12 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use wingbridge_decide::paths::{
-    ContactFailure, FailedAttempt, PathChange, PathMonitor, PathRoute, PathScope, PathState,
-    PathStatement,
+    ContactCounts, ContactFailure, FailedAttempt, PathChange, PathMonitor, PathRoute, PathScope,
+    PathState, PathStatement,
 };
 use wingbridge_decide::steer::{SteerCore, SteerOutcome};
 use wingbridge_decide::{Name, TargetKey, TimePoint};
@@ -154,7 +155,7 @@
         busy: usize,
     ) -> wire::PathStatement {
         let scope = PathScope::of(&question.service);
-        let age = std::time::Duration::from_millis(question.age_ms.into());
+        let age = Duration::from_millis(question.age_ms.into());
         let monitor = lock(&self.monitor);
         let counts = monitor.count_contacts(now, &scope, age);
         wire::PathStatement {
@@ -175,10 +176,8 @@
         is_local: bool,
         message: &wire::PathStatement,
     ) {
-        let counts = wingbridge_decide::paths::ContactCounts {
-            contacts: message.contacts,
-            failures: message.failures,
-        };
+        let (contacts, failures) = (message.contacts, message.failures);
+        let counts = ContactCounts { contacts, failures };
         let (is_lost, busy) = (message.is_lost, message.busy);
         let statement = PathStatement { counts, is_lost, busy, is_local };
         let scope = PathScope::of(&message.service);
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -15,15 +15,13 @@
 use super::{AttemptTotals, MAX_MESSAGE_BYTES, decode_outcome};
 use crate::answers::CallerOutcome;
 use crate::attempt::{
-    OutgoingRequest, SendResult, TargetAnswer, answer_of, encode_request, read_answer_body,
-    send_request,
+    MAX_HEAD_BYTES, OutgoingRequest, SendResult, TargetAnswer, answer_of, encode_request,
+    read_answer_body, send_request,
 };
 use crate::context::BoxContext;
 
 /// Maximum time from connecting to the peer's decision. It takes four round trips, of 24 ms between regions.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum length of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// How a relay ended.
 #[derive(Debug)]
@@ -72,9 +70,7 @@
     peer: IpAddr,
     relayed: RelayRequest,
 ) -> Result<TcpStream, WireError> {
-    let unreadable =
-        |error| WireError::new(ErrorKind::Io, format!("the fleet key can't be read: {error}"));
-    let key = context.fleet_key.get(&*context.port).await.map_err(unreadable)?;
+    let key = context.fleet_key.get(&*context.port).await?;
     let address = SocketAddr::new(peer, context.settings.exchange.port());
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/relay/fleet_key.rs
+++ b/crates/gateway/src/relay/fleet_key.rs
@@ -3,10 +3,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use wingbridge_wire::FleetKey;
+use wingbridge_wire::{ErrorKind, FleetKey, WireError};
 
 use crate::context::lock;
-use crate::ports::{EnvironmentPort, StoreError};
+use crate::ports::EnvironmentPort;
 
 /// Minimum age of the key in memory at which a failed proof has it read again. The secret is another one once the store
 /// has come back from a copy of before its first write.
@@ -23,12 +23,14 @@
     ///
     /// # Errors
     /// The key is not in memory and the store can't be read.
-    pub(crate) async fn get(&self, port: &dyn EnvironmentPort) -> Result<FleetKey, StoreError> {
+    pub(crate) async fn get(&self, port: &dyn EnvironmentPort) -> Result<FleetKey, WireError> {
         let known = lock(&self.cached).as_ref().map(|(key, _)| key.clone());
         if let Some(key) = known {
             return Ok(key);
         }
-        let secret = port.fleet_secret().await?;
+        let unreadable =
+            |error| WireError::new(ErrorKind::Io, format!("the fleet key can't be read: {error}"));
+        let secret = port.fleet_secret().await.map_err(unreadable)?;
         Ok(self.set(&secret))
     }
 
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -47,9 +47,7 @@
     context: &Arc<BoxContext>,
 ) -> Result<(), WireError> {
     let mut stream = stream.clone();
-    let unreadable =
-        |error| WireError::new(ErrorKind::Io, format!("the fleet key can't be read: {error}"));
-    let key = context.fleet_key.get(&*context.port).await.map_err(unreadable)?;
+    let key = context.fleet_key.get(&*context.port).await?;
     if let Err(error) = prove(&mut stream, &key, HandshakeSide::Server).await {
         if error.kind() == ErrorKind::Unauthenticated {
             context.fleet_key.record_failed_proof();
--- a/crates/gateway/src/requests/relaying.rs
+++ b/crates/gateway/src/requests/relaying.rs
@@ -1,6 +1,7 @@
 //! Requests that go to a peer, because this box has no paths to the targets.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wingbridge_decide::Name;
@@ -65,7 +66,7 @@
 
     /// Has one peer handle the request. Returns `None` if there is none.
     async fn relay_to_one(&mut self) -> Option<PeerStep> {
-        let context = std::sync::Arc::clone(&self.context);
+        let context = Arc::clone(&self.context);
         let is_allowed = |peer| self.may_handle(peer);
         let guard = context.paths.choose_peer(context.now(), &self.plan.service, is_allowed)?;
         let peer = guard.peer;
