--- a/crates/decide/src/paths/peers.rs
+++ b/crates/decide/src/paths/peers.rs
@@ -101,8 +101,8 @@
         self.fresh(now).any(|(_, statement)| statement.is_reaching())
     }
 
-    /// Chooses a peer with contacts that `is_allowed` for a request for `service`: one of the own data centre if any has contacts, and the less
-    /// busy of two. `open` returns how many requests of this box a peer is handling now.
+    /// Chooses a peer with contacts that `is_allowed` for a request for `service`: one of the own data centre if any has
+    /// contacts, and the less busy of two. `open` returns how many requests of this box a peer is handling now.
     pub(crate) fn choose(
         &self,
         now: TimePoint,
@@ -121,7 +121,8 @@
         let preferred = reaching.into_iter().filter(|(_, one)| one.is_local || !has_local);
         let preferred: Vec<(IpAddr, &PathStatement)> = preferred.collect();
         let compared = preferred.choose_multiple(random, COMPARED_PEERS);
-        let least = compared.min_by_key(|(peer, statement)| statement.busy + open(*peer));
+        let least =
+            compared.min_by_key(|(peer, statement)| statement.busy.saturating_add(open(*peer)));
         least.map(|(peer, _)| *peer)
     }
 
@@ -134,16 +135,19 @@
 fn sum<'a>(counts: impl Iterator<Item = &'a ContactCounts>) -> ContactCounts {
     let mut sum = ContactCounts::default();
     for one in counts {
-        sum.contacts += one.contacts;
-        sum.failures += one.failures;
+        // The numbers come from datagrams.
+        sum.contacts = sum.contacts.saturating_add(one.contacts);
+        sum.failures = sum.failures.saturating_add(one.failures);
     }
     sum
 }
 
 /// Returns the share of attempts without contact on sound paths, raised by its standard error.
 fn failure_share(counts: ContactCounts) -> f64 {
-    let (failures, all) =
-        (f64::from(counts.failures) + 1.0, f64::from(counts.contacts + counts.failures) + 2.0);
+    let (failures, all) = (
+        f64::from(counts.failures) + 1.0,
+        f64::from(counts.contacts) + f64::from(counts.failures) + 2.0,
+    );
     let share = (failures / all).max(MIN_FAILURE_SHARE);
     share + (share * (1.0 - share) / all).sqrt()
 }
