--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -27,7 +27,7 @@
 use state::PathEvent;
 
 pub use peers::PathStatement;
-pub use recent::{ContactCounts, RECENT_TIME};
+pub use recent::ContactCounts;
 pub use run::{ContactFailure, FailedAttempt};
 pub use state::{PathState, check_chart};
 
@@ -259,10 +259,8 @@
 
     /// Returns the state of the paths to the targets of `service`.
     pub fn state(&self, service: &Name) -> PathState {
-        self.lost_scope(service).map_or_else(
-            || self.state_of(&PathScope::Service(service.clone())),
-            |_| PathState::Lost,
-        )
+        let scope = PathScope::Service(service.clone());
+        if self.is_lost(&scope) { PathState::Lost } else { self.state_of(&scope) }
     }
 
     /// Decides how the next attempt of a request for `service` is to reach a target.
--- a/crates/decide/src/paths/recent.rs
+++ b/crates/decide/src/paths/recent.rs
@@ -8,7 +8,7 @@
 use crate::time::TimePoint;
 
 /// Time for which an attempt counts. A box with few requests has some contacts within this time.
-pub const RECENT_TIME: Duration = Duration::from_secs(2);
+const RECENT_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of attempts that are remembered. A box with more of them has evidence enough in the last ones.
 const MAX_ATTEMPTS: usize = 512;
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 //! may not be repeated is lost if its connection closes while it is open. Without reuse, superfluous or late
 //! bytes of a target can't be mistaken for the answer to another request.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
@@ -24,7 +24,7 @@
 
 /// Timeout for connecting. A round trip between data centres takes about 3 ms; a connection that takes
 /// longer than this is on a broken path or to a target that accepts no more connections.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Reason of an attempt that failed as no process listens at the target's address.
 pub(crate) const CONNECTION_REFUSED: &str = "the connection was refused";
 /// Reason of an attempt whose answer has another request id, or none.
@@ -213,10 +213,8 @@
 /// Returns whether the target that closed a connection has ended. In that case its address refuses new connections,
 /// while other targets accept them.
 async fn has_ended(plan: &AttemptPlan<'_>) -> bool {
-    let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let connect = plan.port.connect_target(plan.address);
-    let result = async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await;
-    matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    let result = check_listening(plan, plan.address).await;
+    matches!(result, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
         && reaches_other_target(plan).await
 }
 
@@ -226,10 +224,14 @@
     let Some(address) = plan.notices.address_of_sound_target() else {
         return true;
     };
+    matches!(check_listening(plan, &address).await, Some(Ok(_)))
+}
+
+/// Connects to `address` without a request. Returns `None` if nothing answers in time.
+async fn check_listening(plan: &AttemptPlan<'_>, address: &str) -> Option<io::Result<TcpStream>> {
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let connect = plan.port.connect_target(&address);
-    let result = async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await;
-    matches!(result, Ok(Ok(_)))
+    let connect = plan.port.connect_target(address);
+    async_std::future::timeout(LISTENING_CHECK_TIMEOUT.min(remaining), connect).await.ok()
 }
 
 /// The part of a body that was read, and the decoder for the remainder.
--- a/crates/gateway/src/paths/watch.rs
+++ b/crates/gateway/src/paths/watch.rs
@@ -12,6 +12,7 @@
 use wingbridge_wire::paths::PathQuestion;
 
 use super::log_changes;
+use crate::attempt::CONNECT_TIMEOUT;
 use crate::context::{BoxContext, lock, millis};
 use crate::gossip::Gossip;
 
@@ -20,9 +21,6 @@
 /// Number of peers of the own data centre that a round of questions reaches, and as many of the others. A box that is
 /// the only one with paths among forty is found in two rounds on average.
 const ASKED_PEERS: usize = 12;
-/// Timeout for connecting to a target. It is the one of an attempt, so that a path that is too slow for attempts is
-/// not found to be back.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Asks peers and probes lost paths whenever `wakeups` yields, until that channel is closed.
 pub(crate) async fn watch_paths(
@@ -63,7 +61,8 @@
         return;
     };
     let connect = context.port.connect_target(&address);
-    let connected = matches!(async_std::future::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)));
+    // The timeout is the one of an attempt, so that a path that is too slow for attempts is not found to be back.
+    let connected = matches!(async_std::future::timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)));
     metrics::counter!("wingbridge_path_probes").increment(1);
     let now = context.now();
     let change = lock(&context.paths.monitor).record_probe(now, scope, key, connected, listed);
