Logs: what a box knew of its retry budget, and which targets were idle for how long

Two lines, a second or two apart and bounded: retry-budget (own and told counts, age of the oldest report) and targets-idle (eligible, idle, failed, due, both shares). No decision changes.

--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -52,6 +52,32 @@
     peers: HashMap<u64, (RetryCounts, TimePoint)>,
     /// Whether this box has counted anything since its last report.
     has_unreported: bool,
+    /// Retries that were allowed and refused since the last status.
+    decisions: RetryDecisions,
+}
+
+/// Numbers of retries that a box allowed and refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RetryDecisions {
+    /// Retries that were within the bounds.
+    pub allowed: u32,
+    /// Retries that were not.
+    pub refused: u32,
+}
+
+/// What a box knew of the retry budget of one service, for its log.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LedgerStatus {
+    /// Decisions since the last status.
+    pub decisions: RetryDecisions,
+    /// Counts of this box within the window.
+    pub own: RetryCounts,
+    /// Sums of the peers whose reports count.
+    pub peers: RetryCounts,
+    /// Number of these peers.
+    pub reporting: usize,
+    /// Time since the oldest of their reports.
+    pub oldest_report: Duration,
 }
 
 /// Counts of this box in one interval of the window.
@@ -69,10 +95,38 @@
         self.has_unreported = true;
     }
 
+    /// Counts a retry that was refused, for the status alone.
+    pub fn record_refusal(&mut self) {
+        self.decisions.refused += 1;
+    }
+
+    /// Returns the status if a retry was allowed or refused since the last one.
+    pub fn take_status(&mut self, now: TimePoint, window: Duration) -> Option<LedgerStatus> {
+        let decisions = std::mem::take(&mut self.decisions);
+        if decisions == RetryDecisions::default() {
+            return None;
+        }
+        let mut status = LedgerStatus {
+            decisions,
+            own: self.own_counts(now, window),
+            ..LedgerStatus::default()
+        };
+        for (counts, received) in self.peers.values() {
+            if !is_unresponsive(now, *received) {
+                status.peers.requests += counts.requests;
+                status.peers.retries += counts.retries;
+                status.reporting += 1;
+                status.oldest_report = status.oldest_report.max(now.since(*received));
+            }
+        }
+        Some(status)
+    }
+
     /// Counts a retry of this box.
     pub fn record_retry(&mut self, now: TimePoint) {
         self.current_interval(now).retries += 1;
         self.has_unreported = true;
+        self.decisions.allowed += 1;
     }
 
     /// Stores the report of the peer with the incarnation `peer`, in place of its previous one.
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -27,6 +27,7 @@
 pub mod relay;
 mod routes;
 pub mod split;
+pub mod status;
 mod subset;
 mod trial;
 mod unlisted;
@@ -207,6 +208,8 @@
         let allowed = ledger.allows(now, &bounds, reporting, all);
         if allowed {
             ledger.record_retry(now);
+        } else {
+            ledger.record_refusal();
         }
         allowed
     }
--- a/crates/decide/src/steer/trial.rs
+++ b/crates/decide/src/steer/trial.rs
@@ -7,7 +7,7 @@
 
 use crate::names::TargetKey;
 use crate::steer::mechanism::{Mechanism, MechanismSet};
-use crate::steer::messages::SteerRequest;
+use crate::steer::messages::{HomeRegions, SteerRequest};
 use crate::steer::peer_subset::reporting_boxes;
 use crate::steer::pool::TargetPool;
 use crate::steer::record::TargetRecord;
@@ -101,6 +101,22 @@
     TRIALS_PER_S * reporting_boxes(local) as f64 / local as f64
 }
 
+/// Returns the number of targets that are due for a trial by a request that may run only once.
+pub(crate) fn due_count(now: TimePoint, pool: &TargetPool, context: &TrialContext<'_>) -> usize {
+    let request = SteerRequest {
+        service: "",
+        route: "",
+        repeatable: false,
+        large: false,
+        body_bytes: 0,
+        goal: Duration::ZERO,
+        remaining: Duration::ZERO,
+        tried: &[],
+        homes: HomeRegions::Any,
+    };
+    due_targets(now, pool, &request, context).len()
+}
+
 /// A target whose idle time has reached the limit for a trial.
 struct DueTarget {
     key: TargetKey,
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -15,6 +15,7 @@
 use crate::context::log_return;
 use crate::limit_reports::{limits_in_force, merge_limit};
 use crate::notices::update_excluded_gauges;
+use crate::steering::log_steering;
 use crate::store_revision::{ConfigId, StoreRevision};
 use crate::view::CachedView;
 use crate::view_exchange::view_version_of;
@@ -55,6 +56,7 @@
         loop {
             update_excluded_gauges(&self.context);
             self.context.waiting.log_ended();
+            log_steering(&self.context, round);
             // The first box found may be in another data centre, which does not help with the state that
             // boxes of one data centre share, so the search goes on for a while.
             let no_local_peer = self.context.peers().local().is_empty();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod run;
 pub mod settings;
 pub mod source_address;
+mod steering;
 mod stopping;
 mod store_backoff;
 pub mod store_revision;
