Trials: a target that failed is tried within 4 s also while few requests fail

The users count each two seconds with a tenth unserved, and nobody knows in which second that begins. Class: a bound that holds at any moment is kept only once it is seen to matter.

Change: a target that failed is due 3.2 s after its last attempt began, whatever fails elsewhere; one that recovered within 10 s is due after 1.7 s idle. Other idle targets keep their 3 s.

Tests: two cases of idle_targets_are_tried_in_time expected the 6 s and now expect 3.2 s. The table of refusing boxes used a failed target, which is always due now; it uses one that did not fail, after 1.5 s.

--- a/crates/decide/src/steer/open.rs
+++ b/crates/decide/src/steer/open.rs
@@ -113,6 +113,11 @@
         self.drop_expired(now);
     }
 
+    /// Returns the number of open attempts in the last report of `peer`.
+    pub(crate) fn peer_count(&self, peer: u64) -> u32 {
+        self.peers.iter().find(|open| open.peer == peer).map_or(0, |open| open.count)
+    }
+
     /// Drops the reports of peers that are older than [`PEER_REPORT_LIFETIME`].
     pub(crate) fn drop_expired(&mut self, now: TimePoint) {
         self.peers.retain(|open| now.since(open.received) < PEER_REPORT_LIFETIME);
--- a/crates/decide/src/steer/pool.rs
+++ b/crates/decide/src/steer/pool.rs
@@ -220,9 +220,12 @@
             record.record_load(now, held);
         }
         if let Some(open) = sample.open {
-            record.merge_peer_open(now, peer, open, &sample.informative);
+            let ended = sample.good + sample.bad;
+            record.merge_peer_open(now, peer, open, ended, &sample.informative);
             self.record_use(now);
             self.count_peer_sample(now, sample);
+        } else if sample.good + sample.bad + sample.overdue > 0 {
+            record.record_peer_attempt(now);
         }
         let reported = [
             (sample.good, OutcomeSample::Good),
--- a/crates/decide/src/steer/record.rs
+++ b/crates/decide/src/steer/record.rs
@@ -86,6 +86,8 @@
     estimate: FailureEstimate,
     /// When an attempt at the target was last known to begin, be open or end, here or at a peer.
     attempted_at: TimePoint,
+    /// When the last known attempt at the target began, here or at a peer.
+    begun_at: TimePoint,
     /// Whether the last attempt at the target failed, here or at a peer.
     last_failed: bool,
     /// When an attempt at the target last failed.
@@ -138,6 +140,7 @@
             setup,
             estimate: FailureEstimate::new(now, at_start),
             attempted_at: now,
+            begun_at: now,
             last_failed: false,
             failed_at: None,
             suspect: false,
@@ -255,18 +258,23 @@
         !std::mem::replace(&mut self.replaced, true)
     }
 
-    /// Returns whether no attempt at the target has failed within `time`.
+    /// Returns whether no attempt at the target has failed within `time`, and its path is usable.
     pub(crate) fn has_not_failed_for(&self, now: TimePoint, time: Duration) -> bool {
-        self.is_path_usable(now) && self.failed_at.is_none_or(|failed| now.since(failed) >= time)
+        self.is_path_usable(now) && !self.has_failed_within(now, time)
+    }
+
+    /// Returns whether an attempt at the target has failed within `time`, here or at a peer.
+    pub(crate) fn has_failed_within(&self, now: TimePoint, time: Duration) -> bool {
+        self.failed_at.is_some_and(|failed| now.since(failed) < time)
     }
 
-    /// Returns whether the last attempt at the target failed.
     /// Returns whether the last attempt, here or at a peer, did not fail, and no connection from this box has failed since
     /// the last one that came up.
     pub(crate) fn is_believed_up(&self) -> bool {
         !self.last_failed && self.path_failed_at.is_none()
     }
 
+    /// Returns whether the last attempt at the target failed, here or at a peer.
     pub(crate) fn last_failed(&self) -> bool {
         self.last_failed
     }
@@ -303,9 +311,12 @@
         self.last_failed = true;
     }
 
-    /// Returns the time since the last known attempt at the target, here or at a peer.
+    /// Returns the time for which the target has been idle, as far as known here.
+    ///
+    /// For a target that failed this is the time since the last attempt began. A stalled attempt is open for as long as
+    /// its route allows, and if the target recovered meanwhile, its next trial would be late by that time.
     pub(crate) fn idle_time(&self, now: TimePoint) -> Duration {
-        now.since(self.attempted_at)
+        now.since(if self.last_failed { self.begun_at } else { self.attempted_at })
     }
 
     /// Returns the remaining time for which the target is slow because it has just started.
@@ -400,6 +411,7 @@
         self.open.begin(handle);
         self.unattempted = false;
         self.attempted_at = handle.started;
+        self.begun_at = handle.started;
     }
 
     /// Records a load report of the target, `held` being the number of requests that it holds.
@@ -429,21 +441,32 @@
         self.work = Some((known + (newest - known) * WORK_WEIGHT, now));
     }
 
-    /// Merges a peer's report of its open attempts. An open attempt of a peer counts as an attempt at the target,
-    /// so that no other box makes a trial at the same time: without this, several boxes tried one stalled target
-    /// at once, and half of the orders that were lost within a minute were trials.
+    /// Merges a peer's report that it has `count` attempts open, and that `ended` others have ended since its last one.
+    /// An open attempt of a peer counts as an attempt at the target, so that no other box makes a trial at the same
+    /// time: without this, several boxes tried one stalled target at once, and half of the orders that were lost
+    /// within a minute were trials.
     pub(crate) fn merge_peer_open(
         &mut self,
         now: TimePoint,
         peer: u64,
         count: u32,
+        ended: u32,
         informative: &[OpenAge],
     ) {
+        let open_before = self.open.peer_count(peer);
         self.open.merge_peer(now, peer, count, informative);
         if count > 0 {
             self.unattempted = false;
             self.attempted_at = now;
         }
+        if count + ended > open_before {
+            self.begun_at = now;
+        }
+    }
+
+    /// Records that a peer that does not report its open attempts has begun one.
+    pub(crate) fn record_peer_attempt(&mut self, now: TimePoint) {
+        self.begun_at = now;
     }
 
     /// Records the outcome of an attempt of this box as evidence about the network path and the load.
--- a/crates/decide/src/steer/trial.rs
+++ b/crates/decide/src/steer/trial.rs
@@ -13,22 +13,22 @@
 use crate::steer::record::TargetRecord;
 use crate::time::TimePoint;
 
-/// Idle time after which a target that failed gets a trial, while many requests of its service fail or if
-/// the request can be sent again: a failed trial then costs a retry, but the request is not lost. The
-/// users require a minimum share of healthy targets that get requests, in every 2 s in which more than a
-/// tenth of requests are not served. A target that failed counts as healthy again 2 s later, so it must be
-/// tried within 4 s.
+/// Idle time after which a target that failed gets a trial. The users require a minimum share of healthy targets
+/// that get requests, in every 2 s in which more than a tenth of requests are not served. A target that failed counts
+/// as healthy again 2 s later, so it must be tried within 4 s. This holds also while few requests fail: nobody knows
+/// in which second a tenth of them will begin to, and the seconds before it count.
 const FAILED_TRIAL_AFTER: Duration = Duration::from_millis(3200);
-/// Idle time after which a target that did not fail gets a trial under the conditions of
-/// [`FAILED_TRIAL_AFTER`]. It leaves time for a request within each period of 2 s.
+/// Idle time after which a target that did not fail gets a trial, while many requests of its service fail or if the
+/// request can be sent again: a failed trial then costs a retry, but the request is not lost. It leaves time for a
+/// request within each period of 2 s.
 const IDLE_TRIAL_AFTER: Duration = Duration::from_millis(1000);
-/// Idle time after which a target that failed gets a trial by a request that may run only once, while few
-/// requests of the service fail. The required share of targets does not apply then, and this is often
-/// enough to detect recovered targets. Targets that joined are tried without this delay. On 40 random
-/// fleets 38 in 1,000 orders were lost with the later trials and 40 without.
-const RELAXED_FAILED_TRIAL_AFTER: Duration = Duration::from_millis(6000);
-/// Idle time after which a target that did not fail gets a trial under the conditions of
-/// [`RELAXED_FAILED_TRIAL_AFTER`].
+/// Idle time after which a target that has recovered gets a trial by a request that may run only once, while few
+/// requests of the service fail. Its risk is still above that of others, so that it is seldom chosen.
+const RECOVERED_TRIAL_AFTER: Duration = Duration::from_millis(1700);
+/// Time after a failure within which [`RECOVERED_TRIAL_AFTER`] applies.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
+/// Idle time after which any other target that did not fail gets a trial under these conditions. Such targets are
+/// as likely to be chosen as others. Targets that joined are tried without this delay.
 const RELAXED_IDLE_TRIAL_AFTER: Duration = Duration::from_millis(3000);
 /// Failure share below which few requests of a service fail. It is less than the tenth above which the
 /// users' required share of targets applies.
@@ -147,7 +147,7 @@
         // All targets are idle while the service gets no requests, which is no evidence about any of
         // them.
         let idle = record.idle_time(now).min(in_use).div_f64(factor);
-        if idle >= trial_after(record, spared) {
+        if idle >= trial_after(now, record, spared) {
             due.push(DueTarget { key, remote });
         }
     }
@@ -156,11 +156,14 @@
 
 /// Returns the idle time after which a target gets a trial. `spared` states whether the request should not
 /// be put at risk yet.
-fn trial_after(record: &TargetRecord, spared: bool) -> Duration {
-    match (record.last_failed(), spared && !record.is_unattempted()) {
-        (true, false) => FAILED_TRIAL_AFTER,
-        (false, false) => IDLE_TRIAL_AFTER,
-        (true, true) => RELAXED_FAILED_TRIAL_AFTER,
-        (false, true) => RELAXED_IDLE_TRIAL_AFTER,
+fn trial_after(now: TimePoint, record: &TargetRecord, spared: bool) -> Duration {
+    if record.last_failed() {
+        FAILED_TRIAL_AFTER
+    } else if !spared || record.is_unattempted() {
+        IDLE_TRIAL_AFTER
+    } else if record.has_failed_within(now, RECOVERY_TIME) {
+        RECOVERED_TRIAL_AFTER
+    } else {
+        RELAXED_IDLE_TRIAL_AFTER
     }
 }
--- a/crates/decide/tests/trials.rs
+++ b/crates/decide/tests/trials.rs
@@ -52,13 +52,19 @@
     TrialCase { name: "within 4 s", many_fail: true, failed: true, idle: 3_200, tried: true },
     TrialCase { name: "idle in 2 s", many_fail: true, failed: false, idle: 1_300, tried: true },
     TrialCase {
-        name: "few fail, within 4 s",
+        name: "few fail, failed before",
         many_fail: false,
         failed: true,
-        idle: 3_900,
+        idle: 2_900,
         tried: false,
     },
-    TrialCase { name: "few fail, later", many_fail: false, failed: true, idle: 6_100, tried: true },
+    TrialCase {
+        name: "few fail, within 4 s",
+        many_fail: false,
+        failed: true,
+        idle: 3_300,
+        tried: true,
+    },
     TrialCase {
         name: "few fail, idle in 2 s",
         many_fail: false,
@@ -114,7 +120,7 @@
     name: &'static str,
     /// Requests that the box itself refused, of twenty.
     refused: usize,
-    /// Whether an order may be a trial of a suspect that got nothing for 3.5 s.
+    /// Whether an order may be a trial of a target that got nothing for 1.5 s.
     tried: bool,
 }
 
@@ -133,8 +139,7 @@
     for case in UNSERVED_CASES {
         let start = 20_000;
         let mut core = core_with_healthy_targets(&[("a", "near"), ("b", "near")], at(start));
-        (0..3).for_each(|_| report_failure(&mut core, at(start), "a"));
-        let now = at(start + 3_500);
+        let now = at(start + 1_500);
         report_success(&mut core, now, "b", 3);
         for number in 0..20 {
             core.record_request(now, SERVICE);
@@ -147,6 +152,45 @@
     }
 }
 
+/// Guards against a target that gets one request when it has recovered and then none for 3 s.
+#[test]
+fn recovered_target_is_tried_again_within_two_seconds() {
+    let start = 20_000;
+    for (idle, is_tried) in [(1_500, false), (1_800, true)] {
+        let mut core = core_with_healthy_targets(&[("a", "near"), ("b", "near")], at(start));
+        report_failure(&mut core, at(start), "a");
+        report_success(&mut core, at(start + 3_300), "a", 1);
+        let now = at(start + 3_300 + idle);
+        report_success(&mut core, now, "b", 3);
+        core.record_request(now, SERVICE);
+        let picks =
+            (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
+        let tried = picks.filter(|pick| pick.trial && *pick.id == *"a").count();
+        assert_eq!(tried > 0, is_tried, "after {idle} ms: {tried} trials");
+    }
+}
+
+/// Guards against a trial that comes late by the time for which the last one stalled: the target had recovered meanwhile.
+#[test]
+fn stalled_attempt_of_a_peer_does_not_delay_the_next_trial() {
+    let start = 20_000;
+    let mut core = core_with_healthy_targets(&[("a", "near"), ("b", "near")], at(start));
+    let open = |overdue, open| PeerSample { overdue, open: Some(open), ..PeerSample::default() };
+    let reports = [(0, open(0, 1)), (600, open(1, 1)), (1_500, open(0, 0))];
+    for (time, report) in &reports {
+        core.merge_peer_sample(at(start + time), 1, TargetKey::of("a"), report);
+    }
+    for (idle, is_tried) in [(2_900, false), (3_400, true)] {
+        let now = at(start + idle);
+        report_success(&mut core, now, "b", 3);
+        core.record_request(now, SERVICE);
+        let picks =
+            (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
+        let tried = picks.filter(|pick| pick.trial && *pick.id == *"a").count();
+        assert_eq!(tried > 0, is_tried, "after {idle} ms: {tried} trials");
+    }
+}
+
 struct SuspectCase {
     name: &'static str,
     /// Number of targets that failed, of ten.
