Retry credit: a retry that lacks it waits for its peers, for 80 ms at most

Cause: a box asked ahead, for two retries at a time, and what it did not use in 3 s was lost for the whole window.

Change: a box asks for just what a retry lacks, when it lacks it, and the retry waits for the replies: 80 ms at most, less once no peer is left to be asked, not at all if the budget of the data centre is used up. Credit is spent at once, so that it lives for 0.5 s in place of 3 s.

--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -9,7 +9,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::steer::retry_share::{CONSIDERED_PEERS, RetryShare};
+use crate::steer::retry_share::{CONSIDERED_PEERS, ONE_RETRY, RetryShare};
 use crate::time::TimePoint;
 
 /// Length of one interval of the window: the resolution with which old counts expire.
@@ -45,6 +45,17 @@
     pub covers_window: bool,
 }
 
+/// Whether a retry may be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// The retry is made and counted.
+    Allowed,
+    /// The budget has none left.
+    Refused,
+    /// This box holds too little, and a peer may have some: the retry may be allowed within moments.
+    Lacking,
+}
+
 /// The boxes that share a bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SharingBoxes {
@@ -77,6 +88,8 @@
     pub allowed: u32,
     /// Retries that were not.
     pub refused: u32,
+    /// Times at which a retry lacked credit. It is tried again once a peer gives some.
+    pub lacking: u32,
 }
 
 /// What a box knew of the retry budget of one service, for its log.
@@ -169,18 +182,27 @@
         }
     }
 
-    /// Makes a retry if it is within the `bounds` of the `boxes`; returns whether it is.
-    pub fn spend(&mut self, now: TimePoint, bounds: &RetryBounds, boxes: &SharingBoxes) -> bool {
-        self.share.record_demand(now);
-        let held = self.own_amount(now, bounds, boxes) + self.share.borrowed(now);
-        if held < 1.0 || !self.allows(now, bounds, boxes.reporting, boxes.all) {
+    /// Makes a retry if it is within the `bounds` of the `boxes`.
+    pub fn spend(
+        &mut self,
+        now: TimePoint,
+        bounds: &RetryBounds,
+        boxes: &SharingBoxes,
+    ) -> RetryVerdict {
+        if !self.allows(now, bounds, boxes.reporting, boxes.all) {
             self.decisions.refused += 1;
-            return false;
+            return RetryVerdict::Refused;
+        }
+        if self.held_amount(now, bounds, boxes) < ONE_RETRY {
+            self.share.record_demand(now);
+            self.decisions.lacking += 1;
+            let is_exhausted = self.share.is_exhausted(now);
+            return if is_exhausted { RetryVerdict::Refused } else { RetryVerdict::Lacking };
         }
         let paid = self.share.pay(now);
         self.record_retry(now);
         self.current_interval(now).credited += paid;
-        true
+        RetryVerdict::Allowed
     }
 
     /// Returns whether a peer was heard that has been running for the whole window.
@@ -191,15 +213,14 @@
         self.peers.values().any(covers)
     }
 
-    /// Returns whether this box should ask a peer for credit now.
-    pub(crate) fn wants_credit(
+    /// Returns the amount that this box may spend now, in retries.
+    pub(crate) fn held_amount(
         &mut self,
         now: TimePoint,
         bounds: &RetryBounds,
         boxes: &SharingBoxes,
-    ) -> bool {
-        let held = self.own_amount(now, bounds, boxes) + self.share.borrowed(now);
-        self.share.wants_credit(now, held)
+    ) -> f64 {
+        self.own_amount(now, bounds, boxes) + self.share.borrowed(now)
     }
 
     /// Returns the richest of the first [`CONSIDERED_PEERS`] of `peers` that may be asked for credit, as far as they
--- a/crates/decide/src/steer/retries.rs
+++ b/crates/decide/src/steer/retries.rs
@@ -6,7 +6,9 @@
 
 use crate::names::Name;
 use crate::steer::SteerCore;
-use crate::steer::ledger::{RetryBounds, RetryCounts, RetryLedger, SharingBoxes, USED_SHARE};
+use crate::steer::ledger::{
+    RetryBounds, RetryCounts, RetryLedger, RetryVerdict, SharingBoxes, USED_SHARE,
+};
 use crate::steer::messages::RetryUse;
 use crate::steer::peer_subset::reporting_boxes;
 use crate::steer::retry_share::{CreditGrant, CreditRequest};
@@ -45,8 +47,13 @@
 }
 
 impl SteerCore {
-    /// Takes a retry from the budget that all boxes share; returns false if the budget has none for that use.
+    /// Takes a retry from the budget that all boxes share; returns false if this box may not make one now.
     pub fn spend_retry(&mut self, now: TimePoint, service: &str, usage: RetryUse) -> bool {
+        self.decide_retry(now, service, usage) == RetryVerdict::Allowed
+    }
+
+    /// Takes a retry from the budget that all boxes share, if there is one for that use.
+    pub fn decide_retry(&mut self, now: TimePoint, service: &str, usage: RetryUse) -> RetryVerdict {
         let boxes = self.sharing_boxes(now);
         let bounds = self.retry_bounds(now, service);
         let part = usage.budget_share();
@@ -90,7 +97,9 @@
         let mut requests = Vec::new();
         for service in services {
             let bounds = self.retry_bounds(now, &service);
-            if !self.ledger(&service).wants_credit(now, &bounds, &boxes) {
+            let ledger = self.ledger(&service);
+            let held = ledger.held_amount(now, &bounds, &boxes);
+            if !ledger.share_mut().wants_credit(now, held) {
                 continue;
             }
             let mut shuffled = peers.to_vec();
@@ -98,9 +107,10 @@
             let number = self.credit_requests + 1;
             let ledger = self.ledger(&service);
             let Some(peer) = ledger.choose_lender(now, &bounds, shuffled.into_iter()) else {
+                ledger.share_mut().record_exhausted(now);
                 continue;
             };
-            let amount = ledger.share_mut().record_request(now, peer, number);
+            let amount = ledger.share_mut().record_request(now, peer, number, held);
             self.credit_requests = number;
             requests.push((peer, CreditRequest { service, number, amount }));
         }
--- a/crates/decide/src/steer/retry_share.rs
+++ b/crates/decide/src/steer/retry_share.rs
@@ -4,8 +4,8 @@
 //! what the last reports left over, all boxes together would spend it several times. So a box spends only what it
 //! holds: the share of its own requests, an even part of the slack, and credit that a peer gave up for it. The lender
 //! charges itself before the credit leaves and for as long as a retry that is paid with it may count, so a lost or late
-//! message makes the sum smaller, never larger. Failures often reach a few boxes at a time: these ask peers for credit
-//! before they have none left.
+//! message makes the sum smaller, never larger. Failures often reach a few boxes at a time: these ask peers for what a
+//! retry lacks.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,20 +13,17 @@
 use crate::names::Name;
 use crate::time::TimePoint;
 
-/// Amount that a box holds below which a box that makes retries asks a peer for credit, in retries.
-const LOW_AMOUNT: f64 = 2.0;
-/// Amount that a box asks a peer for, in retries.
-const WANTED_AMOUNT: f64 = 2.0;
+/// Amount that a retry takes.
+pub(crate) const ONE_RETRY: f64 = 1.0;
 /// Smallest amount that is lent, in retries.
-const MIN_LENT: f64 = 0.2;
-/// Amount up to which a lender gives all that it holds, in retries. It could not make more than one retry with it.
-const SMALL_AMOUNT: f64 = 1.0;
+const MIN_LENT: f64 = 0.05;
 /// Time after the request for it within which credit may be spent.
-const CREDIT_LIFETIME: Duration = Duration::from_secs(3);
+const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
 /// Time without a reply after which another peer is asked. A late reply still counts.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time after a wanted retry for which the box goes on to ask for credit.
-const DEMAND_TIME: Duration = Duration::from_millis(500);
+const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time after a retry that lacked credit for which the box goes on to ask for it, and after which it asks again once no
+/// peer had any.
+const DEMAND_TIME: Duration = Duration::from_millis(100);
 /// Time for which a peer that lent nothing is not asked again.
 const DECLINED_PAUSE: Duration = Duration::from_secs(1);
 /// Number of peers that are considered for one request; the richest of them is asked.
@@ -80,8 +77,10 @@
     open_requests: Vec<OpenRequest>,
     /// Peers that lent nothing, and when.
     declined: Vec<(u64, TimePoint)>,
-    /// When a retry was last wanted.
+    /// When a retry last lacked credit.
     wanted_at: Option<TimePoint>,
+    /// When no peer was left to be asked.
+    exhausted_at: Option<TimePoint>,
 }
 
 impl RetryShare {
@@ -95,7 +94,7 @@
         self.borrowed.iter().filter(|credit| now < credit.until).map(|credit| credit.amount).sum()
     }
 
-    /// Records that a retry is wanted.
+    /// Records that a retry lacks credit.
     pub(crate) fn record_demand(&mut self, now: TimePoint) {
         self.wanted_at = Some(now);
     }
@@ -105,7 +104,7 @@
         self.borrowed.retain(|credit| now < credit.until);
         let mut paid = 0.0;
         while let Some(credit) = self.borrowed.front_mut() {
-            let part = credit.amount.min(1.0 - paid);
+            let part = credit.amount.min(ONE_RETRY - paid);
             paid += part;
             credit.amount -= part;
             if credit.amount > 0.0 {
@@ -120,7 +119,8 @@
     /// spent for `window` after the last moment at which the peer may spend it.
     pub(crate) fn lend(&mut self, now: TimePoint, wanted: f64, own: f64, window: Duration) -> f64 {
         self.lent.retain(|credit| now < credit.until);
-        let spare = (own / 2.0).max(own.min(SMALL_AMOUNT));
+        // A part of a retry is of no use here, and may be what the peer lacks.
+        let spare = (own / 2.0).max(own.min(ONE_RETRY));
         let amount = wanted.min(spare);
         if amount.is_nan() || amount < MIN_LENT {
             return 0.0;
@@ -129,12 +129,26 @@
         amount
     }
 
+    /// Records that no peer is left to be asked.
+    pub(crate) fn record_exhausted(&mut self, now: TimePoint) {
+        self.exhausted_at = Some(now);
+    }
+
+    /// Returns whether peers were asked in vain just before.
+    pub(crate) fn is_exhausted(&self, now: TimePoint) -> bool {
+        self.exhausted_at.is_some_and(|exhausted| now.since(exhausted) < DEMAND_TIME)
+    }
+
+    /// Returns whether a request for credit waits for its reply.
+    fn is_asking(&self, now: TimePoint) -> bool {
+        let latest = self.open_requests.last();
+        latest.is_some_and(|open| now.since(open.asked_at) < REPLY_TIMEOUT)
+    }
+
     /// Returns whether a box that holds `held` should ask for credit now.
     pub(crate) fn wants_credit(&self, now: TimePoint, held: f64) -> bool {
         let is_wanted = self.wanted_at.is_some_and(|wanted| now.since(wanted) < DEMAND_TIME);
-        let latest = self.open_requests.last();
-        let is_asking = latest.is_some_and(|open| now.since(open.asked_at) < REPLY_TIMEOUT);
-        is_wanted && !is_asking && held < LOW_AMOUNT
+        is_wanted && !self.is_asking(now) && held < ONE_RETRY
     }
 
     /// Returns whether `peer` may be asked: it has not lent nothing just before.
@@ -145,14 +159,20 @@
             .any(|(declined, at)| *declined == peer && now.since(*at) < DECLINED_PAUSE)
     }
 
-    /// Records that `peer` is asked by the request `number`; returns the amount to ask for.
-    pub(crate) fn record_request(&mut self, now: TimePoint, peer: u64, number: u64) -> f64 {
+    /// Records that `peer` is asked by the request `number`, by a box that holds `held`; returns the amount to ask for.
+    pub(crate) fn record_request(
+        &mut self,
+        now: TimePoint,
+        peer: u64,
+        number: u64,
+        held: f64,
+    ) -> f64 {
         if let Some(unanswered) = self.open_requests.last().map(|open| open.peer) {
             self.decline(now, unanswered);
         }
         self.open_requests.retain(|open| now.since(open.asked_at) < CREDIT_LIFETIME);
         self.open_requests.push(OpenRequest { number, peer, asked_at: now });
-        WANTED_AMOUNT
+        (ONE_RETRY - held).clamp(MIN_LENT, 2.0 * ONE_RETRY)
     }
 
     /// Records the reply to the request `number`. A second reply is dropped.
@@ -165,7 +185,7 @@
             self.decline(now, open.peer);
             return;
         }
-        let amount = amount.min(WANTED_AMOUNT);
+        self.exhausted_at = None;
         // The lender counts from when it received the request, which is not before it was sent.
         self.borrowed.push_back(Credit { amount, until: open.asked_at + CREDIT_LIFETIME });
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,7 +8,7 @@
 use wingbridge_decide::steer::ledger::RetryBounds;
 use wingbridge_decide::steer::record::SteerTarget;
 use wingbridge_decide::steer::split::WeightedSplit;
-use wingbridge_decide::steer::{RetryUse, SteerCore, SteerSetup, SuspicionChange};
+use wingbridge_decide::steer::{SteerCore, SteerSetup, SuspicionChange};
 use wingbridge_decide::{Fingerprint, Name, TargetKey, TimePoint};
 use wingbridge_wire::gossip::ConfigDelta;
 
@@ -30,6 +30,7 @@
 use crate::returns::ReturnPlanner;
 use crate::routes::RouteConfig;
 use crate::settings::GatewaySettings;
+use crate::steering::credits::CreditExchange;
 use crate::stopping::StopState;
 use crate::store_revision::StoreRevision;
 use crate::suspension::{ClockSample, SuspensionWatch};
@@ -53,7 +54,7 @@
     pub(crate) permits: PermitManager,
     pub(crate) paths: PathTracker,
     pub(crate) passive_samples: SampleBuffer,
-    pub(crate) credit_wanted: async_channel::Sender<()>,
+    pub(crate) credits: CreditExchange,
     pub(crate) view_changed: async_channel::Sender<()>,
     pub(crate) config_changed: async_channel::Sender<()>,
 }
@@ -81,8 +82,8 @@
     pub(crate) crashes: CrashTracker,
     /// Decides when refused callers may return.
     pub(crate) returns: ReturnPlanner,
-    /// Signals that this box may want retry credit.
-    credit_wanted: async_channel::Sender<()>,
+    /// Has peers asked for retry credit.
+    pub(crate) credits: CreditExchange,
     pub(crate) view_changed: async_channel::Sender<()>,
     /// Signals that a peer has a configuration that this box lacks, or that another configuration has come into
     /// force here.
@@ -153,7 +154,7 @@
             fleet_key: FleetKeyCache::default(),
             crashes: CrashTracker::new(),
             returns,
-            credit_wanted: handles.credit_wanted,
+            credits: handles.credits,
             view_changed: handles.view_changed,
             config_changed: handles.config_changed,
             held_body_bytes: AtomicUsize::new(0),
@@ -179,20 +180,6 @@
         lock(&self.core)
     }
 
-    /// Takes a retry from the budget that all boxes share, and has credit requested if little is left. Returns false if
-    /// the budget has none.
-    pub(crate) fn spend_retry(&self, service: &str, usage: RetryUse) -> bool {
-        let is_allowed = self.core().spend_retry(self.now(), service, usage);
-        self.want_credit();
-        is_allowed
-    }
-
-    /// Has retry credit requested if this box holds little.
-    pub(crate) fn want_credit(&self) {
-        // If the channel is full, a notification is already pending.
-        let _ = self.credit_wanted.try_send(());
-    }
-
     /// Locks the cached view of the store. Its ages include the time for which this machine was suspended.
     pub(crate) fn view(&self) -> MutexGuard<'_, CachedView> {
         let mut view = lock(&self.view);
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -30,6 +30,7 @@
 use crate::returns::RefusalSigns;
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
+use crate::steering::credits::spend_retry;
 use crate::stopping::StopState;
 use crate::suspension::ClockSample;
 use crate::waiting::QueueTicket;
@@ -305,7 +306,7 @@
             match next_event(&mut running, hedge_due).await {
                 RaceEvent::Ended(ended) => {
                     self.open_attempts = running.len() as u32;
-                    match self.handle_end(*ended) {
+                    match self.handle_end(*ended).await {
                         NextStep::Answer(answer) => return NextStep::Answer(answer),
                         NextStep::EndWithoutTarget(reason) => {
                             return NextStep::EndWithoutTarget(reason);
@@ -378,7 +379,9 @@
         // A hedge uses no target with a rate limit: its capacity is reserved for requests that have no other
         // target.
         let pick = self.pick(remaining).ok().filter(|pick| pick.limit.is_none())?;
-        if !self.context.spend_retry(&self.plan.service, RetryUse::Hedge) {
+        let context = &self.context;
+        let service = &self.plan.service;
+        if !context.core().spend_retry(context.now(), service, RetryUse::Hedge) {
             self.trace.record_no_hedge();
             return None;
         }
@@ -387,24 +390,26 @@
     }
 
     /// Reports the end of an attempt and decides what follows.
-    fn handle_end(&mut self, ended: EndedAttempt) -> NextStep {
+    async fn handle_end(&mut self, ended: EndedAttempt) -> NextStep {
         let EndedAttempt { mut open, result } = ended;
         let Some(result) = result else {
             // The deadline has passed while the target still works: whether it will complete is unknown.
             self.record_possible_run();
             self.context.crashes.record_unknown_outcome(self.outgoing.fingerprint, open.pick.key);
             open.end(SteerOutcome::DeadlineExceeded, None, 0);
-            return self.after_failure("the time is over and a target was still at work");
+            return self.after_failure("the time is over and a target was still at work").await;
         };
         match result {
-            AttemptResult::Answered(answer, load) => self.handle_answer(answer, load, &mut open),
+            AttemptResult::Answered(answer, load) => {
+                self.handle_answer(answer, load, &mut open).await
+            }
             AttemptResult::Refused(load) => {
                 self.deliveries += 1;
                 let has_free_slots = self.refusal_signs.record_refused(load);
                 let (context, service) = (&self.context, &self.plan.service);
                 context.returns.record_target_refusal(context.now(), service, has_free_slots);
                 open.end(SteerOutcome::Shed, load, 0);
-                self.after_failure("refused by the target")
+                self.after_failure("refused by the target").await
             }
             AttemptResult::WrongTarget => {
                 self.deliveries += 1;
@@ -413,18 +418,18 @@
                 if self.context.core().record_replaced(open.pick.key) {
                     log_replaced(&open.pick.id, "own");
                 }
-                self.after_failure("another instance has the address")
+                self.after_failure("another instance has the address").await
             }
             AttemptResult::Withheld => {
                 open.end(SteerOutcome::Cancelled, None, 0);
-                self.after_failure("it has said meanwhile that it wants nothing")
+                self.after_failure("it has said meanwhile that it wants nothing").await
             }
             AttemptResult::NotConnected(reason) => {
                 if reason == CONNECTION_REFUSED {
                     self.context.crashes.record_target_ended(open.pick.key);
                 }
                 open.end(SteerOutcome::ConnectFailed, None, 0);
-                self.after_failure(reason)
+                self.after_failure(reason).await
             }
             AttemptResult::NoValidAnswer(reason) => {
                 self.record_possible_run();
@@ -432,12 +437,12 @@
                     .crashes
                     .record_unknown_outcome(self.outgoing.fingerprint, open.pick.key);
                 open.end(SteerOutcome::Incomplete, None, 0);
-                self.after_failure(&reason)
+                self.after_failure(&reason).await
             }
             AttemptResult::CallerDisconnected => {
                 self.record_possible_run();
                 open.end(SteerOutcome::Cancelled, None, 0);
-                self.after_failure("its caller left before all of it had come")
+                self.after_failure("its caller left before all of it had come").await
             }
             AttemptResult::TargetEnded(reason) => {
                 self.record_possible_run();
@@ -445,13 +450,13 @@
                 // The crash is recorded before the end of the attempt, so that one datagram reports both.
                 self.context.crashes.record_crash(self.outgoing.fingerprint, open.pick.key);
                 open.end(SteerOutcome::Incomplete, None, 0);
-                self.after_failure(&format!("{reason}, and the target has ended"))
+                self.after_failure(&format!("{reason}, and the target has ended")).await
             }
         }
     }
 
     /// Reports the end of an attempt with an answer and decides whether the caller gets that answer.
-    fn handle_answer(
+    async fn handle_answer(
         &mut self,
         answer: Box<TargetAnswer>,
         load: Option<LoadReport>,
@@ -467,7 +472,7 @@
             if failed { SteerOutcome::Failed } else { SteerOutcome::Good(open.started.elapsed()) };
         open.end(outcome, load, answer.bytes);
         self.trace.record_target(&open.pick);
-        if failed && (self.open_attempts > 0 || self.may_retry()) {
+        if failed && (self.open_attempts > 0 || self.may_retry().await) {
             self.trace.record_failure(&format!("status {}", answer.head.status));
             self.fallback = Some(answer);
             return NextStep::Continue;
@@ -476,7 +481,7 @@
     }
 
     /// Decides what follows an attempt without an answer: a further attempt or the final answer.
-    fn after_failure(&mut self, reason: &str) -> NextStep {
+    async fn after_failure(&mut self, reason: &str) -> NextStep {
         self.trace.record_failure(reason);
         if self.open_attempts > 0 {
             // Another attempt may still answer.
@@ -490,7 +495,7 @@
         if self.tried.len() as u32 >= MAX_SENDS {
             return NextStep::EndWithoutTarget("each target that was asked failed or refused");
         }
-        if (self.deliveries == 0 && !self.outgoing.is_body_consumed()) || self.may_retry() {
+        if (self.deliveries == 0 && !self.outgoing.is_body_consumed()) || self.may_retry().await {
             return NextStep::Continue;
         }
         NextStep::Answer(self.give_up("no further attempt is allowed"))
@@ -498,8 +503,8 @@
 
     /// Returns whether the request may be sent to another target after one has received it. If so, this takes a
     /// retry from the budget.
-    fn may_retry(&mut self) -> bool {
-        let refusal = self.retry_refusal();
+    async fn may_retry(&mut self) -> bool {
+        let refusal = self.retry_refusal().await;
         if let Some(reason) = refusal {
             self.trace.record_no_retry(reason);
         }
@@ -508,7 +513,7 @@
 
     /// Returns the reason why the request may not be sent to another target. If there is none, this takes a retry
     /// from the budget.
-    fn retry_refusal(&mut self) -> Option<&'static str> {
+    async fn retry_refusal(&mut self) -> Option<&'static str> {
         if self.possible_runs > 0 && !self.plan.policy.repeatable {
             return Some("it may run once only");
         }
@@ -529,7 +534,7 @@
         if !context.core().has_eligible_target(context.now(), service, &self.tried, homes) {
             return Some("there is no other target");
         }
-        if context.spend_retry(service, RetryUse::Repeat) {
+        if spend_retry(context, service, self.deadline()).await {
             metrics::counter!("wingbridge_retries").increment(1);
             return None;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,7 +22,7 @@
 use crate::ports::EnvironmentPort;
 use crate::quota_manager::QuotaManager;
 use crate::settings::GatewaySettings;
-use crate::steering::credits::request_credits;
+use crate::steering::credits::{CreditExchange, request_credits};
 use crate::stopping::StopState;
 use crate::store_sync::StoreSync;
 use crate::view_exchange::serve_peers;
@@ -72,7 +72,7 @@
     let (quotas, quota_requests) = QuotaManager::new(settings.quota_slack);
     let (permits, permit_requests) = PermitManager::new();
     let (paths, path_wakeups) = PathTracker::new();
-    let (credit_wanted, credit_wakeups) = async_channel::bounded(1);
+    let (credits, credit_wakeups) = CreditExchange::new();
     let (listing_fetches, pending_fetches) = async_channel::bounded(1);
     let stopping = StopState::new();
     log::info!(
@@ -89,7 +89,7 @@
         permits,
         paths,
         passive_samples,
-        credit_wanted,
+        credits,
         view_changed,
         config_changed,
     };
--- a/crates/gateway/src/steering/credits.rs
+++ b/crates/gateway/src/steering/credits.rs
@@ -1,19 +1,87 @@
 //! Requests for retry credit to peers of the data centre, and the replies to theirs.
 //!
-//! No request of a caller waits for credit: a box asks as soon as it holds little, so that the credit is there before
-//! the next retry. A message that is lost costs the sender what it gave up, and nothing else.
+//! A retry that lacks credit waits for moments: a round trip within a data centre takes less than a millisecond, and
+//! without the retry the request is lost. A message that is lost costs the sender what it gave up, and nothing else.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
+use wingbridge_decide::steer::RetryUse;
+use wingbridge_decide::steer::ledger::RetryVerdict;
 use wingbridge_decide::steer::retry_share::{CreditGrant, CreditRequest};
 use wingbridge_wire::retries::{RetryCreditAmount, RetryCreditMessage};
 
-use crate::context::BoxContext;
+use crate::context::{BoxContext, lock};
 use crate::gossip::Gossip;
 
 /// Thousandths of a retry in a retry.
 const THOUSANDTHS: f64 = 1000.0;
+/// Time for which a retry waits for credit at most. Some peers may have none, and a busy one replies some tens of
+/// milliseconds late.
+const MAX_CREDIT_WAIT: Duration = Duration::from_millis(80);
+/// Time after which a waiting retry has the next peer asked if the last one does not reply.
+const CREDIT_POLL: Duration = Duration::from_millis(20);
+
+/// Connects the retries that lack credit with the task that asks peers for it.
+#[derive(Debug)]
+pub(crate) struct CreditExchange {
+    wanted: Sender<()>,
+    /// Retries that wait for credit.
+    waiting: Mutex<Vec<Sender<()>>>,
+}
+
+impl CreditExchange {
+    /// Creates the exchange, and the channel that wakes the task which asks peers.
+    pub(crate) fn new() -> (CreditExchange, Receiver<()>) {
+        let (wanted, wakeups) = async_channel::bounded(1);
+        (CreditExchange { wanted, waiting: Mutex::default() }, wakeups)
+    }
+
+    /// Has peers asked for the credit that retries lack.
+    fn want_credit(&self) {
+        // If the channel is full, a notification is already pending.
+        let _ = self.wanted.try_send(());
+    }
+
+    /// Returns a channel that yields once a peer has replied, or none is left to be asked.
+    fn next_change(&self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut waiting = lock(&self.waiting);
+        waiting.retain(|other| !other.is_closed());
+        waiting.push(sender);
+        receiver
+    }
+
+    fn notify(&self) {
+        for waiting in lock(&self.waiting).drain(..) {
+            // The request may have ended meanwhile.
+            let _ = waiting.try_send(());
+        }
+    }
+}
+
+/// Takes a retry from the budget that all boxes share, before `deadline`. Returns false if there is none. If this box
+/// lacks credit for it, this waits for the peers that may have some.
+pub(crate) async fn spend_retry(context: &BoxContext, service: &str, deadline: Instant) -> bool {
+    let until = deadline.min(Instant::now() + MAX_CREDIT_WAIT);
+    loop {
+        match context.core().decide_retry(context.now(), service, RetryUse::Repeat) {
+            RetryVerdict::Allowed => return true,
+            RetryVerdict::Refused => return false,
+            RetryVerdict::Lacking => {}
+        }
+        let remaining = until.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return false;
+        }
+        let change = context.credits.next_change();
+        context.credits.want_credit();
+        // Whether a peer has replied or not: what this box holds is looked at again.
+        let _ = timeout(remaining.min(CREDIT_POLL), change.recv()).await;
+    }
+}
 
 /// Sends the requests for credit that are due whenever `wakeups` yields, until that channel is closed.
 pub(crate) async fn request_credits(
@@ -25,12 +93,16 @@
         let hosts = context.peers().local_incarnations();
         let peers: Vec<u64> = hosts.keys().copied().collect();
         let due = context.core().due_credit_requests(context.now(), &peers);
+        let is_none = due.is_empty();
         for (peer, CreditRequest { service, number, amount }) in due {
             let request = encode_amount(&service, number, amount);
             let message = RetryCreditMessage { requests: vec![request], grants: Vec::new() };
             metrics::counter!("wingbridge_retry_credit_requests").increment(1);
             gossip.send_credits(hosts[&peer], message).await;
         }
+        if is_none {
+            context.credits.notify();
+        }
     }
 }
 
@@ -56,8 +128,7 @@
     let grants: Vec<RetryCreditAmount> = message.requests.iter().map(reply).collect();
     drop(core);
     if !message.grants.is_empty() {
-        // More may be wanted, also of other peers.
-        context.want_credit();
+        context.credits.notify();
     }
     (!grants.is_empty()).then(|| RetryCreditMessage { requests: Vec::new(), grants })
 }
--- a/crates/gateway/src/steering/mod.rs
+++ b/crates/gateway/src/steering/mod.rs
@@ -25,6 +25,7 @@
         metrics::counter!("wingbridge_retries_refused").increment(u64::from(decisions.refused));
         log::info!(
             service:% = service, allowed = decisions.allowed, refused = decisions.refused,
+            lacking = decisions.lacking,
             own_requests = own.requests, own_retries = own.retries,
             unresponsive_retries = own.unresponsive_retries, peer_requests = peers.requests,
             peer_retries = peers.retries, reporting = status.reporting,
