--- a/crates/decide/tests/retry_bound.rs
+++ b/crates/decide/tests/retry_bound.rs
@@ -2,7 +2,14 @@
 
 mod retry_fleet;
 
-use retry_fleet::{FleetCase, FleetResult, RetryFleet};
+use std::time::Duration;
+
+use retry_fleet::{FleetCase, FleetResult, RetryFleet, SERVICE, WINDOW_MS};
+use wingbridge_decide::TimePoint;
+use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts, RetryVerdict};
+use wingbridge_decide::steer::mechanism::MechanismSet;
+use wingbridge_decide::steer::retry_share::{CreditGrant, CreditRequest};
+use wingbridge_decide::steer::{RetryUse, SteerCore, SteerSetup};
 
 /// Seeds of each case.
 const SEEDS: std::ops::Range<u64> = 1..4;
@@ -46,6 +53,7 @@
             per_second: 300.0,
             ..usual.clone()
         },
+        FleetCase { name: "half of the messages lost", lost: 0.5, ..usual.clone() },
         FleetCase { name: "failures at a tenth of the boxes", failing_share: 0.1, ..usual.clone() },
     ]
 }
@@ -70,3 +78,143 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// A box that holds 1.7 retries of the slack at `at(WINDOW_MS)`, and earns none by its requests.
+fn box_with_slack() -> SteerCore {
+    let window = Duration::from_millis(WINDOW_MS);
+    let mut core = SteerCore::new(SteerSetup {
+        data_centre: "centre".into(),
+        cross_cost: 0.01,
+        retries: RetryBounds { share: 0.0, slack: 80.0, window },
+        seed: 1,
+        mechanisms: MechanismSet::default(),
+    });
+    core.set_boxes(12, 36);
+    // The service is known to the box.
+    core.merge_retry_counts(at(WINDOW_MS), 9, SERVICE, RetryCounts::default());
+    core
+}
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_micros(millis * 1000)
+}
+
+fn spend(core: &mut SteerCore, millis: u64) -> RetryVerdict {
+    core.decide_retry(at(millis), SERVICE, RetryUse::Repeat)
+}
+
+/// Makes the retry that the box holds, and asks the peer 1 for what the next one lacks.
+fn borrower() -> (SteerCore, CreditRequest) {
+    let mut core = box_with_slack();
+    assert_eq!(spend(&mut core, WINDOW_MS), RetryVerdict::Allowed);
+    assert_eq!(spend(&mut core, WINDOW_MS), RetryVerdict::Lacking);
+    let mut due = core.due_credit_requests(at(WINDOW_MS), &[1]);
+    let (peer, request) = due.pop().expect("a request is due");
+    assert_eq!(peer, 1);
+    (core, request)
+}
+
+struct GrantCase {
+    name: &'static str,
+    /// Milliseconds after the request at which each grant of this amount arrives.
+    grants: &'static [(u64, f64)],
+    /// Milliseconds after the request at which a retry is wanted.
+    wanted_at: u64,
+    verdict: RetryVerdict,
+}
+
+const GRANT_CASES: &[GrantCase] = &[
+    GrantCase {
+        name: "in time",
+        grants: &[(2, 0.4)],
+        wanted_at: 3,
+        verdict: RetryVerdict::Allowed,
+    },
+    GrantCase {
+        name: "too little",
+        grants: &[(2, 0.2)],
+        wanted_at: 3,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "the same one twice",
+        grants: &[(2, 0.2), (3, 0.2)],
+        wanted_at: 4,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "none to spare",
+        grants: &[(2, 0.0)],
+        wanted_at: 3,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "not a number",
+        grants: &[(2, f64::NAN)],
+        wanted_at: 3,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "negative",
+        grants: &[(2, -5.0)],
+        wanted_at: 3,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "late and spent in time",
+        grants: &[(450, 0.4)],
+        wanted_at: 460,
+        verdict: RetryVerdict::Allowed,
+    },
+    GrantCase {
+        name: "in time and spent late",
+        grants: &[(2, 0.4)],
+        wanted_at: 510,
+        verdict: RetryVerdict::Lacking,
+    },
+    GrantCase {
+        name: "too late",
+        grants: &[(600, 0.4)],
+        wanted_at: 610,
+        verdict: RetryVerdict::Lacking,
+    },
+];
+
+/// Guards against credit that is worth more than its lender gave up: twice, or after the lender counts it no more.
+#[test]
+fn credit_is_spent_once_and_in_time() {
+    for case in GRANT_CASES {
+        let (mut core, request) = borrower();
+        for (delay, amount) in case.grants {
+            let CreditRequest { service, number, .. } = request.clone();
+            let grant = CreditGrant { service, number, amount: *amount };
+            core.record_credit(at(WINDOW_MS + delay), &grant);
+        }
+        let verdict = spend(&mut core, WINDOW_MS + case.wanted_at);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
+
+/// Guards against a lender that makes the retry that it gave up.
+#[test]
+fn lender_counts_what_it_lent_for_the_whole_window() {
+    let (_, request) = borrower();
+    let lent_at = WINDOW_MS + 1;
+    let mut lender = box_with_slack();
+    let whole = CreditRequest { amount: 1.0, ..request };
+    assert_eq!(lender.lend_credit(at(lent_at), &whole).amount, 1.0);
+    assert_eq!(spend(&mut lender, lent_at + 1), RetryVerdict::Lacking);
+    assert_eq!(spend(&mut lender, lent_at + WINDOW_MS), RetryVerdict::Lacking);
+    assert_eq!(spend(&mut lender, lent_at + WINDOW_MS + 1_100), RetryVerdict::Allowed);
+}
+
+/// Guards against a caller that waits although no peer has a retry to spare.
+#[test]
+fn retry_is_refused_at_once_when_no_peer_is_left() {
+    let (mut core, request) = borrower();
+    let CreditRequest { service, number, .. } = request;
+    core.record_credit(at(WINDOW_MS + 2), &CreditGrant { service, number, amount: 0.0 });
+    assert_eq!(spend(&mut core, WINDOW_MS + 3), RetryVerdict::Lacking);
+    assert!(core.due_credit_requests(at(WINDOW_MS + 3), &[1]).is_empty(), "it had none");
+    assert_eq!(spend(&mut core, WINDOW_MS + 4), RetryVerdict::Refused);
+}
--- a/crates/decide/tests/retry_fleet/mod.rs
+++ b/crates/decide/tests/retry_fleet/mod.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wingbridge_decide::TimePoint;
-use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts};
+use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts, RetryVerdict};
 use wingbridge_decide::steer::mechanism::MechanismSet;
 use wingbridge_decide::steer::retry_share::{CreditGrant, CreditRequest};
 use wingbridge_decide::steer::{RetryUse, SteerCore, SteerSetup};
@@ -22,6 +22,8 @@
 const TIMEOUTS_MS: [u64; 2] = [3_500, 25_000];
 /// Milliseconds between two heartbeats.
 const HEARTBEAT_MS: u64 = 1_000;
+/// Milliseconds for which a retry waits for credit.
+const CREDIT_WAIT_MS: u64 = 80;
 /// Retries that a request takes if it gets them.
 const WANTED_RETRIES: usize = 3;
 
@@ -38,6 +40,8 @@
     pub per_second: f64,
     /// Milliseconds that a message takes.
     pub delay: u64,
+    /// Share of the messages that are lost.
+    pub lost: f64,
     /// While requests need retries.
     pub failing: Period,
     /// While no box hears another one.
@@ -58,6 +62,7 @@
             slack: 58.0,
             per_second: 70.0,
             delay: 25,
+            lost: 0.0,
             failing: 15_000..25_000,
             cut: 0..0,
             restart: 0,
@@ -123,9 +128,17 @@
     messages: BTreeMap<u64, Vec<(usize, usize, FleetMessage)>>,
     random: SmallRng,
     incarnations: u64,
+    waiting: Vec<WaitingRequest>,
     result: FleetResult,
 }
 
+/// A request whose next retry lacks credit.
+struct WaitingRequest {
+    number: usize,
+    until: u64,
+    wanted: usize,
+}
+
 impl<'a> RetryFleet<'a> {
     pub fn new(case: &'a FleetCase, seed: u64) -> RetryFleet<'a> {
         let random = SmallRng::seed_from_u64(seed);
@@ -136,6 +149,7 @@
             messages: BTreeMap::new(),
             random,
             incarnations: 0,
+            waiting: Vec::new(),
             result: FleetResult::default(),
         };
         for number in 0..case.boxes {
@@ -162,6 +176,9 @@
                 arrivals -= 1.0;
                 self.request();
             }
+            for waiting in std::mem::take(&mut self.waiting) {
+                self.take_retries(waiting);
+            }
             self.send_reports();
             self.send_credit_requests();
             self.now += STEP_MS;
@@ -187,6 +204,7 @@
 
     fn restart_all(&mut self) {
         self.messages.clear();
+        self.waiting.clear();
         for number in 0..self.boxes.len() {
             self.boxes[number] = self.new_box(number, self.now);
         }
@@ -206,11 +224,29 @@
             return;
         }
         self.result.needing += 1;
-        let spent = (0..WANTED_RETRIES)
-            .take_while(|_| core.spend_retry(now, SERVICE, RetryUse::Repeat))
-            .count();
-        self.result.without_retry += usize::from(spent == 0);
-        self.result.retries.extend(std::iter::repeat_n(self.now, spent));
+        let until = self.now + CREDIT_WAIT_MS;
+        self.take_retries(WaitingRequest { number, until, wanted: WANTED_RETRIES });
+    }
+
+    /// Makes the retries of a request until it has all, none is left, or it has to wait for credit.
+    fn take_retries(&mut self, mut waiting: WaitingRequest) {
+        while waiting.wanted > 0 {
+            let now = self.core_time(waiting.number);
+            let core = &mut self.boxes[waiting.number].core;
+            match core.decide_retry(now, SERVICE, RetryUse::Repeat) {
+                RetryVerdict::Allowed => {
+                    waiting.wanted -= 1;
+                    waiting.until = self.now + CREDIT_WAIT_MS;
+                    self.result.retries.push(self.now);
+                }
+                RetryVerdict::Lacking if self.now < waiting.until => {
+                    self.waiting.push(waiting);
+                    return;
+                }
+                RetryVerdict::Lacking | RetryVerdict::Refused => break,
+            }
+        }
+        self.result.without_retry += usize::from(waiting.wanted == WANTED_RETRIES);
     }
 
     fn send_reports(&mut self) {
@@ -263,7 +299,8 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: FleetMessage) {
-        if !self.case.cut.contains(&self.now) {
+        let is_lost = self.case.lost > 0.0 && self.random.random::<f64>() < self.case.lost;
+        if !is_lost && !self.case.cut.contains(&self.now) {
             let due = self.now + self.case.delay.max(STEP_MS);
             self.messages.entry(due).or_default().push((from, to, message));
         }
