--- a/crates/decide/tests/episode_fleet/mod.rs
+++ b/crates/decide/tests/episode_fleet/mod.rs
@@ -176,13 +176,14 @@
         self.attempts.push(RunningAttempt { number, handle, good: !stalls, ended: false });
         self.schedule(time, EpisodeEvent::Ended(attempt));
         self.schedule(overdue, EpisodeEvent::Overdue(attempt));
-        self.report(number, pick.key, PeerSample::default());
+        self.report(number, pick.key, &PeerSample::default());
     }
 
     fn overdue(&mut self, attempt: usize) {
         let RunningAttempt { number, handle, ended, .. } = self.attempts[attempt];
         if !ended && self.boxes[number].record_overdue(at(self.now), &handle).stalled {
-            self.report(number, handle.key, PeerSample { overdue: 1, ..PeerSample::default() });
+            let stalled = PeerSample { overdue: 1, ..PeerSample::default() };
+            self.report(number, handle.key, &stalled);
         }
     }
 
@@ -205,12 +206,12 @@
             latency_ratio: effect.latency_ratio,
             ..PeerSample::default()
         };
-        self.report(number, handle.key, sample);
+        self.report(number, handle.key, &sample);
     }
 
-    fn report(&mut self, from: usize, key: TargetKey, sample: PeerSample) {
+    fn report(&mut self, from: usize, key: TargetKey, sample: &PeerSample) {
         let (open, informative) = self.boxes[from].open_attempts_at(key);
-        let sample = PeerSample { open: Some(open), informative, ..sample };
+        let sample = PeerSample { open: Some(open), informative, ..sample.clone() };
         self.schedule(REPORT_MS, EpisodeEvent::Report { from, key, sample });
     }
 
