Even parts of limits and quotas: by the boxes that were known lately, not by those that are known now

Cause: without a coordinator a box sends a target with a limit half of an equal share, and admits a customer's equal share, of the boxes that it knows at that moment. Boxes that are cut off from each other forget each other after 3.5 s, so that the parts of a fleet of more than 40 boxes (of any fleet, for quotas) added up to more. The same class: a bound over all boxes kept by each one's estimate of the others.

Change: SteerCore::fleet_size, the largest number of the last half hour, is the one place for even parts.

Result: boxes_that_are_cut_off_still_count_for_even_parts (105 known, then alone: 105); the tests of limits, quotas, cold targets and unresponsive coordinators pass.

--- a/crates/decide/src/steer/retries.rs
+++ b/crates/decide/src/steer/retries.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Returns the largest number of boxes that were known lately. An even part of a bound over all boxes is by this
+    /// number: boxes that are cut off from each other know fewer, and their parts together would exceed the bound.
+    pub fn fleet_size(&mut self, now: TimePoint) -> usize {
+        self.fleet_size.largest(now, self.boxes)
+    }
+
     /// Returns the bounds that apply to this box now.
     fn retry_bounds(&mut self, now: TimePoint, service: &str) -> RetryBounds {
         let bounds = self.setup.retries;
@@ -151,7 +157,7 @@
 
     fn sharing_boxes(&mut self, now: TimePoint) -> SharingBoxes {
         let all = self.boxes.max(MIN_BOXES);
-        let largest = self.fleet_size.largest(now, all);
+        let largest = self.fleet_size(now).max(MIN_BOXES);
         SharingBoxes { reporting: reporting_boxes(self.local_boxes), all, largest }
     }
 
--- a/crates/decide/tests/retry_bound.rs
+++ b/crates/decide/tests/retry_bound.rs
@@ -218,3 +218,15 @@
     assert!(core.due_credit_requests(at(WINDOW_MS + 3), &[1]).is_empty(), "it had none");
     assert_eq!(spend(&mut core, WINDOW_MS + 4), RetryVerdict::Refused);
 }
+
+/// Guards against even parts of a bound that grow while boxes are cut off from each other: they know fewer boxes.
+#[test]
+fn boxes_that_are_cut_off_still_count_for_even_parts() {
+    const MINUTE_MS: u64 = 60_000;
+    let mut core = box_with_slack();
+    core.set_boxes(35, 105);
+    core.set_boxes(1, 1);
+    assert_eq!(core.fleet_size(at(MINUTE_MS)), 105);
+    assert_eq!(core.fleet_size(at(31 * MINUTE_MS)), 105, "known in the period before");
+    assert_eq!(core.fleet_size(at(62 * MINUTE_MS)), 1, "a fleet that became smaller");
+}
--- a/crates/gateway/src/permit_manager.rs
+++ b/crates/gateway/src/permit_manager.rs
@@ -310,7 +310,7 @@
         key: TargetKey,
         rate: RequestRate,
     ) -> PermitAnswer {
-        let boxes = context.peers().boxes();
+        let boxes = context.core().fleet_size(context.now());
         let mut state = lock(&self.state);
         if state.shares.len() >= CLEANUP_THRESHOLD {
             // A new share starts with a random phase.
--- a/crates/gateway/src/quota_manager.rs
+++ b/crates/gateway/src/quota_manager.rs
@@ -210,8 +210,8 @@
     }
 
     fn due_requests(&self, context: &BoxContext) -> Vec<DueRequest> {
-        let boxes = context.peers().boxes();
         let now = context.now();
+        let boxes = context.core().fleet_size(now);
         let mut state = lock(&self.state);
         state.accounts.set_boxes(boxes);
         state.accounts.remove_idle(now);
