Retry credit: no busy loop while a peer is asked, and a peer that does not reply is not asked again at once

Found by reading the change: the task that asks peers woke the waiting retries whenever nothing was due, which is so also while a request is on its way; they woke it again, until the reply came. It wakes them only once no peer is left.

--- a/crates/bench/src/steer/world/reports.rs
+++ b/crates/bench/src/steer/world/reports.rs
@@ -88,7 +88,7 @@
             |other: &usize| *other != box_number && *other % centres == box_number % centres;
         let peers: Vec<u64> =
             (0..self.boxes.len()).filter(is_peer).map(|other| other as u64).collect();
-        let requests = self.boxes[box_number].due_credit_requests(now, &peers);
+        let requests = self.boxes[box_number].due_credit_requests(now, &peers).requests;
         for (peer, request) in &requests {
             let grant = self.boxes[*peer as usize].lend_credit(now, request);
             self.boxes[box_number].record_credit(now, &grant);
--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -14,7 +14,8 @@
 
 /// Length of one interval of the window: the resolution with which old counts expire.
 const INTERVAL: Duration = Duration::from_millis(500);
-/// Share of the bound that is used. The rest allows for retries of peers that were not reported yet.
+/// Share of the bound that is used. The rest allows for retries of peers that were not reported yet, and is all that
+/// boxes use after a restart of all of them.
 pub(crate) const USED_SHARE: f64 = 0.85;
 /// Time without a report after which a peer's requests no longer add to the budget: it may be partitioned
 /// from this box and spend that budget itself. A box reports with each request, about once a second.
@@ -137,6 +138,8 @@
         let mut status = LedgerStatus {
             decisions,
             own: self.own_counts(now, window),
+            lent: self.share.lent(now),
+            borrowed: self.share.borrowed(now),
             ..LedgerStatus::default()
         };
         for (counts, received) in self.peers.values() {
@@ -239,8 +242,8 @@
         may_lend.take(CONSIDERED_PEERS).max_by(|one, other| amount(one).total_cmp(&amount(other)))
     }
 
-    /// Returns what this box holds for certain, apart from borrowed credit, in retries. It is negative while boxes
-    /// that were lent to had more than the requests since have earned.
+    /// Returns what this box holds for certain, apart from borrowed credit, in retries. It is negative while
+    /// requests that earned what was spent or lent have left the window.
     fn own_amount(&mut self, now: TimePoint, bounds: &RetryBounds, boxes: &SharingBoxes) -> f64 {
         self.expire(now, bounds.window);
         let requests = self.own_requests(now, bounds.window);
--- a/crates/decide/src/steer/retries.rs
+++ b/crates/decide/src/steer/retries.rs
@@ -11,7 +11,7 @@
 };
 use crate::steer::messages::RetryUse;
 use crate::steer::peer_subset::reporting_boxes;
-use crate::steer::retry_share::{CreditGrant, CreditRequest};
+use crate::steer::retry_share::{CreditGrant, CreditRequest, DueCredits};
 use crate::time::TimePoint;
 
 /// Minimum number of boxes that are assumed to share the retry slack, so that a box without known peers
@@ -85,16 +85,11 @@
         unreported.collect()
     }
 
-    /// Returns the requests for credit that are due, each with the incarnation of the peer to which it goes, one of
-    /// `peers`.
-    pub fn due_credit_requests(
-        &mut self,
-        now: TimePoint,
-        peers: &[u64],
-    ) -> Vec<(u64, CreditRequest)> {
+    /// Returns the requests for credit that are due. They go to some of `peers`.
+    pub fn due_credit_requests(&mut self, now: TimePoint, peers: &[u64]) -> DueCredits {
         let boxes = self.sharing_boxes(now);
         let services: Vec<Name> = self.ledgers.keys().cloned().collect();
-        let mut requests = Vec::new();
+        let mut due = DueCredits::default();
         for service in services {
             let bounds = self.retry_bounds(now, &service);
             let ledger = self.ledger(&service);
@@ -108,13 +103,14 @@
             let ledger = self.ledger(&service);
             let Some(peer) = ledger.choose_lender(now, &bounds, shuffled.into_iter()) else {
                 ledger.share_mut().record_exhausted(now);
+                due.is_exhausted = true;
                 continue;
             };
             let amount = ledger.share_mut().record_request(now, peer, number, held);
             self.credit_requests = number;
-            requests.push((peer, CreditRequest { service, number, amount }));
+            due.requests.push((peer, CreditRequest { service, number, amount }));
         }
-        requests
+        due
     }
 
     /// Replies to a peer's request for credit.
--- a/crates/decide/src/steer/retry_share.rs
+++ b/crates/decide/src/steer/retry_share.rs
@@ -29,7 +29,16 @@
 /// Number of peers that are considered for one request; the richest of them is asked.
 pub(crate) const CONSIDERED_PEERS: usize = 3;
 
-/// A request for credit, from a box that has nearly none left.
+/// Requests for credit, and whether a service lacks credit for which no peer is left to be asked.
+#[derive(Debug, Default, PartialEq)]
+pub struct DueCredits {
+    /// Each request with the incarnation of the peer to which it goes.
+    pub requests: Vec<(u64, CreditRequest)>,
+    /// Whether retries that wait for credit are now to be refused.
+    pub is_exhausted: bool,
+}
+
+/// A request for credit, from a box in which a retry lacks it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CreditRequest {
     /// Service for whose retries the credit is.
@@ -148,15 +157,15 @@
     /// Returns whether a box that holds `held` should ask for credit now.
     pub(crate) fn wants_credit(&self, now: TimePoint, held: f64) -> bool {
         let is_wanted = self.wanted_at.is_some_and(|wanted| now.since(wanted) < DEMAND_TIME);
-        is_wanted && !self.is_asking(now) && held < ONE_RETRY
+        is_wanted && !self.is_asking(now) && !self.is_exhausted(now) && held < ONE_RETRY
     }
 
-    /// Returns whether `peer` may be asked: it has not lent nothing just before.
+    /// Returns whether `peer` may be asked: it has replied, and has not declined just before.
     pub(crate) fn may_ask(&self, now: TimePoint, peer: u64) -> bool {
-        !self
-            .declined
-            .iter()
-            .any(|(declined, at)| *declined == peer && now.since(*at) < DECLINED_PAUSE)
+        let is_unanswered = self.open_requests.iter().any(|open| open.peer == peer);
+        let has_declined =
+            |(one, at): &(u64, TimePoint)| *one == peer && now.since(*at) < DECLINED_PAUSE;
+        !is_unanswered && !self.declined.iter().any(has_declined)
     }
 
     /// Records that `peer` is asked by the request `number`, by a box that holds `held`; returns the amount to ask for.
--- a/crates/decide/tests/peer_subset.rs
+++ b/crates/decide/tests/peer_subset.rs
@@ -88,7 +88,7 @@
     let mut spent = 0;
     for _ in 0..1000 {
         spent += usize::from(core.spend_retry(now, "orders", RetryUse::Repeat));
-        for (peer, request) in core.due_credit_requests(now, &peers) {
+        for (peer, request) in core.due_credit_requests(now, &peers).requests {
             let grant = lenders[peer as usize].lend_credit(now, &request);
             core.record_credit(now, &grant);
         }
--- a/crates/decide/tests/retry_bound.rs
+++ b/crates/decide/tests/retry_bound.rs
@@ -8,7 +8,7 @@
 use wingbridge_decide::TimePoint;
 use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts, RetryVerdict};
 use wingbridge_decide::steer::mechanism::MechanismSet;
-use wingbridge_decide::steer::retry_share::{CreditGrant, CreditRequest};
+use wingbridge_decide::steer::retry_share::{CreditGrant, CreditRequest, DueCredits};
 use wingbridge_decide::steer::{RetryUse, SteerCore, SteerSetup};
 
 /// Seeds of each case.
@@ -109,7 +109,7 @@
     assert_eq!(spend(&mut core, WINDOW_MS), RetryVerdict::Allowed);
     assert_eq!(spend(&mut core, WINDOW_MS), RetryVerdict::Lacking);
     let mut due = core.due_credit_requests(at(WINDOW_MS), &[1]);
-    let (peer, request) = due.pop().expect("a request is due");
+    let (peer, request) = due.requests.pop().expect("a request is due");
     assert_eq!(peer, 1);
     (core, request)
 }
@@ -203,6 +203,9 @@
     let mut lender = box_with_slack();
     let whole = CreditRequest { amount: 1.0, ..request };
     assert_eq!(lender.lend_credit(at(lent_at), &whole).amount, 1.0);
+    spend(&mut lender, lent_at);
+    let statuses = lender.take_retry_status(at(lent_at));
+    assert_eq!(statuses.first().map(|(_, status)| status.lent), Some(1.0));
     assert_eq!(spend(&mut lender, lent_at + 1), RetryVerdict::Lacking);
     assert_eq!(spend(&mut lender, lent_at + WINDOW_MS), RetryVerdict::Lacking);
     assert_eq!(spend(&mut lender, lent_at + WINDOW_MS + 1_100), RetryVerdict::Allowed);
@@ -215,10 +218,21 @@
     let CreditRequest { service, number, .. } = request;
     core.record_credit(at(WINDOW_MS + 2), &CreditGrant { service, number, amount: 0.0 });
     assert_eq!(spend(&mut core, WINDOW_MS + 3), RetryVerdict::Lacking);
-    assert!(core.due_credit_requests(at(WINDOW_MS + 3), &[1]).is_empty(), "it had none");
+    let due = core.due_credit_requests(at(WINDOW_MS + 3), &[1]);
+    assert_eq!(due, DueCredits { requests: Vec::new(), is_exhausted: true }, "it had none");
     assert_eq!(spend(&mut core, WINDOW_MS + 4), RetryVerdict::Refused);
 }
 
+/// Guards against a busy loop of a box whose request is on its way: nothing is due meanwhile, and no retry is refused for it.
+#[test]
+fn nothing_is_due_while_a_peer_is_asked() {
+    let (mut core, _) = borrower();
+    assert_eq!(core.due_credit_requests(at(WINDOW_MS + 1), &[1, 2]), DueCredits::default());
+    assert_eq!(spend(&mut core, WINDOW_MS + 2), RetryVerdict::Lacking);
+    let due = core.due_credit_requests(at(WINDOW_MS + 50), &[1, 2]);
+    assert_eq!(due.requests.first().map(|(peer, _)| *peer), Some(2), "the first does not reply");
+}
+
 /// Guards against even parts of a bound that grow while boxes are cut off from each other: they know fewer boxes.
 #[test]
 fn boxes_that_are_cut_off_still_count_for_even_parts() {
--- a/crates/decide/tests/retry_fleet/mod.rs
+++ b/crates/decide/tests/retry_fleet/mod.rs
@@ -270,7 +270,8 @@
             let peers: BTreeMap<u64, usize> =
                 local.map(|other| (self.boxes[other].incarnation, other)).collect();
             let incarnations: Vec<u64> = peers.keys().copied().collect();
-            for (peer, request) in self.boxes[number].core.due_credit_requests(now, &incarnations) {
+            let due = self.boxes[number].core.due_credit_requests(now, &incarnations);
+            for (peer, request) in due.requests {
                 self.send(number, peers[&peer], FleetMessage::CreditRequest(request));
             }
         }
--- a/crates/gateway/src/steering/credits.rs
+++ b/crates/gateway/src/steering/credits.rs
@@ -93,14 +93,13 @@
         let hosts = context.peers().local_incarnations();
         let peers: Vec<u64> = hosts.keys().copied().collect();
         let due = context.core().due_credit_requests(context.now(), &peers);
-        let is_none = due.is_empty();
-        for (peer, CreditRequest { service, number, amount }) in due {
+        for (peer, CreditRequest { service, number, amount }) in due.requests {
             let request = encode_amount(&service, number, amount);
             let message = RetryCreditMessage { requests: vec![request], grants: Vec::new() };
             metrics::counter!("wingbridge_retry_credit_requests").increment(1);
             gossip.send_credits(hosts[&peer], message).await;
         }
-        if is_none {
+        if due.is_exhausted {
             context.credits.notify();
         }
     }
