--- a/crates/decide/tests/trials.rs
+++ b/crates/decide/tests/trials.rs
@@ -152,6 +152,14 @@
     }
 }
 
+/// Returns how many of the orders that arrive at `now` would be trials of `id`.
+fn trials_of(core: &mut SteerCore, now: TimePoint, id: &str) -> usize {
+    core.record_request(now, SERVICE);
+    let picks =
+        (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
+    picks.filter(|pick| pick.trial && *pick.id == *id).count()
+}
+
 /// Guards against a target that gets one request when it has recovered and then none for 3 s.
 #[test]
 fn recovered_target_is_tried_again_within_two_seconds() {
@@ -162,10 +170,7 @@
         report_success(&mut core, at(start + 3_300), "a", 1);
         let now = at(start + 3_300 + idle);
         report_success(&mut core, now, "b", 3);
-        core.record_request(now, SERVICE);
-        let picks =
-            (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
-        let tried = picks.filter(|pick| pick.trial && *pick.id == *"a").count();
+        let tried = trials_of(&mut core, now, "a");
         assert_eq!(tried > 0, is_tried, "after {idle} ms: {tried} trials");
     }
 }
@@ -183,10 +188,7 @@
     for (idle, is_tried) in [(2_900, false), (3_400, true)] {
         let now = at(start + idle);
         report_success(&mut core, now, "b", 3);
-        core.record_request(now, SERVICE);
-        let picks =
-            (0..PICKS).map(|_| core.pick(now, &request(false, &[])).expect("a target is chosen"));
-        let tried = picks.filter(|pick| pick.trial && *pick.id == *"a").count();
+        let tried = trials_of(&mut core, now, "a");
         assert_eq!(tried > 0, is_tried, "after {idle} ms: {tried} trials");
     }
 }
