Retry credit: a peer whose reply was lost is asked again after a second

Callers: in a data centre of two boxes, one lost datagram made the other box refuse each retry that lacked credit, for good.

Cause: a request without a reply excluded its peer, and was forgotten only with the next request; with no other peer there was none.

Change: an unanswered request excludes its peer for the time for which one that declined is left out, a second. The peer needs no entry among the declined ones for that.

--- a/crates/decide/src/steer/retry_share.rs
+++ b/crates/decide/src/steer/retry_share.rs
@@ -24,7 +24,7 @@
 /// Time after a retry that lacked credit for which the box goes on to ask for it, and after which it asks again once no
 /// peer had any.
 const DEMAND_TIME: Duration = Duration::from_millis(100);
-/// Time for which a peer that lent nothing is not asked again.
+/// Time for which a peer that lent nothing, or did not reply, is not asked again.
 const DECLINED_PAUSE: Duration = Duration::from_secs(1);
 /// Number of peers that are considered for one request; the richest of them is asked.
 pub(crate) const CONSIDERED_PEERS: usize = 3;
@@ -82,7 +82,7 @@
     lent: Vec<Credit>,
     /// Amounts that peers gave up for this box, the oldest first.
     borrowed: VecDeque<Credit>,
-    /// Requests without a reply whose credit could still be spent, the latest last.
+    /// Requests of the last moments without a reply, the latest last.
     open_requests: Vec<OpenRequest>,
     /// Peers that lent nothing, and when.
     declined: Vec<(u64, TimePoint)>,
@@ -160,12 +160,11 @@
         is_wanted && !self.is_asking(now) && !self.is_exhausted(now) && held < ONE_RETRY
     }
 
-    /// Returns whether `peer` may be asked: it has replied, and has not declined just before.
+    /// Returns whether `peer` may be asked: it has not declined, or been asked without a reply, just before.
     pub(crate) fn may_ask(&self, now: TimePoint, peer: u64) -> bool {
-        let is_unanswered = self.open_requests.iter().any(|open| open.peer == peer);
-        let has_declined =
-            |(one, at): &(u64, TimePoint)| *one == peer && now.since(*at) < DECLINED_PAUSE;
-        !is_unanswered && !self.declined.iter().any(has_declined)
+        let is_open = |open: &OpenRequest| open.peer == peer && is_recent(now, open.asked_at);
+        let has_declined = |(one, at): &(u64, TimePoint)| *one == peer && is_recent(now, *at);
+        !self.open_requests.iter().any(is_open) && !self.declined.iter().any(has_declined)
     }
 
     /// Records that `peer` is asked by the request `number`, by a box that holds `held`; returns the amount to ask for.
@@ -176,10 +175,7 @@
         number: u64,
         held: f64,
     ) -> f64 {
-        if let Some(unanswered) = self.open_requests.last().map(|open| open.peer) {
-            self.decline(now, unanswered);
-        }
-        self.open_requests.retain(|open| now.since(open.asked_at) < CREDIT_LIFETIME);
+        self.open_requests.retain(|open| is_recent(now, open.asked_at));
         self.open_requests.push(OpenRequest { number, peer, asked_at: now });
         (ONE_RETRY - held).clamp(MIN_LENT, 2.0 * ONE_RETRY)
     }
@@ -205,7 +201,12 @@
     }
 
     fn decline(&mut self, now: TimePoint, peer: u64) {
-        self.declined.retain(|(_, at)| now.since(*at) < DECLINED_PAUSE);
+        self.declined.retain(|(_, at)| is_recent(now, *at));
         self.declined.push((peer, now));
     }
 }
+
+/// Returns whether a peer that was asked at `time` is not asked again yet.
+fn is_recent(now: TimePoint, time: TimePoint) -> bool {
+    now.since(time) < DECLINED_PAUSE
+}
--- a/crates/decide/tests/retry_bound.rs
+++ b/crates/decide/tests/retry_bound.rs
@@ -233,6 +233,16 @@
     assert_eq!(due.requests.first().map(|(peer, _)| *peer), Some(2), "the first does not reply");
 }
 
+/// Guards against a box that never asks its only peer again because one reply was lost.
+#[test]
+fn peer_whose_reply_was_lost_is_asked_again() {
+    let (mut core, _) = borrower();
+    let later = WINDOW_MS + 2_000;
+    assert_eq!(spend(&mut core, later), RetryVerdict::Lacking);
+    let due = core.due_credit_requests(at(later), &[1]);
+    assert_eq!(due.requests.first().map(|(peer, _)| *peer), Some(1));
+}
+
 /// Guards against even parts of a bound that grow while boxes are cut off from each other: they know fewer boxes.
 #[test]
 fn boxes_that_are_cut_off_still_count_for_even_parts() {
