Retry budget: one sum over the peers that are heard, and only services that lack credit are looked at

Cause: the sum of the peers' reports stood twice, once with sums that can't overflow (the numbers come from datagrams) and once without (the retry-budget line). The search for due requests for credit worked out what the box holds of each service, at each wake-up, before it asked whether any retry lacked credit. A peer's request could create a ledger in a box's first window, which a comment beside it denies.

Change: heard_peers and heard_counts serve the decision, the line and the window check; services without a retry that lacks credit are left out first; the bounds are read without a ledger being made.

Cost was not measured.

--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -135,22 +135,17 @@
         if decisions == RetryDecisions::default() {
             return None;
         }
-        let mut status = LedgerStatus {
+        let own = self.own_counts(now, window);
+        let ages = self.heard_peers(now).map(|(_, received)| now.since(*received));
+        Some(LedgerStatus {
             decisions,
-            own: self.own_counts(now, window),
+            own,
+            peers: self.heard_counts(now),
+            reporting: self.heard_peers(now).count(),
+            oldest_report: ages.max().unwrap_or_default(),
             lent: self.share.lent(now),
             borrowed: self.share.borrowed(now),
-            ..LedgerStatus::default()
-        };
-        for (counts, received) in self.peers.values() {
-            if !is_unresponsive(now, *received) {
-                status.peers.requests += counts.requests;
-                status.peers.retries += counts.retries;
-                status.reporting += 1;
-                status.oldest_report = status.oldest_report.max(now.since(*received));
-            }
-        }
-        Some(status)
+        })
     }
 
     /// Counts a retry of this box.
@@ -210,10 +205,12 @@
 
     /// Returns whether a peer was heard that has been running for the whole window.
     pub(crate) fn is_window_told(&self, now: TimePoint) -> bool {
-        let covers = |(counts, received): &(RetryCounts, TimePoint)| {
-            counts.covers_window && !is_unresponsive(now, *received)
-        };
-        self.peers.values().any(covers)
+        self.heard_peers(now).any(|(counts, _)| counts.covers_window)
+    }
+
+    /// Returns whether this box is to ask a peer for credit, if it still lacks it.
+    pub(crate) fn wants_credit(&self, now: TimePoint) -> bool {
+        self.share.wants_credit(now)
     }
 
     /// Returns the amount that this box may spend now, in retries.
@@ -288,20 +285,32 @@
         all: usize,
     ) -> bool {
         let own = self.own_counts(now, bounds.window);
-        let (mut requests, mut retries) = (own.requests, own.retries);
-        let mut unresponsive = own.unresponsive_retries;
-        for (counts, received) in self.peers.values() {
-            if !is_unresponsive(now, *received) {
-                requests = requests.saturating_add(counts.requests);
-                retries = retries.saturating_add(counts.retries);
-                unresponsive = unresponsive.max(counts.unresponsive_retries);
-            }
-        }
+        let peers = self.heard_counts(now);
+        let requests = own.requests.saturating_add(peers.requests);
+        let retries = own.retries.saturating_add(peers.retries);
+        let unresponsive = own.unresponsive_retries.max(peers.unresponsive_retries);
         let slack = bounds.slack * reporting as f64 / all.max(reporting).max(1) as f64;
         let max = bounds.share * f64::from(requests) + slack;
         f64::from(retries) + f64::from(unresponsive) + 1.0 <= max * USED_SHARE
     }
 
+    /// Returns the sums of the peers whose reports count, and the most retries of unresponsive boxes that one of them told.
+    fn heard_counts(&self, now: TimePoint) -> RetryCounts {
+        let mut sum = RetryCounts::default();
+        for (counts, _) in self.heard_peers(now) {
+            // The numbers come from datagrams.
+            sum.requests = sum.requests.saturating_add(counts.requests);
+            sum.retries = sum.retries.saturating_add(counts.retries);
+            sum.unresponsive_retries = sum.unresponsive_retries.max(counts.unresponsive_retries);
+        }
+        sum
+    }
+
+    /// Returns the last reports of the peers that are responsive, and when they were received.
+    fn heard_peers(&self, now: TimePoint) -> impl Iterator<Item = &(RetryCounts, TimePoint)> {
+        self.peers.values().filter(move |(_, received)| !is_unresponsive(now, *received))
+    }
+
     /// Returns the requests of this box within the window. Intervals that have left it in part count for retries alone.
     fn own_requests(&self, now: TimePoint, window: Duration) -> u32 {
         let within = self.intervals.iter().filter(|one| now.since(one.started) < window);
--- a/crates/decide/src/steer/retries.rs
+++ b/crates/decide/src/steer/retries.rs
@@ -11,7 +11,7 @@
 };
 use crate::steer::messages::RetryUse;
 use crate::steer::peer_subset::reporting_boxes;
-use crate::steer::retry_share::{CreditGrant, CreditRequest, DueCredits};
+use crate::steer::retry_share::{CreditGrant, CreditRequest, DueCredits, ONE_RETRY};
 use crate::time::TimePoint;
 
 /// Minimum number of boxes that are assumed to share the retry slack, so that a box without known peers
@@ -88,13 +88,14 @@
     /// Returns the requests for credit that are due. They go to some of `peers`.
     pub fn due_credit_requests(&mut self, now: TimePoint, peers: &[u64]) -> DueCredits {
         let boxes = self.sharing_boxes(now);
-        let services: Vec<Name> = self.ledgers.keys().cloned().collect();
+        let wanting = self.ledgers.iter().filter(|(_, ledger)| ledger.wants_credit(now));
+        let services: Vec<Name> = wanting.map(|(service, _)| service.clone()).collect();
         let mut due = DueCredits::default();
         for service in services {
             let bounds = self.retry_bounds(now, &service);
             let ledger = self.ledger(&service);
             let held = ledger.held_amount(now, &bounds, &boxes);
-            if !ledger.share_mut().wants_credit(now, held) {
+            if held >= ONE_RETRY {
                 continue;
             }
             let mut shuffled = peers.to_vec();
@@ -138,7 +139,7 @@
     }
 
     /// Returns the bounds that apply to this box now.
-    fn retry_bounds(&mut self, now: TimePoint, service: &str) -> RetryBounds {
+    fn retry_bounds(&self, now: TimePoint, service: &str) -> RetryBounds {
         let bounds = self.setup.retries;
         let is_window_known = now.since(TimePoint::default()) >= bounds.window;
         if is_window_known {
@@ -146,7 +147,7 @@
         }
         // The retries of this box before it started are unknown, and so are those of its peers if all of them were
         // restarted. What the boxes before can't have used is left.
-        let is_told = self.ledger(service).is_window_told(now);
+        let is_told = self.ledgers.get(service).is_some_and(|ledger| ledger.is_window_told(now));
         let unused = if is_told { 1.0 } else { (1.0 - USED_SHARE) / USED_SHARE };
         RetryBounds { slack: 0.0, share: bounds.share * unused, ..bounds }
     }
--- a/crates/decide/src/steer/retry_share.rs
+++ b/crates/decide/src/steer/retry_share.rs
@@ -154,10 +154,10 @@
         latest.is_some_and(|open| now.since(open.asked_at) < REPLY_TIMEOUT)
     }
 
-    /// Returns whether a box that holds `held` should ask for credit now.
-    pub(crate) fn wants_credit(&self, now: TimePoint, held: f64) -> bool {
+    /// Returns whether credit is to be asked for now, if this box still lacks it.
+    pub(crate) fn wants_credit(&self, now: TimePoint) -> bool {
         let is_wanted = self.wanted_at.is_some_and(|wanted| now.since(wanted) < DEMAND_TIME);
-        is_wanted && !self.is_asking(now) && !self.is_exhausted(now) && held < ONE_RETRY
+        is_wanted && !self.is_asking(now) && !self.is_exhausted(now)
     }
 
     /// Returns whether `peer` may be asked: it has not declined, or been asked without a reply, just before.
