Logs: how many targets a request reached, and the window with the most retries of all boxes

Cause: two ways to pass the bound on retries, sends that are not charged and a budget that is spent twice, could not be told apart. `attempts` counts targets that were never reached, and no line of a single box shows the window of all. Change: request lines have `deliveries`, over all boxes that handled the request, with attempts that were dropped for another one's answer. `wingctl explain` names for each service the 10 s with the most of them beyond the first, beside the retries that boxes allowed and the requests of each data centre in these 10 s and in those before.

--- a/crates/ctl/src/explain/log_line.rs
+++ b/crates/ctl/src/explain/log_line.rs
@@ -9,6 +9,7 @@
 use super::lost_paths::PathEvent;
 use super::poison_requests::EndedLine;
 use super::propagation::{InForceLine, UnlistedLine};
+use super::retry_windows::RetriesLine;
 
 /// Text in the log line of a request whose target ended during an attempt.
 const TARGET_ENDED: &str = "the target has ended";
@@ -34,6 +35,8 @@
     pub(super) end: RequestEnd,
     /// Number of attempts that were made.
     pub(super) attempts: u32,
+    /// Number of targets that received the request; 0 in lines of earlier versions.
+    pub(super) deliveries: u32,
     /// Whether a second attempt was made while the first one was still open.
     pub(super) hedged: bool,
     pub(super) target: String,
@@ -81,6 +84,8 @@
     Excluded(ExclusionLine),
     /// A target announced or ended its limit, or received a request under it.
     Limit(LimitLine),
+    /// A box allowed retries of a service.
+    Retries(RetriesLine),
     /// Paths of a box to the targets were lost or restored, or a request was handled for another box.
     Paths {
         at_ms: i64,
@@ -110,6 +115,10 @@
     #[serde(default)]
     attempts: String,
     #[serde(default)]
+    deliveries: String,
+    #[serde(default)]
+    allowed: String,
+    #[serde(default)]
     hedged_ms: String,
     #[serde(default)]
     target: String,
@@ -190,6 +199,11 @@
         }
         "target-unlimited" => limit_event(raw, LimitEvent::Ended),
         "limited-send" => limit_event(raw, LimitEvent::Sent),
+        "retry-budget" => Ok(LogEvent::Retries(RetriesLine {
+            at_ms: time_ms(&raw.time)?,
+            allowed: number(&raw.allowed, "allowed")?,
+            service: raw.service,
+        })),
         "target-replaced" => exclusion(raw, ExclusionCause::Replaced),
         "send-withheld" => exclusion(raw, ExclusionCause::Withheld),
         _ => Ok(LogEvent::Other),
@@ -221,6 +235,7 @@
         end: request_end(status, &raw.outcome),
         status,
         attempts: number(&raw.attempts, "attempts")?,
+        deliveries: raw.deliveries.parse().unwrap_or_default(),
         hedged: raw.hedged_ms.parse::<u64>().is_ok(),
         risk: risk.parse().ok(),
         trial,
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! Further tables show how long configurations and removals of targets took to reach all boxes, how many
 //! requests were decided on an outdated view, which requests repeatedly ended targets, which targets were
-//! excluded and for which reason, and how many requests all boxes together sent to targets with a limit.
+//! excluded and for which reason, how many requests all boxes together sent to targets with a limit, and when they
+//! made the most retries.
 
 mod calibration;
 mod episodes;
@@ -20,6 +21,7 @@
 mod poison_requests;
 mod propagation;
 mod report;
+mod retry_windows;
 mod seconds;
 mod tables;
 
--- a/crates/ctl/src/explain/report.rs
+++ b/crates/ctl/src/explain/report.rs
@@ -16,6 +16,7 @@
 use super::lost_paths::{LostPathsCounts, LostPathsRow, PathEvent};
 use super::poison_requests::{PoisonCounts, PoisonRow};
 use super::propagation::{PropagationTimes, UnlistedReport, VersionRow};
+use super::retry_windows::{RetryWindowRow, RetryWindows};
 use super::seconds::{SecondCounts, SecondRow};
 
 /// Maximum number of unreadable lines that the report lists. All of them are counted.
@@ -65,6 +66,8 @@
     pub limited_targets: Vec<LimitedRow>,
     /// Boxes that had lost their paths to the targets, and those that handled requests for them.
     pub lost_paths: Vec<LostPathsRow>,
+    /// The window of each service in which the most requests reached a further target.
+    pub retry_windows: Vec<RetryWindowRow>,
 }
 
 /// A JSON object of a log that can't be decoded.
@@ -112,6 +115,7 @@
     excluded_targets: ExclusionCounts,
     limited_targets: LimitCounts,
     lost_paths: LostPathsCounts,
+    retry_windows: RetryWindows,
 }
 
 impl ReportBuilder {
@@ -142,6 +146,7 @@
                 self.episodes.record(&line);
                 self.calibration.record(&line);
                 self.seconds.record(&line);
+                self.retry_windows.record_request(&line, data_centre);
                 self.poison_requests.record_request(box_name, &line);
                 self.excluded_targets.record_request(&line);
                 if line.relayed {
@@ -161,6 +166,7 @@
             }
             LogEvent::Excluded(line) => self.excluded_targets.record(box_name, &line),
             LogEvent::Limit(line) => self.limited_targets.record(box_name, &line),
+            LogEvent::Retries(line) => self.retry_windows.record_retries(&line),
             LogEvent::Paths { at_ms, event } => self.lost_paths.record(box_name, at_ms, event),
             LogEvent::Request(_) | LogEvent::Other => {}
         }
@@ -186,6 +192,7 @@
             excluded_targets: self.excluded_targets.rows(),
             limited_targets: self.limited_targets.rows(),
             lost_paths: self.lost_paths.rows(),
+            retry_windows: self.retry_windows.rows(),
         }
     }
 }
--- a/crates/ctl/src/explain/tables.rs
+++ b/crates/ctl/src/explain/tables.rs
@@ -8,6 +8,7 @@
 use super::poison_requests::PoisonRow;
 use super::propagation::VersionRow;
 use super::report::{LogReport, OLD_VIEW_MS};
+use super::retry_windows::{CentreRow, RetryWindowRow};
 use super::seconds::SecondRow;
 use crate::output::table;
 
@@ -67,6 +68,8 @@
             self.limited_table(),
             "boxes without paths to targets, and requests that others handled:".to_string(),
             self.lost_paths_table(),
+            "the 10 s of each service with the most requests at a further target, by data centre:".to_string(),
+            self.retry_windows_table(),
         ]
         .join("\n\n")
     }
@@ -238,6 +241,37 @@
         table(&headings, &rows)
     }
 
+    fn retry_windows_table(&self) -> String {
+        let row = |window: &RetryWindowRow, centre: &CentreRow| {
+            vec![
+                window.service.clone(),
+                window.since_ms.to_string(),
+                centre.data_centre.clone(),
+                centre.requests.to_string(),
+                centre.requests_before.to_string(),
+                centre.further_sends.to_string(),
+                window.further_sends.to_string(),
+                window.allowed.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = self
+            .retry_windows
+            .iter()
+            .flat_map(|window| window.centres.iter().map(move |centre| row(window, centre)))
+            .collect();
+        let headings = [
+            "service",
+            "since ms",
+            "data centre",
+            "requests",
+            "in the 10 s before",
+            "further sends",
+            "of all",
+            "retries allowed in all",
+        ];
+        table(&headings, &rows)
+    }
+
     fn version_table(&self) -> String {
         let row = |row: &VersionRow| {
             vec![
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -36,6 +36,8 @@
     held_ms: u64,
     /// Number of attempts that were started.
     attempts: u32,
+    /// Number of targets that received the request, also by way of another box.
+    deliveries: u32,
     /// Time until a hedge was started, in milliseconds, or the reason why a due one was not started; empty if
     /// none was due.
     hedged_ms: String,
@@ -113,6 +115,11 @@
         }
     }
 
+    /// Records how many targets received the request.
+    pub(crate) fn record_deliveries(&mut self, deliveries: u32) {
+        self.deliveries = deliveries;
+    }
+
     /// Records how many targets were excluded from the choice, and why.
     pub(crate) fn record_excluded(&mut self, excluded: &ExcludedTargets) {
         let ExcludedTargets {
@@ -208,7 +215,7 @@
     log::info!(
         request = id, path, fingerprint:% = trace.fingerprint, route:% = trace.route, service:% = trace.service,
         customer:% = trace.customer, key:% = trace.key, config_version = trace.config_version,
-        held_ms = trace.held_ms, attempts = trace.attempts, hedged_ms:% = trace.hedged_ms,
+        held_ms = trace.held_ms, attempts = trace.attempts, deliveries = trace.deliveries, hedged_ms:% = trace.hedged_ms,
         left_out:% = trace.excluded, target:% = trace.target, target_centre:% = trace.data_centre,
         risk:% = trace.risk, busy:% = trace.busy, placed:% = trace.placed, tried:% = trace.tried,
         targets_ended = trace.targets_ended, refusal = trace.refusal, return_ms:% = trace.return_ms,
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -180,6 +180,8 @@
             token.record_not_run();
         }
         let (possible_runs, deliveries) = (self.possible_runs, self.deliveries);
+        // A target whose attempt is dropped for another one's answer may have received the request as well.
+        self.trace.record_deliveries(deliveries + self.open_attempts);
         let totals = AttemptTotals { possible_runs, deliveries };
         EndedRun { answer, trace: self.trace, totals }
     }
