Failing test: callers that move between boxes pay for retries twice

Cause: callers of a box that has spent its retries go to another box and earn them once more there. Change: rows in which all callers move, between data centres, within them while boxes are cut off, and twice; a row in which halves of the boxes start anew one after the other; rows of short failures, for what the bound costs.

--- a/crates/decide/tests/retry_bound.rs
+++ b/crates/decide/tests/retry_bound.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use retry_fleet::{FleetCase, FleetResult, RetryFleet, SERVICE, WINDOW_MS};
+use retry_fleet::{CallerPlace, FleetCase, FleetResult, RetryFleet, SERVICE, WINDOW_MS};
 use wingbridge_decide::TimePoint;
 use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts, RetryVerdict};
 use wingbridge_decide::steer::mechanism::MechanismSet;
@@ -47,6 +47,12 @@
             per_second: 300.0,
             ..usual.clone()
         },
+        FleetCase {
+            name: "halves restarted one after the other",
+            half_restarts: &[(15_500, 0), (17_500, 1), (19_500, 0)],
+            per_second: 300.0,
+            ..usual.clone()
+        },
         FleetCase {
             name: "callers move between data centres",
             shift: 20_000,
@@ -55,17 +61,95 @@
         },
         FleetCase { name: "half of the messages lost", lost: 0.5, ..usual.clone() },
         FleetCase { name: "failures at a tenth of the boxes", failing_share: 0.1, ..usual.clone() },
+        FleetCase { name: "failures for 3 s", failing: 15_000..18_000, ..usual.clone() },
+        FleetCase {
+            name: "failures for 3 s, many requests",
+            failing: 15_000..18_000,
+            per_second: 300.0,
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "failures at a fifth of the boxes for 6 s",
+            failing: 15_000..21_000,
+            failing_share: 0.2,
+            ..usual
+        },
+    ]
+}
+
+/// Callers that all move at once, after the boxes that they leave have spent what they may.
+fn moving_cases() -> Vec<FleetCase> {
+    let usual = FleetCase { per_second: 300.0, ..FleetCase::default() };
+    let moved: &[(u64, CallerPlace)] =
+        &[(0, CallerPlace::Centre(0)), (15_200, CallerPlace::Centre(1))];
+    vec![
+        FleetCase { name: "to another data centre", places: moved, ..usual.clone() },
+        FleetCase {
+            name: "to another data centre, fewer requests",
+            places: moved,
+            per_second: 70.0,
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to another data centre, 5 s after failures began",
+            places: &[(0, CallerPlace::Centre(0)), (20_000, CallerPlace::Centre(1))],
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to another data centre and on to a third",
+            places: &[
+                (0, CallerPlace::Centre(0)),
+                (15_200, CallerPlace::Centre(1)),
+                (17_700, CallerPlace::Centre(2)),
+            ],
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to another data centre, reports heard after 1 s",
+            places: moved,
+            delay: 1_000,
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to another data centre, then all boxes restarted",
+            places: moved,
+            restart: 15_300,
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to other boxes while boxes are cut from each other",
+            places: &[(0, CallerPlace::Half(0)), (15_500, CallerPlace::Half(1))],
+            cut: 15_000..25_000,
+            ..usual.clone()
+        },
+        FleetCase {
+            name: "to other boxes just after a cut",
+            places: &[(0, CallerPlace::Half(0)), (15_300, CallerPlace::Half(1))],
+            cut: 15_150..25_000,
+            ..usual
+        },
     ]
 }
 
 /// Guards against retries beyond the bound of all boxes: each box counted on what it had last heard of the others.
 #[test]
 fn boxes_that_hear_late_or_nothing_stay_within_the_retry_bound() {
+    check(&cases());
+}
+
+/// Guards against retries that were paid by the same callers at two boxes, one after the other.
+#[test]
+fn retries_of_callers_that_move_stay_within_the_bound() {
+    check(&moving_cases());
+}
+
+/// Runs each case with several seeds.
+fn check(cases: &[FleetCase]) {
     let mut failures = Vec::new();
-    for case in cases() {
+    for case in cases {
         for seed in SEEDS {
-            let result = RetryFleet::new(&case, seed).run();
-            let share = result.worst_share(&case);
+            let result = RetryFleet::new(case, seed).run();
+            let share = result.worst_share(case);
             let FleetResult { needing, without_retry, .. } = result;
             println!(
                 "{}, seed {seed}: {share:.2} of the bound, {without_retry} of {needing} without a retry",
--- a/crates/decide/tests/retry_fleet/mod.rs
+++ b/crates/decide/tests/retry_fleet/mod.rs
@@ -30,6 +30,15 @@
 /// A period in milliseconds, without its end.
 pub type Period = std::ops::Range<u64>;
 
+/// The boxes to which callers send their requests.
+#[derive(Debug, Clone, Copy)]
+pub enum CallerPlace {
+    /// All boxes of a data centre.
+    Centre(usize),
+    /// Every second box of each data centre: the first of each two for 0, the second for 1.
+    Half(usize),
+}
+
 /// What happens to a fleet.
 #[derive(Debug, Clone)]
 pub struct FleetCase {
@@ -48,8 +57,12 @@
     pub cut: Period,
     /// When all boxes start anew; 0 for never.
     pub restart: u64,
+    /// When a half of the boxes of each data centre starts anew: the half of [`CallerPlace::Half`].
+    pub half_restarts: &'static [(u64, usize)],
     /// When all callers of the first data centre move to the second one; 0 for never.
     pub shift: u64,
+    /// The boxes that callers use from each of these times on; all boxes before the first one.
+    pub places: &'static [(u64, CallerPlace)],
     /// Share of the boxes at which requests need retries.
     pub failing_share: f64,
 }
@@ -66,7 +79,9 @@
             failing: 15_000..25_000,
             cut: 0..0,
             restart: 0,
+            half_restarts: &[],
             shift: 0,
+            places: &[],
             failing_share: 1.0,
         }
     }
@@ -168,6 +183,11 @@
             if self.case.restart > 0 && self.now == self.case.restart {
                 self.restart_all();
             }
+            for (at, half) in self.case.half_restarts {
+                if *at == self.now {
+                    self.restart_half(*half);
+                }
+            }
             if self.now.is_multiple_of(HEARTBEAT_MS) {
                 self.send_heartbeats();
             }
@@ -210,11 +230,16 @@
         }
     }
 
-    fn request(&mut self) {
-        let mut number = self.random.random_range(0..self.boxes.len());
-        if self.case.shift > 0 && self.now >= self.case.shift && centre_of(number) == 0 {
-            number = (number + 1) % self.boxes.len();
+    fn restart_half(&mut self, half: usize) {
+        let is_restarted = |number: usize| (number / CENTRES) % 2 == half;
+        self.waiting.retain(|waiting| !is_restarted(waiting.number));
+        for number in (0..self.boxes.len()).filter(|number| is_restarted(*number)) {
+            self.boxes[number] = self.new_box(number, self.now);
         }
+    }
+
+    fn request(&mut self) {
+        let number = self.box_of_caller();
         let now = self.core_time(number);
         let core = &mut self.boxes[number].core;
         core.record_request(now, SERVICE);
@@ -228,6 +253,24 @@
         self.take_retries(WaitingRequest { number, until, wanted: WANTED_RETRIES });
     }
 
+    /// Returns the box to which the next caller sends its request.
+    fn box_of_caller(&mut self) -> usize {
+        let mut number = self.random.random_range(0..self.boxes.len());
+        if self.case.shift > 0 && self.now >= self.case.shift && centre_of(number) == 0 {
+            number = (number + 1) % self.boxes.len();
+        }
+        let place = self.case.places.iter().rfind(|(from, _)| *from <= self.now);
+        match place {
+            None => number,
+            Some((_, CallerPlace::Centre(centre))) => number - centre_of(number) + centre,
+            Some((_, CallerPlace::Half(half))) => {
+                let in_centre = number / CENTRES;
+                let chosen = in_centre - in_centre % 2 + half;
+                chosen * CENTRES + centre_of(number)
+            }
+        }
+    }
+
     /// Makes the retries of a request until it has all, none is left, or it has to wait for credit.
     fn take_retries(&mut self, mut waiting: WaitingRequest) {
         while waiting.wanted > 0 {
