Retry budget: what a request earns pays once, and soon

Cause: a box earned 0.2 of a retry by each request of the last ten seconds. When callers moved, the boxes that they left had spent that, and the boxes to which they went earned by the same callers anew: any window could hold the retries of two. The sums within a data centre hid it where boxes heard each other and callers stayed in one data centre. Change: what a request earns makes up for slack that the box has used, or pays for a retry within a second. A window's retries are then paid by its slack and the requests of 1.15 windows, of which 0.85 is used, wherever callers go and whatever boxes hear, also across restarts. A box that starts counts its part of the slack as used; it needs no word of older peers any more (`covers_window` is gone), and may retry by what its requests earn. A box whose own retries lack credit lends none: credit that boxes in need hand on expires on the way.

--- a/crates/decide/src/steer/ledger.rs
+++ b/crates/decide/src/steer/ledger.rs
@@ -1,22 +1,23 @@
 //! The retry budget that boxes share.
 //!
 //! The bound applies to all boxes together, over a sliding window. A retry must pass two checks. What this box holds
-//! for certain ([`RetryShare`]) keeps the sum of all boxes below the bound, whatever they hear of each other. The
-//! reports of the data centre's boxes add what a box alone can't know: the retries of boxes that have ended, and of
-//! those whose callers have moved here. Boxes report totals instead of increments: the next message makes up for one
-//! that was lost, and a box that has just started, or received nothing for a while, has the complete state at once.
+//! for certain ([`RetryAllowance`], and credit of peers) keeps the sum of all boxes below the bound, whatever they hear
+//! of each other and wherever callers go. The reports of the data centre's boxes are a second check, for a box that knows
+//! too few others to tell its part of the slack. Boxes report totals instead of increments: the next message makes up for
+//! one that was lost, and a box that has just started, or received nothing for a while, has the complete state at once.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::steer::retry_share::{CONSIDERED_PEERS, ONE_RETRY, RetryShare};
+use crate::steer::messages::RetryUse;
+use crate::steer::retry_allowance::{RetryAllowance, SlackPart};
+use crate::steer::retry_share::{CONSIDERED_PEERS, ONE_RETRY, RetryShare, lent_amount};
 use crate::time::TimePoint;
 
 /// Length of one interval of the window: the resolution with which old counts expire.
 const INTERVAL: Duration = Duration::from_millis(500);
-/// Share of the bound that is used. The rest allows for retries of peers that were not reported yet, and is all that
-/// boxes use after a restart of all of them.
-pub(crate) const USED_SHARE: f64 = 0.85;
+/// Share of the bound that is used by reports. The rest allows for retries of peers that were not reported yet.
+const USED_SHARE: f64 = 0.85;
 /// Time without a report after which a peer's requests no longer add to the budget: it may be partitioned
 /// from this box and spend that budget itself. A box reports with each request, about once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
@@ -42,8 +43,6 @@
     /// Retries of boxes that reported to the sender within the window and have become unresponsive. A box
     /// that replaced one of them would not have received these counts.
     pub unresponsive_retries: u32,
-    /// Whether the sender has been running for the whole window, so that it knows what was spent before.
-    pub covers_window: bool,
 }
 
 /// Whether a retry may be made.
@@ -76,8 +75,12 @@
     peers: HashMap<u64, (RetryCounts, TimePoint)>,
     /// Whether this box has counted anything since its last report.
     has_unreported: bool,
-    /// What this box holds besides what its own requests earn.
+    /// What this box holds itself.
+    allowance: RetryAllowance,
+    /// Credit of peers.
     share: RetryShare,
+    /// Credit in retries that peers got since the last status.
+    lent: f64,
     /// Retries that were allowed and refused since the last status.
     decisions: RetryDecisions,
 }
@@ -106,7 +109,7 @@
     pub reporting: usize,
     /// Time since the oldest of their reports.
     pub oldest_report: Duration,
-    /// Credit in retries that peers got from this box.
+    /// Credit in retries that peers got from this box since the last status.
     pub lent: f64,
     /// Credit in retries that this box borrowed and has not spent.
     pub borrowed: f64,
@@ -118,13 +121,18 @@
     started: TimePoint,
     requests: u32,
     retries: u32,
-    /// Part of the retries that was paid with borrowed credit.
-    credited: f64,
 }
 
 impl RetryLedger {
-    /// Counts a request of this box.
-    pub fn record_request(&mut self, now: TimePoint) {
+    /// Creates the ledger of a box that started at `started`.
+    pub fn new(started: TimePoint, bounds: &RetryBounds, boxes: &SharingBoxes) -> RetryLedger {
+        let allowance = RetryAllowance::new(started, slack_part(bounds, boxes));
+        RetryLedger { allowance, ..RetryLedger::default() }
+    }
+
+    /// Counts a request of this box, which earns the `share` of a retry.
+    pub fn record_request(&mut self, now: TimePoint, share: f64) {
+        self.allowance.earn(now, share);
         self.current_interval(now).requests += 1;
         self.has_unreported = true;
     }
@@ -143,7 +151,7 @@
             peers: self.heard_counts(now),
             reporting: self.heard_peers(now).count(),
             oldest_report: ages.max().unwrap_or_default(),
-            lent: self.share.lent(now),
+            lent: std::mem::take(&mut self.lent),
             borrowed: self.share.borrowed(now),
         })
     }
@@ -176,7 +184,6 @@
             requests: self.own_requests(now, window),
             retries: self.intervals.iter().map(|interval| interval.retries).sum(),
             unresponsive_retries: unresponsive.map(|(counts, _)| counts.retries).sum(),
-            covers_window: now.since(TimePoint::default()) >= window,
         }
     }
 
@@ -186,28 +193,29 @@
         now: TimePoint,
         bounds: &RetryBounds,
         boxes: &SharingBoxes,
+        usage: RetryUse,
     ) -> RetryVerdict {
-        if !self.allows(now, bounds, boxes.reporting, boxes.all) {
+        let part = usage.budget_share();
+        let reported =
+            RetryBounds { slack: bounds.slack * part, share: bounds.share * part, ..*bounds };
+        if !self.allows(now, &reported, boxes.reporting, boxes.all) {
             self.decisions.refused += 1;
             return RetryVerdict::Refused;
         }
-        if self.held_amount(now, bounds, boxes) < ONE_RETRY {
+        let slack = slack_part(bounds, boxes);
+        let kept = (1.0 - part) * self.allowance.capacity(now, slack);
+        if self.held_amount(now, bounds, boxes) < ONE_RETRY + kept {
             self.share.record_demand(now);
             self.decisions.lacking += 1;
             let is_exhausted = self.share.is_exhausted(now);
             return if is_exhausted { RetryVerdict::Refused } else { RetryVerdict::Lacking };
         }
-        let paid = self.share.pay(now);
+        let borrowed = self.share.pay(now);
+        self.allowance.take(now, slack, ONE_RETRY - borrowed);
         self.record_retry(now);
-        self.current_interval(now).credited += paid;
         RetryVerdict::Allowed
     }
 
-    /// Returns whether a peer was heard that has been running for the whole window.
-    pub(crate) fn is_window_told(&self, now: TimePoint) -> bool {
-        self.heard_peers(now).any(|(counts, _)| counts.covers_window)
-    }
-
     /// Returns whether this box is to ask a peer for credit, if it still lacks it.
     pub(crate) fn wants_credit(&self, now: TimePoint) -> bool {
         self.share.wants_credit(now)
@@ -239,16 +247,9 @@
         may_lend.take(CONSIDERED_PEERS).max_by(|one, other| amount(one).total_cmp(&amount(other)))
     }
 
-    /// Returns what this box holds for certain, apart from borrowed credit, in retries. It is negative while
-    /// requests that earned what was spent or lent have left the window.
+    /// Returns what this box holds for certain, apart from borrowed credit, in retries.
     fn own_amount(&mut self, now: TimePoint, bounds: &RetryBounds, boxes: &SharingBoxes) -> f64 {
-        self.expire(now, bounds.window);
-        let requests = self.own_requests(now, bounds.window);
-        let spent = self.intervals.iter().map(|one| f64::from(one.retries) - one.credited);
-        let part = bounds.slack / boxes.largest.max(1) as f64;
-        (bounds.share * f64::from(requests) + part) * USED_SHARE
-            - spent.sum::<f64>()
-            - self.share.lent(now)
+        self.allowance.amount(now, slack_part(bounds, boxes))
     }
 
     /// Lends at most `wanted` to a peer; returns the lent amount in retries.
@@ -259,8 +260,16 @@
         bounds: &RetryBounds,
         boxes: &SharingBoxes,
     ) -> f64 {
-        let own = self.own_amount(now, bounds, boxes);
-        self.share.lend(now, wanted, own, bounds.window + INTERVAL)
+        // Boxes that all lack credit would hand it back and forth until it expires.
+        if self.share.lacked_lately(now) {
+            return 0.0;
+        }
+        let amount = lent_amount(wanted, self.own_amount(now, bounds, boxes));
+        if amount > 0.0 {
+            self.allowance.take(now, slack_part(bounds, boxes), amount);
+            self.lent += amount;
+        }
+        amount
     }
 
     /// Returns the share of this box, in which credits are recorded.
@@ -272,6 +281,7 @@
     pub(crate) fn advance_clocks(&mut self, time: Duration) {
         self.intervals.iter_mut().for_each(|one| one.started = one.started.before(time));
         self.peers.values_mut().for_each(|(_, received)| *received = received.before(time));
+        self.allowance.advance_clocks(time);
         self.share.advance_clocks(time);
     }
 
@@ -319,12 +329,7 @@
 
     fn current_interval(&mut self, now: TimePoint) -> &mut WindowInterval {
         if self.intervals.back().is_none_or(|last| now.since(last.started) >= INTERVAL) {
-            self.intervals.push_back(WindowInterval {
-                started: now,
-                requests: 0,
-                retries: 0,
-                credited: 0.0,
-            });
+            self.intervals.push_back(WindowInterval { started: now, requests: 0, retries: 0 });
         }
         self.intervals.back_mut().expect("an interval was just added")
     }
@@ -339,6 +344,11 @@
     }
 }
 
+/// Returns the part of one of the `boxes` of the slack.
+fn slack_part(bounds: &RetryBounds, boxes: &SharingBoxes) -> SlackPart {
+    SlackPart { amount: bounds.slack / boxes.largest.max(1) as f64, window: bounds.window }
+}
+
 fn is_unresponsive(now: TimePoint, received: TimePoint) -> bool {
     now.since(received) >= UNRESPONSIVE_AFTER
 }
--- a/crates/decide/src/steer/mod.rs
+++ b/crates/decide/src/steer/mod.rs
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod relay;
 mod retries;
+mod retry_allowance;
 pub mod retry_share;
 mod routes;
 pub mod split;
@@ -179,7 +180,8 @@
         if let Some(placement) = &mut self.placement {
             placement.record_request(now, service);
         }
-        self.ledger(service).record_request(now);
+        let share = self.setup.retries.share;
+        self.ledger(now, service).record_request(now, share);
     }
 
     /// Records that a request for `service` has arrived by way of another box, which has counted it in the retry budget
--- a/crates/decide/src/steer/retries.rs
+++ b/crates/decide/src/steer/retries.rs
@@ -6,9 +6,7 @@
 
 use crate::names::Name;
 use crate::steer::SteerCore;
-use crate::steer::ledger::{
-    RetryBounds, RetryCounts, RetryLedger, RetryVerdict, SharingBoxes, USED_SHARE,
-};
+use crate::steer::ledger::{RetryCounts, RetryLedger, RetryVerdict, SharingBoxes};
 use crate::steer::messages::RetryUse;
 use crate::steer::peer_subset::reporting_boxes;
 use crate::steer::retry_share::{CreditGrant, CreditRequest, DueCredits, ONE_RETRY};
@@ -55,11 +53,8 @@
     /// Takes a retry from the budget that all boxes share, if there is one for that use.
     pub fn decide_retry(&mut self, now: TimePoint, service: &str, usage: RetryUse) -> RetryVerdict {
         let boxes = self.sharing_boxes(now);
-        let bounds = self.retry_bounds(now, service);
-        let part = usage.budget_share();
-        let bounds =
-            RetryBounds { slack: bounds.slack * part, share: bounds.share * part, ..bounds };
-        self.ledger(service).spend(now, &bounds, &boxes)
+        let bounds = self.setup.retries;
+        self.ledger(now, service).spend(now, &bounds, &boxes, usage)
     }
 
     /// Merges the counts of a service that the peer with the incarnation `peer`, in the own data centre,
@@ -71,7 +66,7 @@
         service: &str,
         counts: RetryCounts,
     ) {
-        self.ledger(service).record_peer(now, peer, counts);
+        self.ledger(now, service).record_peer(now, peer, counts);
     }
 
     /// Returns what this box counted of each service within the last window, to be reported to its peers,
@@ -92,8 +87,8 @@
         let services: Vec<Name> = wanting.map(|(service, _)| service.clone()).collect();
         let mut due = DueCredits::default();
         for service in services {
-            let bounds = self.retry_bounds(now, &service);
-            let ledger = self.ledger(&service);
+            let bounds = self.setup.retries;
+            let ledger = self.ledger(now, &service);
             let held = ledger.held_amount(now, &bounds, &boxes);
             if held >= ONE_RETRY {
                 continue;
@@ -101,7 +96,7 @@
             let mut shuffled = peers.to_vec();
             shuffled.shuffle(&mut self.random);
             let number = self.credit_requests + 1;
-            let ledger = self.ledger(&service);
+            let ledger = self.ledger(now, &service);
             let Some(peer) = ledger.choose_lender(now, &bounds, shuffled.into_iter()) else {
                 ledger.share_mut().record_exhausted(now);
                 due.is_exhausted = true;
@@ -118,7 +113,7 @@
     pub fn lend_credit(&mut self, now: TimePoint, request: &CreditRequest) -> CreditGrant {
         let CreditRequest { service, number, amount } = request;
         let boxes = self.sharing_boxes(now);
-        let bounds = self.retry_bounds(now, service);
+        let bounds = self.setup.retries;
         // A service that this box knows nothing of gets no ledger by a peer's request alone.
         let ledger = self.ledgers.get_mut(&**service);
         let amount = ledger.map_or(0.0, |ledger| ledger.lend(now, *amount, &bounds, &boxes));
@@ -138,29 +133,17 @@
         self.fleet_size.largest(now, self.boxes)
     }
 
-    /// Returns the bounds that apply to this box now.
-    fn retry_bounds(&self, now: TimePoint, service: &str) -> RetryBounds {
-        let bounds = self.setup.retries;
-        let is_window_known = now.since(TimePoint::default()) >= bounds.window;
-        if is_window_known {
-            return bounds;
-        }
-        // The retries of this box before it started are unknown, and so are those of its peers if all of them were
-        // restarted. What the boxes before can't have used is left.
-        let is_told = self.ledgers.get(service).is_some_and(|ledger| ledger.is_window_told(now));
-        let unused = if is_told { 1.0 } else { (1.0 - USED_SHARE) / USED_SHARE };
-        RetryBounds { slack: 0.0, share: bounds.share * unused, ..bounds }
-    }
-
     fn sharing_boxes(&mut self, now: TimePoint) -> SharingBoxes {
         let all = self.boxes.max(MIN_BOXES);
         let largest = self.fleet_size(now).max(MIN_BOXES);
         SharingBoxes { reporting: reporting_boxes(self.local_boxes), all, largest }
     }
 
-    pub(super) fn ledger(&mut self, service: &str) -> &mut RetryLedger {
+    pub(super) fn ledger(&mut self, now: TimePoint, service: &str) -> &mut RetryLedger {
         if !self.ledgers.contains_key(service) {
-            self.ledgers.insert(service.into(), RetryLedger::default());
+            let boxes = self.sharing_boxes(now);
+            let ledger = RetryLedger::new(TimePoint::default(), &self.setup.retries, &boxes);
+            self.ledgers.insert(service.into(), ledger);
         }
         self.ledgers.get_mut(service).expect("the ledger was just inserted")
     }
--- a/crates/decide/src/steer/retry_share.rs
+++ b/crates/decide/src/steer/retry_share.rs
@@ -1,11 +1,8 @@
-//! The part of the retry bound that a box holds for certain, and the credit by which boxes hand on such parts.
+//! The credit by which boxes hand on what they hold for retries.
 //!
-//! What a box hears of its peers may be late, or nothing at all while the network is partitioned. If each box spent
-//! what the last reports left over, all boxes together would spend it several times. So a box spends only what it
-//! holds: the share of its own requests, an even part of the slack, and credit that a peer gave up for it. The lender
-//! charges itself before the credit leaves and for as long as a retry that is paid with it may count, so a lost or late
-//! message makes the sum smaller, never larger. Failures often reach a few boxes at a time: these ask peers for what a
-//! retry lacks.
+//! A box spends only what it holds for certain. Failures often reach a few boxes at a time: these ask peers for what a
+//! retry lacks. The lender charges itself before the credit leaves, so a lost or late message makes the sum of all boxes
+//! smaller, never larger.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,7 +15,7 @@
 /// Smallest amount that is lent, in retries.
 const MIN_LENT: f64 = 0.05;
 /// Time after the request for it within which credit may be spent.
-const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
+pub(crate) const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
 /// Time without a reply after which another peer is asked. A late reply still counts.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// Time after a retry that lacked credit for which the box goes on to ask for it, and after which it asks again once no
@@ -26,6 +23,8 @@
 const DEMAND_TIME: Duration = Duration::from_millis(100);
 /// Time for which a peer that lent nothing, or did not reply, is not asked again.
 const DECLINED_PAUSE: Duration = Duration::from_secs(1);
+/// Time after a retry that lacked credit for which a box lends none.
+const LACKING_TIME: Duration = Duration::from_secs(1);
 /// Number of peers that are considered for one request; the richest of them is asked.
 pub(crate) const CONSIDERED_PEERS: usize = 3;
 
@@ -60,7 +59,7 @@
     pub amount: f64,
 }
 
-/// Credit, lent or borrowed, that has not been returned or spent.
+/// Credit that was borrowed and not spent.
 #[derive(Debug, Clone, Copy)]
 struct Credit {
     amount: f64,
@@ -75,11 +74,9 @@
     asked_at: TimePoint,
 }
 
-/// The part of the bound on the retries of one service that a box holds besides what its own requests earn.
+/// The credit that a box has borrowed for the retries of one service, and its requests for more.
 #[derive(Debug, Default)]
 pub(crate) struct RetryShare {
-    /// Amounts that peers got, until they count no more.
-    lent: Vec<Credit>,
     /// Amounts that peers gave up for this box, the oldest first.
     borrowed: VecDeque<Credit>,
     /// Requests of the last moments without a reply, the latest last.
@@ -93,11 +90,6 @@
 }
 
 impl RetryShare {
-    /// Returns the amount that peers got from this box and that still counts.
-    pub(crate) fn lent(&self, now: TimePoint) -> f64 {
-        self.lent.iter().filter(|credit| now < credit.until).map(|credit| credit.amount).sum()
-    }
-
     /// Returns the amount that this box has borrowed and may spend.
     pub(crate) fn borrowed(&self, now: TimePoint) -> f64 {
         self.borrowed.iter().filter(|credit| now < credit.until).map(|credit| credit.amount).sum()
@@ -124,20 +116,6 @@
         paid
     }
 
-    /// Lends at most `wanted` of the amount `own` that this box holds itself; returns the lent amount. It counts as
-    /// spent for `window` after the last moment at which the peer may spend it.
-    pub(crate) fn lend(&mut self, now: TimePoint, wanted: f64, own: f64, window: Duration) -> f64 {
-        self.lent.retain(|credit| now < credit.until);
-        // A part of a retry is of no use here, and may be what the peer lacks.
-        let spare = (own / 2.0).max(own.min(ONE_RETRY));
-        let amount = wanted.min(spare);
-        if amount.is_nan() || amount < MIN_LENT {
-            return 0.0;
-        }
-        self.lent.push(Credit { amount, until: now + CREDIT_LIFETIME + window });
-        amount
-    }
-
     /// Records that no peer is left to be asked.
     pub(crate) fn record_exhausted(&mut self, now: TimePoint) {
         self.exhausted_at = Some(now);
@@ -154,6 +132,11 @@
         latest.is_some_and(|open| now.since(open.asked_at) < REPLY_TIMEOUT)
     }
 
+    /// Returns whether a retry of this box lacked credit lately.
+    pub(crate) fn lacked_lately(&self, now: TimePoint) -> bool {
+        self.wanted_at.is_some_and(|wanted| now.since(wanted) < LACKING_TIME)
+    }
+
     /// Returns whether credit is to be asked for now, if this box still lacks it.
     pub(crate) fn wants_credit(&self, now: TimePoint) -> bool {
         let is_wanted = self.wanted_at.is_some_and(|wanted| now.since(wanted) < DEMAND_TIME);
@@ -206,6 +189,14 @@
     }
 }
 
+/// Returns how much of the amount `own` a box lends to a peer that wants `wanted`, in retries.
+pub(crate) fn lent_amount(wanted: f64, own: f64) -> f64 {
+    // A part of a retry is of no use here, and may be what the peer lacks.
+    let spare = (own / 2.0).max(own.min(ONE_RETRY));
+    let amount = wanted.min(spare);
+    if amount.is_nan() || amount < MIN_LENT { 0.0 } else { amount }
+}
+
 /// Returns whether a peer that was asked at `time` is not asked again yet.
 fn is_recent(now: TimePoint, time: TimePoint) -> bool {
     now.since(time) < DECLINED_PAUSE
--- a/crates/decide/tests/steer.rs
+++ b/crates/decide/tests/steer.rs
@@ -317,7 +317,7 @@
             self.incarnations += 1;
         }
         let own = &mut self.boxes[step.index];
-        own.ledger.record_request(now);
+        own.ledger.record_request(now, bounds().share);
         self.events.push((self.now, false));
         let is_window_known =
             self.now - own.started >= WINDOW.as_millis() as u64 || own.started == 0;
--- a/crates/gateway/src/gossip/reports.rs
+++ b/crates/gateway/src/gossip/reports.rs
@@ -133,7 +133,6 @@
             requests: counts.requests,
             retries: counts.retries,
             unresponsive_retries: counts.unresponsive_retries,
-            covers_window: counts.covers_window,
         };
         unreported.map(counts).collect()
     }
@@ -168,7 +167,6 @@
                 requests: reported.requests,
                 retries: reported.retries,
                 unresponsive_retries: reported.unresponsive_retries,
-                covers_window: reported.covers_window,
             };
             core.merge_retry_counts(now, peer, &reported.service, counts);
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -277,9 +277,6 @@
     /// Retries of boxes that reported within the window and have become unresponsive.
     #[prost(uint32, tag = "4")]
     pub unresponsive_retries: u32,
-    /// Whether the sender has been running for the whole window.
-    #[prost(bool, tag = "5")]
-    pub covers_window: bool,
 }
 
 /// A health sample of one target.
