Logs: stalls that are told to peers, and the suspects of a note

Cause: no line said which stall was told, or in which state of the box's paths; a note's line did not say whether it has suspects. Change: `stall-told` with `paths`; `crash-note-written` has `suspects`.

--- a/crates/decide/src/paths/state.rs
+++ b/crates/decide/src/paths/state.rs
@@ -38,6 +38,11 @@
     const ALL: [PathState; 3] = [PathState::Reaching, PathState::Failing, PathState::Lost];
     const NAMES: [&'static str; 3] = ["reaching", "failing", "lost"];
 
+    /// Returns the name of the state, for a log.
+    pub fn as_str(self) -> &'static str {
+        PathState::NAMES[self as usize]
+    }
+
     /// Returns the state that follows on `event`, or this one if the chart has no such transition.
     pub(crate) fn next(self, event: PathEvent) -> PathState {
         let next = chart().next(self as usize, event as usize);
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use wingbridge_decide::paths::ContactFailure;
+use wingbridge_decide::paths::{ContactFailure, PathState};
 use wingbridge_decide::steer::{
     AttemptHandle, LoadReport, MIN_SUSPECT_RISK, SteerOutcome, SteerPick,
 };
@@ -180,7 +180,12 @@
         }
         drop(core);
         log_suspicion(effect.change, ObservedBy::Own);
-        if effect.stalled && !context.paths.is_lost(&self.service) {
+        let paths = context.paths.state(&self.service);
+        if effect.stalled && paths != PathState::Lost {
+            log::info!(
+                target:% = self.pick.id, service:% = self.service, paths = paths.as_str();
+                "stall-told"
+            );
             context.passive_samples.record_stall(self.pick.key);
         }
     }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -322,7 +322,7 @@
         }
         match self.context.port.write_crash_note(centre, &note).await {
             Ok(()) => {
-                log::info!(bytes = note.len(); "crash-note-written");
+                log::info!(bytes = note.len(), suspects = suspects.len(); "crash-note-written");
                 self.crash_note_written = Some(WrittenNote { era, version, at: Instant::now() });
                 self.suspects_written = suspects;
             }
