--- a/crates/gateway/tests/crash_reports.rs
+++ b/crates/gateway/tests/crash_reports.rs
@@ -2,57 +2,9 @@
 
 mod harness;
 
-use std::net::{SocketAddr, UdpSocket};
-use std::time::Duration;
-
-use harness::{BoxUnderTest, GOSSIP, Script, StoreStandin, TargetStandin, config, own_host, route};
-use prost::Message;
+use harness::{BoxUnderTest, PeerStandin, Script, StoreStandin, TargetStandin, config, route};
 use wingbridge_gateway::routes::RouteKind;
-use wingbridge_wire::gossip::{CrashRecord, Datagram, DatagramBody, Heartbeat, PassiveSamples};
-
-/// A peer that receives the datagrams of a box.
-struct PeerStandin {
-    socket: UdpSocket,
-}
-
-impl PeerStandin {
-    /// Starts a peer and waits until `gateway` knows it.
-    fn known_to(gateway: &BoxUnderTest) -> PeerStandin {
-        let socket = UdpSocket::bind((own_host(), GOSSIP)).expect("an address of its own");
-        socket.set_read_timeout(Some(Duration::from_secs(20))).expect("a valid time");
-        let peer = PeerStandin { socket };
-        peer.send(
-            gateway,
-            DatagramBody::Heartbeat(Heartbeat { wants_reply: true, ..Heartbeat::default() }),
-        );
-        peer.receive(|body| matches!(body, DatagramBody::Heartbeat(_)).then_some(()));
-        peer
-    }
-
-    fn send(&self, gateway: &BoxUnderTest, body: DatagramBody) {
-        let datagram = Datagram {
-            box_id: "peer".into(),
-            data_centre: "centre".into(),
-            incarnation: 1,
-            body: Some(body),
-            link_mbps: 0,
-        };
-        let address = SocketAddr::new(gateway.host(), GOSSIP);
-        self.socket.send_to(&datagram.encode_to_vec(), address).expect("loopback");
-    }
-
-    /// Receives datagrams until `wanted` accepts one.
-    fn receive<T>(&self, wanted: impl Fn(DatagramBody) -> Option<T>) -> T {
-        let mut buffer = [0; 4096];
-        loop {
-            let length = self.socket.recv(&mut buffer).expect("the datagram arrives in time");
-            let datagram = Datagram::decode(&buffer[..length]).expect("a datagram");
-            if let Some(found) = datagram.body.and_then(&wanted) {
-                return found;
-            }
-        }
-    }
-}
+use wingbridge_wire::gossip::{CrashRecord, DatagramBody, Heartbeat, PassiveSamples};
 
 fn start() -> (TargetStandin, StoreStandin, BoxUnderTest) {
     let target = TargetStandin::start("t", "service", Script::CrashesOnPoison);
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod paths;
 mod peer;
+mod peer_standin;
 mod relay_peer;
 mod store;
 mod target;
@@ -30,6 +31,7 @@
 pub use load::{max_within, request_while};
 pub use paths::{PathMode, TargetPaths};
 pub use peer::{connect_exchange, exchange_on, fetch_targets, packed, unpacked};
+pub use peer_standin::PeerStandin;
 pub use relay_peer::{OfferedRequest, RelayPeer, RelayScript};
 pub use store::StoreStandin;
 pub use target::{
