Lost paths: a failure without an answer is told to peers once a target has answered again

What callers saw: for seconds, boxes sent nothing to one or two healthy targets, since a box that had just lost its paths had told that they stall; boxes that started within 8 s after it read so in the store. Cause: a box told each stall at once. It can't know that its paths are lost before some attempts in a row have failed and peers have stated their contacts. Change: a stall, or a connection that breaks off before an answer, is told if a target answered a later attempt of this box in the last quarter of the failed one's time; otherwise with the next such answer, and never if the paths turn out to be lost. What a target answered, and the end of a target that was verified, are told at once as before. The check now begins once no target is noted, and targets take 40 ms to answer, so that a busy machine makes none of them stall; bound, cuts and times are as before.

--- a/crates/gateway/src/paths/watch.rs
+++ b/crates/gateway/src/paths/watch.rs
@@ -11,7 +11,6 @@
 use wingbridge_decide::paths::PathScope;
 use wingbridge_wire::paths::PathQuestion;
 
-use super::log_changes;
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::context::{BoxContext, lock, millis};
 use crate::gossip::Gossip;
@@ -43,7 +42,7 @@
 async fn ask_peers(context: &BoxContext, gossip: &Gossip) {
     let now = context.now();
     let (questions, changes) = lock(&context.paths.monitor).take_questions(now);
-    log_changes(now, &changes);
+    context.paths.on_changes(now, &changes);
     for question in questions {
         let hosts: Vec<IpAddr> = context.peers().random_local_and_remote(ASKED_PEERS);
         let message = PathQuestion {
@@ -66,7 +65,7 @@
     metrics::counter!("wingbridge_path_probes").increment(1);
     let now = context.now();
     let change = lock(&context.paths.monitor).record_probe(now, scope, key, connected, listed);
-    log_changes(now, change.as_slice());
+    context.paths.on_changes(now, change.as_slice());
 }
 
 /// Returns a random target that may be chosen now, its address, and the number of such targets.
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -16,6 +16,8 @@
 pub enum Script {
     /// Sends a complete answer.
     Good,
+    /// Sends a complete answer after [`USUAL_TIME`], next to which the delays of a busy machine are short.
+    GoodInUsualTime,
     /// Sends a complete answer in chunks.
     Chunked,
     /// Sends a complete answer whose body ends when the connection closes.
@@ -69,6 +71,8 @@
 
 /// Part of the path that marks poison requests.
 pub const POISON_PATH_PART: &str = "deadly";
+/// Time after which [`Script::GoodInUsualTime`] answers.
+const USUAL_TIME: Duration = Duration::from_millis(40);
 /// Length in bytes of the body of a long answer.
 pub const LONG_ANSWER_BYTES: usize = 2 << 20;
 /// Length in bytes of the part that is sent of a long answer that does not complete.
@@ -284,6 +288,10 @@
         | Script::AnswersBeforeBody => {
             format!("{ok}Content-Length: 5\r\n\r\nhello")
         }
+        Script::GoodInUsualTime => {
+            thread::sleep(USUAL_TIME);
+            format!("{ok}Content-Length: 5\r\n\r\nhello")
+        }
         Script::Chunked => format!("{ok}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
         Script::UntilClose => format!("{ok}\r\nhello"),
         Script::Fails => format!(
--- a/crates/gateway/tests/lost_paths.rs
+++ b/crates/gateway/tests/lost_paths.rs
@@ -185,6 +185,7 @@
     /// Time of a cut, in which each of the two boxes that may write the note has found targets to be suspects.
     const CUT_TIME: Duration = Duration::from_secs(4);
     let world = World::start_with(4, |_, settings| settings.overload = OverloadControl::On);
+    world.targets.iter().for_each(|target| target.set_script(Script::GoodInUsualTime));
     // Attempts count as stalled only once the usual time of their route is known.
     let all: Vec<usize> = (0..world.boxes.len()).collect();
     world.with_load(|| {
@@ -192,6 +193,8 @@
             wait_until_served(&world.boxes[*number], "before the cut");
         }
         for cut in [[0, 2], [1, 3]] {
+            // Targets that were slow before the cut are suspects by right.
+            eventually("no target is noted", || world.store.noted_suspects() == 0);
             world.set_paths(&cut, PathMode::Unread);
             let until = Instant::now() + CUT_TIME;
             while Instant::now() < until {
