Test of bursts in the emulator: enough fleets for what it allows

Cause: the test wants 1.8 to 2.0 times the requests while callers send 1.9 times as many, of eight fleets and three seconds: 2,603 and 5,227 requests, by which chance alone moves the ratio by 0.05. Change: 32 fleets, the same bounds.

--- a/crates/bench/tests/steer.rs
+++ b/crates/bench/tests/steer.rs
@@ -14,11 +14,15 @@
 }
 
 fn measured_under(pattern: LoadPattern, without: &str) -> SteerReport {
+    measured_with(FLEETS, pattern, without)
+}
+
+fn measured_with(fleets: usize, pattern: LoadPattern, without: &str) -> SteerReport {
     let bench = SteerBench {
         backoff_strategy: BackoffStrategy::default(),
         limit_strategy: LimitStrategy::Permits,
         seed: SEED,
-        fleets: FLEETS,
+        fleets,
         seconds: 20,
         workers: 2,
         without: without.parse().expect("the mechanisms are known"),
@@ -121,8 +125,10 @@
 
 #[test]
 fn burst_raises_the_requests_of_its_seconds() {
-    let steady = measured_under(LoadPattern::Steady, "");
-    let burst = measured_under(LoadPattern::Burst, "");
+    /// The ratio of so many fleets has a standard error of 0.02, a quarter of what is allowed around 1.9.
+    const COUNTED_FLEETS: usize = 32;
+    let steady = measured_with(COUNTED_FLEETS, LoadPattern::Steady, "");
+    let burst = measured_with(COUNTED_FLEETS, LoadPattern::Burst, "");
     let during = |report: &SteerReport| -> u64 {
         report.steered.seconds.0[10..13].iter().map(|row| row.requests).sum()
     };
