Soak: a request for another instance is none to the one that has its address

By the box's line the request went to t-4; t-12 had got t-4's address, said that it was another instance, and ran nothing. The box then used t-8. That t-12 leaves bound the box as to t-12; the address was t-4's by its listing, and the users count no request that gets 421. Change: arrivals say whether the request named another instance; the check of targets that leave passes these over. Measured: requests_for_another_instance_are_not_sent_to_the_one_that_leaves fails without the change to the check.

--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -32,7 +32,7 @@
         *first = notice.at.min(*first);
     }
     let mut cases = Vec::new();
-    for arrival in &evidence.arrivals {
+    for arrival in evidence.arrivals.iter().filter(|arrival| !arrival.is_for_other) {
         let Some(index) = evidence.sender_of(&arrival.request) else { continue };
         let Some(notified) = first_notices.get(&(index, arrival.target.as_str())) else { continue };
         let until = *notified + MAX_CHANGE_TIME + evidence.margin;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -53,6 +53,7 @@
         line: format!("GET {path}"),
         at: start + Duration::from_millis(millis),
         ran: true,
+        is_for_other: false,
         customer: Some(CUSTOMER.into()),
         has_key: false,
     }
@@ -269,6 +270,18 @@
     assert_eq!(promises, ["an order runs once at most"]);
 }
 
+/// A box whose request named the instance that had the address before was blamed for the one that turned it away.
+#[test]
+fn requests_for_another_instance_are_not_sent_to_the_one_that_leaves() {
+    let start = Instant::now();
+    let mut run = faultless_run(start);
+    run.notices.push(notice(start, TargetNotice::Draining));
+    send_later(&mut run, start, 1);
+    let misdirected = run.arrivals.last_mut().expect("an arrival was added");
+    (misdirected.ran, misdirected.is_for_other) = (false, true);
+    assert!(check_all(&run).is_empty(), "{:?}", check_all(&run));
+}
+
 /// A rest that a target named to the box that handled a request was held against the box that had received it.
 #[test]
 fn a_rest_binds_the_box_that_handled_the_request() {
