--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -6,7 +6,6 @@
 //! is a contact, also a failure or a refusal. While its paths are lost, a box has its requests handled by peers that
 //! stated contacts, and probes whether the paths are back.
 
-mod held;
 mod peers;
 mod probe;
 mod recent;
@@ -27,7 +26,6 @@
 use run::FailureRun;
 use state::PathEvent;
 
-pub use held::HeldFailures;
 pub use peers::PathStatement;
 pub use recent::ContactCounts;
 pub use run::{ContactFailure, FailedAttempt};
@@ -62,14 +60,6 @@
 }
 
 impl PathScope {
-    /// Returns whether the targets of `service` are among these.
-    pub fn covers(&self, service: &str) -> bool {
-        match self {
-            PathScope::All => true,
-            PathScope::Service(name) => **name == *service,
-        }
-    }
-
     /// Returns the scope of a service by its name, which is empty for all services.
     pub fn of(service: &str) -> PathScope {
         if service.is_empty() { PathScope::All } else { PathScope::Service(service.into()) }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -18,7 +18,6 @@
 use crate::attempt::is_for_other_request;
 use crate::context::{BoxContext, millis};
 use crate::limit_reports::{limit_of, log_limit};
-use crate::paths::report_held;
 use crate::permit_manager::SendPermit;
 use crate::ports::HeaderNames;
 
@@ -98,8 +97,7 @@
     pub(crate) fn apply_head(&self, head: &RawResponseHead) {
         self.is_head_read.store(true, Ordering::Release);
         let now = self.context.now();
-        let held = self.context.paths.record_contact(now, self.started, self.service);
-        report_held(self.context, &held);
+        self.context.paths.record_contact(now, self.started, self.service);
         let names = &self.context.headers;
         if !is_from_target(head, names, self.request) {
             return;
--- a/crates/gateway/src/open_attempt.rs
+++ b/crates/gateway/src/open_attempt.rs
@@ -4,17 +4,17 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use wingbridge_decide::paths::ContactFailure;
+use wingbridge_decide::paths::{ContactFailure, PathState};
 use wingbridge_decide::steer::{
     AttemptHandle, LoadReport, MIN_SUSPECT_RISK, SteerOutcome, SteerPick,
 };
-use wingbridge_decide::{Fingerprint, Name, TimePoint};
+use wingbridge_decide::{Fingerprint, Name};
 
 use crate::attempt::{AttemptPlan, AttemptResult, OutgoingRequest, attempt};
 use crate::context::{BoxContext, ObservedBy, log_suspicion};
 use crate::notices::AttemptNotices;
-use crate::passive_samples::{ContactlessFailure, ObservedOutcome};
-use crate::paths::{TrackedAttempt, UntoldFailure, report_failure};
+use crate::passive_samples::ObservedOutcome;
+use crate::paths::TrackedAttempt;
 use crate::permit_manager::SendPermit;
 
 /// An attempt that was started. Its end is reported to the core, also if its future is dropped.
@@ -30,8 +30,6 @@
     customer: Option<Name>,
     fingerprint: Fingerprint,
     handle: AttemptHandle,
-    /// Whether the target has answered, or is known to have ended: a failure is then none of the paths.
-    pub(crate) is_target_known: bool,
     /// Whether the end of the attempt was reported.
     ended: bool,
 }
@@ -83,7 +81,6 @@
             customer,
             fingerprint,
             handle,
-            is_target_known: false,
             ended: false,
         }
     }
@@ -98,12 +95,11 @@
 
     /// Runs the attempt until its end or `deadline`.
     pub(crate) async fn run(
-        mut self,
+        self,
         request: Arc<OutgoingRequest>,
         deadline: Instant,
     ) -> EndedAttempt {
-        let (result, is_answered) = self.wait_for_result(&request, deadline).await;
-        self.is_target_known = is_answered || matches!(result, Some(AttemptResult::TargetEnded(_)));
+        let result = self.wait_for_result(&request, deadline).await;
         EndedAttempt { open: self, result }
     }
 
@@ -131,21 +127,17 @@
             stalled: effect.stalled,
             latency_ratio: effect.latency_ratio,
         };
-        let is_contactless = effect.stalled || outcome == SteerOutcome::Incomplete;
-        if is_contactless && !self.is_target_known {
-            self.report_contactless(now, ContactlessFailure::Ended(observed));
-        } else if !self.is_path_fault(outcome) {
+        if !self.is_path_fault(outcome) {
             self.context.passive_samples.record_outcome(key, &observed);
         }
     }
 
-    /// Makes the attempt and reports it to the core once it is overdue. Returns `None` if the deadline passes, and
-    /// whether the head of an answer has arrived.
+    /// Makes the attempt and reports it to the core once it is overdue. Returns `None` if the deadline passes.
     async fn wait_for_result(
         &self,
         request: &OutgoingRequest,
         deadline: Instant,
-    ) -> (Option<AttemptResult>, bool) {
+    ) -> Option<AttemptResult> {
         let context = &self.context;
         let overdue = context.core().overdue_after(&self.handle);
         let plan = AttemptPlan {
@@ -167,15 +159,14 @@
         let remaining = deadline.saturating_duration_since(Instant::now());
         let first_wait = overdue.min(remaining);
         match select(attempt.as_mut(), std::pin::pin!(async_std::task::sleep(first_wait))).await {
-            Either::Left((result, _)) => return (Some(result), plan.notices.is_head_read()),
+            Either::Left((result, _)) => return Some(result),
             Either::Right(_) if overdue < remaining => {
                 self.report_overdue(plan.notices.is_head_read())
             }
-            Either::Right(_) => return (None, plan.notices.is_head_read()),
+            Either::Right(_) => return None,
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let result = async_std::future::timeout(remaining, attempt).await.ok();
-        (result, plan.notices.is_head_read())
+        async_std::future::timeout(remaining, attempt).await.ok()
     }
 
     /// Reports to the core that the attempt is overdue. `is_answered` tells whether the head of its answer has arrived.
@@ -189,23 +180,16 @@
         }
         drop(core);
         log_suspicion(effect.change, ObservedBy::Own);
-        if effect.stalled && is_answered {
+        let paths = context.paths.state(&self.service);
+        if effect.stalled && paths != PathState::Lost {
+            log::info!(
+                target:% = self.pick.id, service:% = self.service, paths = paths.as_str();
+                "stall-told"
+            );
             context.passive_samples.record_stall(self.pick.key);
-        } else if effect.stalled {
-            self.report_contactless(now, ContactlessFailure::Stall);
         }
     }
 
-    /// Tells peers of a failure without a contact, unless the paths are lost.
-    fn report_contactless(&self, now: TimePoint, failure: ContactlessFailure) {
-        if self.context.paths.is_lost(&self.service) {
-            return;
-        }
-        let (id, service) = (self.pick.id.clone(), self.service.clone());
-        let untold = UntoldFailure { target: self.pick.key, id, service, failure };
-        report_failure(&self.context, now, self.handle.started, untold);
-    }
-
     /// Returns whether an attempt failed on a path that this box alone has lost. Peers that heard of it would avoid a
     /// healthy target.
     fn is_path_fault(&self, outcome: SteerOutcome) -> bool {
--- a/crates/gateway/src/passive_samples.rs
+++ b/crates/gateway/src/passive_samples.rs
@@ -34,15 +34,6 @@
     pub(crate) latency_ratio: Option<f64>,
 }
 
-/// A failure of an attempt that came to no contact, as reported to peers.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum ContactlessFailure {
-    /// The attempt is still open and counts as a stall.
-    Stall,
-    /// The attempt has ended.
-    Ended(ObservedOutcome),
-}
-
 /// The sum of the pending samples of a target, and whether other data centres need it.
 #[derive(Debug, Clone)]
 pub(crate) struct PendingSample {
@@ -101,14 +92,6 @@
         self.add(key, &sample, false);
     }
 
-    /// Records a failure of an attempt that came to no contact.
-    pub(crate) fn record_failure(&self, key: TargetKey, failure: ContactlessFailure) {
-        match failure {
-            ContactlessFailure::Stall => self.record_stall(key),
-            ContactlessFailure::Ended(observed) => self.record_outcome(key, &observed),
-        }
-    }
-
     /// Records that an attempt that is still open counts as a stall.
     pub(crate) fn record_stall(&self, key: TargetKey) {
         self.add(
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -2,7 +2,6 @@
 //! to one, and names the peers that handle requests while the paths are lost. The decisions are in
 //! `wingbridge_decide::paths`.
 
-mod reports;
 mod watch;
 
 use std::collections::HashMap;
@@ -12,8 +11,8 @@
 
 use async_channel::{Receiver, Sender};
 use wingbridge_decide::paths::{
-    ContactCounts, ContactFailure, FailedAttempt, HeldFailures, PathChange, PathMonitor, PathRoute,
-    PathScope, PathState, PathStatement,
+    ContactCounts, ContactFailure, FailedAttempt, PathChange, PathMonitor, PathRoute, PathScope,
+    PathState, PathStatement,
 };
 use wingbridge_decide::steer::{SteerCore, SteerOutcome};
 use wingbridge_decide::{Name, TargetKey, TimePoint};
@@ -21,15 +20,12 @@
 
 use crate::context::{lock, millis};
 
-pub(crate) use reports::{UntoldFailure, report_failure, report_held};
 pub(crate) use watch::watch_paths;
 
 /// Tracks the contacts of this box with the targets.
 #[derive(Debug)]
 pub(crate) struct PathTracker {
     monitor: Mutex<PathMonitor>,
-    /// Failures that peers are not told before a contact.
-    held: Mutex<HeldFailures<UntoldFailure>>,
     /// Requests of this box that each peer is handling now.
     relayed: Mutex<HashMap<IpAddr, u32>>,
     /// Wakes the task that asks peers.
@@ -49,26 +45,15 @@
     /// Creates a tracker, and the channel on which it requests that peers are asked.
     pub(crate) fn new() -> (PathTracker, Receiver<()>) {
         let (wake, wakeups) = async_channel::bounded(1);
-        let tracker = PathTracker {
-            monitor: Mutex::default(),
-            held: Mutex::default(),
-            relayed: Mutex::default(),
-            wake,
-        };
+        let tracker = PathTracker { monitor: Mutex::default(), relayed: Mutex::default(), wake };
         (tracker, wakeups)
     }
 
     /// Records that the head of an answer has arrived from a target of `service`, to an attempt that began at
-    /// `started`. Returns the failures that peers may be told now, each with the time for which it was held back.
-    pub(crate) fn record_contact(
-        &self,
-        now: TimePoint,
-        started: TimePoint,
-        service: &Name,
-    ) -> Vec<(Duration, UntoldFailure)> {
+    /// `started`.
+    pub(crate) fn record_contact(&self, now: TimePoint, started: TimePoint, service: &Name) {
         let changes = lock(&self.monitor).record_contact(started, service);
-        self.on_changes(now, &changes);
-        lock(&self.held).record_contact(now, started)
+        log_changes(now, &changes);
     }
 
     /// Records the end of an attempt. Contacts were recorded when the answer began.
@@ -114,7 +99,7 @@
         let changes = monitor.record_failure(now, service, failed, listed);
         let is_watching = monitor.is_watching();
         drop(monitor);
-        self.on_changes(now, &changes);
+        log_changes(now, &changes);
         if is_watching {
             // If the channel is full, the task is awake already.
             let _ = self.wake.try_send(());
@@ -197,19 +182,7 @@
         let statement = PathStatement { counts, is_lost, busy, is_local };
         let scope = PathScope::of(&message.service);
         let change = lock(&self.monitor).merge_statement(now, peer, &scope, message.run, statement);
-        self.on_changes(now, change.as_slice());
-    }
-
-    /// Logs changes, and drops the failures that were held back on paths that turn out to be lost.
-    fn on_changes(&self, now: TimePoint, changes: &[PathChange]) {
-        log_changes(now, changes);
-        for change in changes.iter().filter(|change| change.state == PathState::Lost) {
-            let is_path_fault = |failure: &UntoldFailure| change.scope.covers(&failure.service);
-            let dropped = lock(&self.held).drop_failures(is_path_fault);
-            if dropped > 0 {
-                log::info!(service = change.scope.service(), dropped; "failures-not-told");
-            }
-        }
+        log_changes(now, change.as_slice());
     }
 }
 
--- a/crates/gateway/src/paths/watch.rs
+++ b/crates/gateway/src/paths/watch.rs
@@ -11,6 +11,7 @@
 use wingbridge_decide::paths::PathScope;
 use wingbridge_wire::paths::PathQuestion;
 
+use super::log_changes;
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::context::{BoxContext, lock, millis};
 use crate::gossip::Gossip;
@@ -42,7 +43,7 @@
 async fn ask_peers(context: &BoxContext, gossip: &Gossip) {
     let now = context.now();
     let (questions, changes) = lock(&context.paths.monitor).take_questions(now);
-    context.paths.on_changes(now, &changes);
+    log_changes(now, &changes);
     for question in questions {
         let hosts: Vec<IpAddr> = context.peers().random_local_and_remote(ASKED_PEERS);
         let message = PathQuestion {
@@ -65,7 +66,7 @@
     metrics::counter!("wingbridge_path_probes").increment(1);
     let now = context.now();
     let change = lock(&context.paths.monitor).record_probe(now, scope, key, connected, listed);
-    context.paths.on_changes(now, change.as_slice());
+    log_changes(now, change.as_slice());
 }
 
 /// Returns a random target that may be chosen now, its address, and the number of such targets.
