--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,24 @@
+#!/bin/sh
+# Runs one case of the stand-ins: run-case.sh CASE FOLDER. It ends each process that the case has started.
+cd "$(dirname "$0")/.." || exit 2
+program=target/review/release/review-standins
+[ -x "$program" ] || sh review/build.sh >&2 || exit 2
+[ -x target/release/wingbridge-box ] || { echo "target/release/wingbridge-box is not built" >&2; exit 2; }
+logs=$(mktemp -d) || exit 2
+finish() {
+    [ -n "$case_pid" ] && kill "$case_pid" 2>/dev/null
+    [ -f "$logs/pids" ] && while read -r pid; do kill -9 "$pid" 2>/dev/null; done < "$logs/pids"
+    [ -n "$KEEP_LOGS" ] && cp "$logs"/*.log "$KEEP_LOGS"
+    rm -rf "$logs"
+}
+trap 'finish; exit 2' INT TERM
+LOGS=$logs timeout 118 "$program" "$1" "$2" &
+case_pid=$!
+wait "$case_pid"
+status=$?
+case_pid=
+finish
+case $status in
+    0 | 1) exit $status ;;
+    *) exit 2 ;;
+esac
