review: one entry of another writer ends the reading of the store in every box

The sum of the reading's time and the entry's cold time panics, which ends the task that reads the store. Each box reads in turn, and none follows the store any more: CONFIG, DRAIN. Boxes that start with such an entry serve nothing: RECOVER.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,7 +7,10 @@
 logs=$(mktemp -d) || exit 2
 finish() {
     [ -n "$case_pid" ] && kill "$case_pid" 2>/dev/null
-    [ -f "$logs/pids" ] && while read -r pid; do kill -9 "$pid" 2>/dev/null; done < "$logs/pids"
+    # A box that still runs; the number of one that has ended may be another process's by now.
+    [ -f "$logs/pids" ] && while read -r pid; do
+        grep -q '^wingbridge-box$' "/proc/$pid/comm" 2>/dev/null && kill -9 "$pid"
+    done < "$logs/pids"
     [ -n "$KEEP_LOGS" ] && cp "$logs"/*.log "$KEEP_LOGS"
     rm -rf "$logs"
 }
--- a/review/standins/src/boxes.rs
+++ b/review/standins/src/boxes.rs
@@ -33,12 +33,15 @@
 
 impl Fleet {
     pub fn new(root: &Path, logs: &Path, store: SocketAddr, boxes: usize) -> Fleet {
-        let deploy = std::fs::read_to_string(root.join("deploy/system.toml")).expect("the deploy file");
+        let deploy =
+            std::fs::read_to_string(root.join("deploy/system.toml")).expect("the deploy file");
         let line = deploy.lines().find(|line| line.starts_with("run = ")).expect("a run line");
         let run = line["run = ".len()..].trim().trim_matches('"').to_string();
         let pid = std::process::id();
         let hosts: Vec<Ipv4Addr> = (0..boxes)
-            .map(|index| Ipv4Addr::new(127, 100 + (pid >> 8) as u8 % 100, pid as u8, 10 + index as u8))
+            .map(|index| {
+                Ipv4Addr::new(127, 100 + (pid >> 8) as u8 % 100, pid as u8, 10 + index as u8)
+            })
             .collect();
         let ports = free_ports(&hosts);
         let (zone, root, logs) = ("tatry-a".to_string(), root.to_path_buf(), logs.to_path_buf());
@@ -110,7 +113,8 @@
             .stderr(errors)
             .spawn()
             .expect("the box starts");
-        let pids = std::fs::OpenOptions::new().create(true).append(true).open(self.logs.join("pids"));
+        let pids =
+            std::fs::OpenOptions::new().create(true).append(true).open(self.logs.join("pids"));
         let noted = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
         noted.expect("the process can be noted");
         place.child = Some(child);
@@ -140,6 +144,13 @@
         }
     }
 
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Waits for the end of the process; kills it once `time` is over, as the platform does after `grace`.
     pub fn wait_end(&mut self, time: Duration) -> bool {
         let until = Instant::now() + time;
@@ -160,10 +171,7 @@
 
 impl Drop for BoxProcess {
     fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
 
@@ -190,7 +198,9 @@
     for first in (start..start + 5000).step_by(5) {
         let ports = [first, first + 1, first + 2, first + 3];
         let is_free = |host: &Ipv4Addr| {
-            ports.iter().all(|port| TcpListener::bind((*host, *port)).is_ok() && UdpSocket::bind((*host, *port)).is_ok())
+            ports.iter().all(|port| {
+                TcpListener::bind((*host, *port)).is_ok() && UdpSocket::bind((*host, *port)).is_ok()
+            })
         };
         if hosts.iter().all(is_free) {
             return ports;
--- a/review/standins/src/broken_off.rs
+++ b/review/standins/src/broken_off.rs
@@ -23,7 +23,12 @@
 /// A request that is given up by this much before its timeout was not ended by it.
 const MARGIN: Duration = Duration::from_millis(20);
 
-pub fn run(root: &std::path::Path, logs: &std::path::Path, record: &Record, trouble: bool) -> Verdict {
+pub fn run(
+    root: &std::path::Path,
+    logs: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> Verdict {
     let store = Store::start();
     let (runs, cut): (Runs, CutPaths) = Default::default();
     let mut servers = Vec::new();
@@ -65,20 +70,32 @@
                 thread::sleep(Duration::from_millis(after).saturating_sub(stopped_at.elapsed()));
                 let id = format!("lookup-{}", index + 1);
                 let path = format!("/avail/{id}");
-                let attempt = Attempt { method: "GET", path: &path, id: &id, deadline: DEADLINE, body: b"" };
+                let attempt =
+                    Attempt { method: "GET", path: &path, id: &id, deadline: DEADLINE, body: b"" };
                 let sent = Instant::now();
-                record.line(&format!("client sends GET {id} to box 1, {:.3} s after the SIGTERM", (sent - stopped_at).as_secs_f64()));
+                record.line(&format!(
+                    "client sends GET {id} to box 1, {:.3} s after the SIGTERM",
+                    (sent - stopped_at).as_secs_f64()
+                ));
                 let end = send(&mut connection, &attempt);
                 let taken = sent.elapsed();
                 let (what, is_own) = match &end {
                     AttemptEnd::Answer(answer) if answer.header("server-stamp").is_some() => {
                         (format!("{} of an instance", answer.status()), false)
                     }
-                    AttemptEnd::Answer(answer) => (format!("{} of the box", answer.status()), !matches!(answer.status(), 408 | 421 | 429 | 503)),
+                    AttemptEnd::Answer(answer) => (
+                        format!("{} of the box", answer.status()),
+                        !matches!(answer.status(), 408 | 421 | 429 | 503),
+                    ),
                     AttemptEnd::Cut => ("no answer: the connection was closed".to_string(), true),
-                    AttemptEnd::NoConnection | AttemptEnd::Deadline => ("nothing".to_string(), false),
+                    AttemptEnd::NoConnection | AttemptEnd::Deadline => {
+                        ("nothing".to_string(), false)
+                    }
                 };
-                record.line(&format!("client gets for {id} after {:.3} s: {what}", taken.as_secs_f64()));
+                record.line(&format!(
+                    "client gets for {id} after {:.3} s: {what}",
+                    taken.as_secs_f64()
+                ));
                 let ran = runs.lock().unwrap().get(&id).map_or(0, Vec::len);
                 if is_own && ran > 0 && taken + MARGIN < TIMEOUT {
                     *broken.lock().unwrap() += 1;
@@ -90,11 +107,16 @@
         let _ = client.join();
     }
     if trouble {
-        let ended = boxes[0].wait_end(Duration::from_millis(6000).saturating_sub(stopped_at.elapsed()));
+        let ended =
+            boxes[0].wait_end(Duration::from_millis(6000).saturating_sub(stopped_at.elapsed()));
         record.line(&format!("box 1 has ended by itself within the grace time: {ended}"));
     }
     thread::sleep(Duration::from_millis(200));
     let broken = *broken.lock().unwrap();
     record.line(&format!("LOST is broken by {broken} lookups: broken off while their instance was at work, before their timeout"));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -115,12 +115,7 @@
 }
 
 /// Writes a response with a length; returns whether that succeeded.
-pub fn respond(
-    stream: &mut TcpStream,
-    status: u16,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> bool {
+pub fn respond(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> bool {
     let mut bytes = format!("HTTP/1.1 {status} Standin\r\n").into_bytes();
     for (name, value) in headers {
         bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod broken_off;
 mod client;
 mod http;
+mod odd_entry;
 mod record;
 mod relayed_stop;
 mod server;
@@ -32,6 +33,7 @@
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let verdict = match case.as_str() {
         "relayed-stop" => relayed_stop::run(&root, &logs, &record, trouble),
+        "odd-entry" => odd_entry::run(&root, &logs, &record, trouble),
         "broken-off" => broken_off::run(&root, &logs, &record, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standins/src/relayed_stop.rs
+++ b/review/standins/src/relayed_stop.rs
@@ -20,14 +20,20 @@
 /// Times after the SIGTERM at which bookings are sent on connections that are open already.
 const SENT_AFTER_MS: [u64; 6] = [2780, 2810, 2840, 2870, 2900, 2930];
 
-pub fn run(root: &std::path::Path, logs: &std::path::Path, record: &Record, trouble: bool) -> Verdict {
+pub fn run(
+    root: &std::path::Path,
+    logs: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> Verdict {
     let store = Store::start();
     let (runs, cut): (Runs, CutPaths) = Default::default();
     let mut servers = Vec::new();
     for index in 1..=6 {
         for service in ["luzka", "rezerv"] {
             let shared = (Arc::clone(&runs), Arc::clone(&cut), record.clone());
-            let server = Server::start((&format!("i-{service}-{index}"), service), 3, WORK_MS, shared);
+            let server =
+                Server::start((&format!("i-{service}-{index}"), service), 3, WORK_MS, shared);
             store.put(&format!("servers/{}", server.id), &server.entry("tatry-a", "ready", 1));
             servers.push(server);
         }
@@ -58,10 +64,19 @@
         record.line("box 1 does not serve lookups through other boxes");
         return Verdict::CouldNotRun;
     }
-    let attempt = Attempt { method: "POST", path: "/book/x", id: "booking-before", deadline: BOOKING_DEADLINE, body: b"two beds" };
+    let attempt = Attempt {
+        method: "POST",
+        path: "/book/x",
+        id: "booking-before",
+        deadline: BOOKING_DEADLINE,
+        body: b"two beds",
+    };
     record.line(&format!("booking-before gets {}", send_fresh(front, &attempt).status()));
     for server in servers.iter().filter(|server| server.service == "rezerv") {
-        server.work_ms.store(if trouble { SLOW_WORK_MS } else { WORK_MS }, std::sync::atomic::Ordering::SeqCst);
+        server.work_ms.store(
+            if trouble { SLOW_WORK_MS } else { WORK_MS },
+            std::sync::atomic::Ordering::SeqCst,
+        );
     }
     let answers: Arc<Mutex<Vec<(String, u16)>>> = Arc::default();
     let connections: Vec<_> = SENT_AFTER_MS.iter().map(|_| connect(front)).collect();
@@ -81,14 +96,27 @@
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(after).saturating_sub(stopped_at.elapsed()));
                 let id = format!("booking-{}", index + 1);
-                record.line(&format!("client sends POST {id} to box 1 on a connection that it kept"));
-                let attempt = Attempt { method: "POST", path: "/book/x", id: &id, deadline: BOOKING_DEADLINE, body: b"two beds" };
+                record
+                    .line(&format!("client sends POST {id} to box 1 on a connection that it kept"));
+                let attempt = Attempt {
+                    method: "POST",
+                    path: "/book/x",
+                    id: &id,
+                    deadline: BOOKING_DEADLINE,
+                    body: b"two beds",
+                };
                 let end = send(&mut connection, &attempt);
                 let retry = match &end {
-                    crate::client::AttemptEnd::Answer(answer) => answer.header("retry-after").map(str::to_string),
+                    crate::client::AttemptEnd::Answer(answer) => {
+                        answer.header("retry-after").map(str::to_string)
+                    }
                     _ => None,
                 };
-                record.line(&format!("client gets for {id}: {} {:?}, Retry-After {retry:?}", end.status(), kind(&end)));
+                record.line(&format!(
+                    "client gets for {id}: {} {:?}, Retry-After {retry:?}",
+                    end.status(),
+                    kind(&end)
+                ));
                 answers.lock().unwrap().push((id, end.status()));
             })
         })
@@ -97,7 +125,8 @@
         let _ = client.join();
     }
     if trouble {
-        let ended = boxes[0].wait_end(Duration::from_millis(6000).saturating_sub(stopped_at.elapsed()));
+        let ended =
+            boxes[0].wait_end(Duration::from_millis(6000).saturating_sub(stopped_at.elapsed()));
         record.line(&format!("box 1 has ended by itself: {ended}"));
     }
     thread::sleep(Duration::from_secs(2));
@@ -114,7 +143,11 @@
         }
     }
     record.line(&format!("REFUSED is broken by {broken} bookings"));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 /// Sends 15 lookups and 15 bookings a second to other boxes until the end of the process.
@@ -124,7 +157,8 @@
             let front = fronts[number % fronts.len()];
             thread::spawn(move || {
                 let id = format!("usual-{number}");
-                let (method, path) = if number % 2 == 0 { ("GET", "/avail/u") } else { ("POST", "/book/u") };
+                let (method, path) =
+                    if number % 2 == 0 { ("GET", "/avail/u") } else { ("POST", "/book/u") };
                 let path = format!("{path}{number}");
                 let deadline = Duration::from_secs(5);
                 send_fresh(front, &Attempt { method, path: &path, id: &id, deadline, body: b"" });
@@ -174,7 +208,8 @@
         for seq in 2.. {
             thread::sleep(Duration::from_millis(1500));
             for server in &servers {
-                store.put(&format!("servers/{}", server.id), &server.entry("tatry-a", "ready", seq));
+                store
+                    .put(&format!("servers/{}", server.id), &server.entry("tatry-a", "ready", seq));
             }
         }
     });
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -103,16 +103,24 @@
     fn handle(&self, stream: &mut TcpStream, request: &Message, held: u32, from: IpAddr) -> bool {
         let id = request.header("request-id").unwrap_or("-").to_string();
         // The usual traffic beside a case is left out of its record.
-        let record = if id.starts_with("usual") { self.record.quiet() } else { self.record.clone() };
+        let record =
+            if id.starts_with("usual") { self.record.quiet() } else { self.record.clone() };
         if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
             return respond(stream, 421, &[("Not-Executed", "1"), ("Request-Id", &id)], b"");
         }
-        let load = format!("{},{},{}", held.min(self.slots), held.saturating_sub(self.slots), self.slots);
+        let load =
+            format!("{},{},{}", held.min(self.slots), held.saturating_sub(self.slots), self.slots);
         if held >= self.slots + QUEUE {
             let headers = [("Not-Executed", "1"), ("Request-Id", &*id), ("Server-Load", &*load)];
             return respond(stream, 503, &headers, b"");
         }
-        while self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |busy| (busy < self.slots).then_some(busy + 1)).is_err() {
+        while self
+            .busy
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |busy| {
+                (busy < self.slots).then_some(busy + 1)
+            })
+            .is_err()
+        {
             if is_closed(stream) {
                 return false;
             }
@@ -120,8 +128,14 @@
         }
         let method = request.first.first().cloned().unwrap_or_default();
         record.line(&format!("instance {} begins to run {method} {id}, from box {from}", self.id));
-        self.runs.lock().unwrap().entry(id.clone()).or_default().push((self.id.clone(), Instant::now()));
-        let deadline = request.header("deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(10_000);
+        self.runs
+            .lock()
+            .unwrap()
+            .entry(id.clone())
+            .or_default()
+            .push((self.id.clone(), Instant::now()));
+        let deadline =
+            request.header("deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(10_000);
         let work = Duration::from_millis(self.work_ms.load(Ordering::SeqCst));
         let deadline = Duration::from_millis(deadline);
         let until = Instant::now() + work.min(deadline);
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -89,9 +89,10 @@
             ("GET", "/v1/kv-watch") => {
                 let after: u64 = query("after").parse().unwrap_or(0);
                 let prefix = query("path_prefix");
-                let later = self.history.iter().filter(|(revision, key, _)| {
-                    *revision > after && key.starts_with(&prefix)
-                });
+                let later = self
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
                 let events: Vec<String> = later
                     .map(|(revision, key, value)| match value {
                         Some(value) => item_json(key, &(value.clone(), *revision, *revision)),
@@ -109,7 +110,9 @@
     /// The boxes write one key in a call, with at most one condition.
     fn change(&mut self, body: &str) -> (u16, String) {
         let (conditions, puts) = match (body.find("\"expected_rev\""), body.find("\"puts\"")) {
-            (Some(conditions), Some(puts)) if conditions < puts => (&body[conditions..puts], &body[puts..]),
+            (Some(conditions), Some(puts)) if conditions < puts => {
+                (&body[conditions..puts], &body[puts..])
+            }
             (Some(conditions), Some(puts)) => (&body[conditions..], &body[puts..conditions]),
             (None, Some(puts)) => ("", &body[puts..]),
             _ => return (400, "{}".to_string()),
@@ -133,7 +136,9 @@
 }
 
 fn item_json(key: &str, (value, revision, created): &(String, u64, u64)) -> String {
-    format!(r#"{{"key":"{key}","value":"{value}","rev":{revision},"created_rev":{created},"lease":0}}"#)
+    format!(
+        r#"{{"key":"{key}","value":"{value}","rev":{revision},"created_rev":{created},"lease":0}}"#
+    )
 }
 
 fn text_field(json: &str, name: &str) -> Option<String> {
