--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Runs one case of the stand-ins: run-case.sh CASE FOLDER. It ends each process that the case has started.
+# Runs one case of the stand-ins: run-case.sh CASE FOLDER TROUBLE. With TROUBLE 0 there is no disruption. It ends each
+# process that the case has started.
 cd "$(dirname "$0")/.." || exit 2
 program=target/review/release/review-standins
 [ -x "$program" ] || sh review/build.sh >&2 || exit 2
@@ -15,7 +16,7 @@
     rm -rf "$logs"
 }
 trap 'finish; exit 2' INT TERM
-LOGS=$logs timeout 118 "$program" "$1" "$2" &
+LOGS=$logs timeout 118 "$program" "$1" "$2" "$3" &
 case_pid=$!
 wait "$case_pid"
 status=$?
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,4 +1,5 @@
-//! The review's scripts: `review-standins CASE FOLDER`, run at the root of the repository.
+//! The review's scripts: `review-standins CASE FOLDER TROUBLE`, run at the root of the repository. With TROUBLE 0 the
+//! case is played without its disruption.
 
 mod boxes;
 mod broken_off;
@@ -19,11 +20,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("review-standins CASE FOLDER");
+    let [_, case, folder, trouble] = &arguments[..] else {
+        eprintln!("review-standins CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     let root = std::env::current_dir().expect("a working directory");
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let Some(logs) = std::env::var_os("LOGS").map(PathBuf::from) else {
