Logs: times of a planned stop, and requests that it ends

Cause of the change: with the old lines four hypotheses on requests that are broken off late in a stop could not be told apart: nothing said when the box's own stop was at which time, and what was left of a request's time.

Change: `stopping` names its three times; a new line `ending-requests`; the line of a request has `stop_ms` (accepted or refused at) and `stop_left_ms` (left when the stop ended it).

--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -67,6 +67,10 @@
     relayed_from: String,
     /// Address of the peer that handled the request; empty if none did.
     relayed_to: String,
+    /// Time of the planned stop at which the request was planned, in milliseconds; empty if there was no stop.
+    stop_ms: String,
+    /// Time that the request had left when the stop ended it, in milliseconds; empty if the stop did not.
+    stop_left_ms: String,
 }
 
 impl RequestTrace {
@@ -193,6 +197,16 @@
         self.tried.push_str(&format!("box {peer}: {reason}; "));
     }
 
+    /// Records how long the planned stop of the box had lasted when the request was planned; `None` without a stop.
+    pub(crate) fn record_stop(&mut self, elapsed: Option<Duration>) {
+        self.stop_ms = elapsed.map(|elapsed| millis(elapsed).to_string()).unwrap_or_default();
+    }
+
+    /// Records that the stop ended the request, which had `remaining` time left.
+    pub(crate) fn record_ended_by_stop(&mut self, remaining: Duration) {
+        self.stop_left_ms = millis(remaining).to_string();
+    }
+
     /// Records why there is no further attempt.
     pub(crate) fn record_no_retry(&mut self, reason: &str) {
         self.tried.push_str(reason);
@@ -221,6 +235,7 @@
         targets_ended = trace.targets_ended, refusal = trace.refusal, return_ms:% = trace.return_ms,
         return_useful = trace.return_useful, returned = trace.returned,
         relayed_from:% = trace.relayed_from, relayed_to:% = trace.relayed_to,
+        stop_ms:% = trace.stop_ms, stop_left_ms:% = trace.stop_left_ms,
         status = answer.status, outcome, why = answer.reason,
         view_age_ms, config_age_ms, limit_ms = trace.limit_ms, taken_ms;
         "request"
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -189,6 +189,8 @@
     /// Returns the answer to a request that is still open when the process is about to end. Without it the caller
     /// would see a closed connection and could not know whether the request may be sent again.
     fn end_with_process(&mut self) -> CallerAnswer {
+        let remaining = self.deadline().saturating_duration_since(Instant::now());
+        self.trace.record_ended_by_stop(remaining);
         // The open attempts were dropped, and their targets may complete them.
         for _ in 0..std::mem::take(&mut self.open_attempts) {
             self.record_possible_run();
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -209,7 +209,9 @@
     };
     let deadline = answer_deadline(context, request, policy.deadline);
     if context.stopping.could_interrupt(deadline) {
-        return Err(not_run(context, &route.name, "this box ends before it could answer"));
+        let mut refusal = not_run(context, &route.name, "this box ends before it could answer");
+        refusal.trace.record_stop(context.stopping.elapsed());
+        return Err(refusal);
     }
     let service = Name::from(policy.service.as_str());
     let homes = route.home_regions_for(customer.as_deref());
@@ -235,6 +237,7 @@
     plan: RequestPlan,
 ) -> (CallerAnswer, RequestTrace) {
     let mut trace = new_trace(&plan, request.received_at);
+    trace.record_stop(context.stopping.elapsed());
     let received_at = request.received_at;
     let outgoing = outgoing_request(context, request, &plan);
     trace.record_fingerprint(outgoing.fingerprint);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -137,7 +137,11 @@
     let last_answers = end.saturating_sub(LAST_ANSWER_LEAD);
     stopping.begin(started_at + stop_time / 2, started_at + end);
     context.waiting.close();
-    log::info!(open = stopping.open_connections(), busy = stopping.busy_requests(); "stopping");
+    log::info!(
+        open = stopping.open_connections(), busy = stopping.busy_requests(),
+        refuses_from_ms = millis(stop_time / 2), ends_requests_ms = millis(last_answers), ends_ms = millis(end);
+        "stopping"
+    );
     while started_at.elapsed() < end {
         if started_at.elapsed() >= BALANCER_DRAIN_TIME && stopping.open_connections() == 0 {
             break;
@@ -146,7 +150,8 @@
             log::info!(open = stopping.open_connections(), after_ms = millis(started_at.elapsed()); "closing-idle");
             stopping.close_idle();
         }
-        if started_at.elapsed() >= last_answers {
+        if started_at.elapsed() >= last_answers && !stopping.is_ending() {
+            log::info!(busy = stopping.busy_requests(), after_ms = millis(started_at.elapsed()); "ending-requests");
             stopping.end_requests();
         }
         task::sleep(STOP_CHECK_PERIOD).await;
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -2,12 +2,13 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::latch::ReadyLatch;
 
 #[derive(Debug, Clone, Copy)]
 struct StopTimes {
+    begun: Instant,
     refuse_from: Instant,
     end: Instant,
 }
@@ -44,7 +45,7 @@
     /// Begins the stop: callers are asked to connect elsewhere, and are still served. The process
     /// ends at `end`, so from `refuse_from` on no request is accepted that could take longer.
     pub(crate) fn begin(&self, refuse_from: Instant, end: Instant) {
-        self.end.get_or_init(|| StopTimes { refuse_from, end });
+        self.end.get_or_init(|| StopTimes { begun: Instant::now(), refuse_from, end });
         self.stopping.store(true, Ordering::Release);
     }
 
@@ -53,6 +54,11 @@
         self.end.get().is_some_and(|times| Instant::now() >= times.refuse_from && until > times.end)
     }
 
+    /// Returns how long ago the stop began; `None` if none has begun.
+    pub(crate) fn elapsed(&self) -> Option<Duration> {
+        self.end.get().map(|times| times.begun.elapsed())
+    }
+
     /// Returns whether a stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
@@ -78,6 +84,11 @@
         self.ending.open();
     }
 
+    /// Returns whether open requests are being ended.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.ending.is_open()
+    }
+
     /// Waits until [`StopState::end_requests`] is called.
     pub(crate) async fn wait_ending(&self) {
         self.ending.wait_open().await;
