Planned stop: what is accepted late has all of its time

Cause: two times for one decision. From half of the stop on a request was accepted if its time ended before the process (0.15 s before the stop time is over), but open requests were ended 0.15 s before that. Those whose time ended between the two were accepted and broken off.

Change: StopSchedule derives all times of a stop from its length, and `answer_by` alone decides on both. Why it works: a request that is accepted in the second half has its own end no later than the time at which the stop ends requests; when that comes, its own end has passed, whichever timer is served first.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod settings;
 pub mod source_address;
 mod steering;
+pub mod stop_schedule;
 mod stopping;
 mod store_backoff;
 pub mod store_revision;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -208,7 +208,7 @@
         }
     };
     let deadline = answer_deadline(context, request, policy.deadline);
-    if context.stopping.could_interrupt(deadline) {
+    if context.stopping.refuses(deadline) {
         let mut refusal = not_run(context, &route.name, "this box ends before it could answer");
         refusal.trace.record_stop(context.stopping.elapsed());
         return Err(refusal);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::quota_manager::QuotaManager;
 use crate::settings::GatewaySettings;
 use crate::steering::credits::{CreditExchange, request_credits};
+use crate::stop_schedule::StopSchedule;
 use crate::stopping::StopState;
 use crate::store_sync::StoreSync;
 use crate::view_exchange::serve_peers;
@@ -30,13 +31,6 @@
 /// Time after the first "not ready" answer until the balancer sends no more callers: two readiness
 /// checks, a second apart, and a margin.
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(3000);
-/// Time before the end of a planned stop at which idle connections are closed.
-const IDLE_CLOSE_LEAD: Duration = Duration::from_millis(900);
-/// Time by which the process ends before the environment would kill it.
-const END_LEAD: Duration = Duration::from_millis(150);
-/// Time before the end of the process at which requests that are still open are answered. It is enough for the
-/// answers to reach callers over a slow link.
-const LAST_ANSWER_LEAD: Duration = Duration::from_millis(150);
 /// Time between two checks for open connections during a planned stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 const METRICS_PATH: &str = "/metrics";
@@ -131,26 +125,24 @@
 async fn drain_connections(context: &BoxContext) -> bool {
     let started_at = Instant::now();
     let stopping = &context.stopping;
-    let stop_time = context.settings.stop_time;
-    let idle_close = stop_time.saturating_sub(IDLE_CLOSE_LEAD);
-    let end = stop_time.saturating_sub(END_LEAD);
-    let last_answers = end.saturating_sub(LAST_ANSWER_LEAD);
-    stopping.begin(started_at + stop_time / 2, started_at + end);
+    let schedule = StopSchedule::new(context.settings.stop_time);
+    stopping.begin(schedule);
     context.waiting.close();
     log::info!(
         open = stopping.open_connections(), busy = stopping.busy_requests(),
-        refuses_from_ms = millis(stop_time / 2), ends_requests_ms = millis(last_answers), ends_ms = millis(end);
+        refuses_from_ms = millis(schedule.refuse_from), ends_requests_ms = millis(schedule.answer_by),
+        ends_ms = millis(schedule.end);
         "stopping"
     );
-    while started_at.elapsed() < end {
+    while started_at.elapsed() < schedule.end {
         if started_at.elapsed() >= BALANCER_DRAIN_TIME && stopping.open_connections() == 0 {
             break;
         }
-        if started_at.elapsed() >= idle_close && !stopping.is_closing() {
+        if started_at.elapsed() >= schedule.idle_close && !stopping.is_closing() {
             log::info!(open = stopping.open_connections(), after_ms = millis(started_at.elapsed()); "closing-idle");
             stopping.close_idle();
         }
-        if started_at.elapsed() >= last_answers && !stopping.is_ending() {
+        if started_at.elapsed() >= schedule.answer_by && !stopping.is_ending() {
             log::info!(busy = stopping.busy_requests(), after_ms = millis(started_at.elapsed()); "ending-requests");
             stopping.end_requests();
         }
--- /dev/null
+++ b/crates/gateway/src/stop_schedule.rs
@@ -0,0 +1,44 @@
+//! The times of a planned stop, each counted from its beginning.
+//!
+//! One of them, [`StopSchedule::answer_by`], both decides which requests are accepted and ends those that are open, so
+//! that an accepted request is not ended before its own time.
+
+use std::time::Duration;
+
+/// Time before the end of a planned stop at which idle connections are closed.
+const IDLE_CLOSE_LEAD: Duration = Duration::from_millis(900);
+/// Time by which the process ends before the environment would kill it.
+const END_LEAD: Duration = Duration::from_millis(150);
+/// Time between the last answers and the end of the process. It is enough for them to reach callers over a slow link.
+const LAST_ANSWER_LEAD: Duration = Duration::from_millis(150);
+
+/// The times of a planned stop, each counted from its beginning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// From then on requests are refused that could take longer than until [`Self::answer_by`].
+    pub refuse_from: Duration,
+    /// From then on no further request is read.
+    pub idle_close: Duration,
+    /// Time by which each request is answered. Those that are still open are ended.
+    pub answer_by: Duration,
+    /// Time at which the process ends.
+    pub end: Duration,
+}
+
+impl StopSchedule {
+    /// Returns the times of a stop after which the environment kills the process once `stop_time` is over.
+    pub fn new(stop_time: Duration) -> StopSchedule {
+        let end = stop_time.saturating_sub(END_LEAD);
+        StopSchedule {
+            refuse_from: stop_time / 2,
+            idle_close: stop_time.saturating_sub(IDLE_CLOSE_LEAD),
+            answer_by: end.saturating_sub(LAST_ANSWER_LEAD),
+            end,
+        }
+    }
+
+    /// Returns whether a request is refused that comes at `elapsed` and may take until `until`.
+    pub fn refuses(&self, elapsed: Duration, until: Duration) -> bool {
+        elapsed >= self.refuse_from && until > self.answer_by
+    }
+}
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -5,21 +5,20 @@
 use std::time::{Duration, Instant};
 
 use crate::latch::ReadyLatch;
+use crate::stop_schedule::StopSchedule;
 
+/// A stop that has begun.
 #[derive(Debug, Clone, Copy)]
-struct StopTimes {
+struct BegunStop {
     begun: Instant,
-    refuse_from: Instant,
-    end: Instant,
+    schedule: StopSchedule,
 }
 
 /// Progress of a planned stop. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct StopState {
     stopping: Arc<AtomicBool>,
-    /// Times of the stop, once it has begun: when the process ends, and from when on requests that
-    /// could last longer are refused.
-    end: Arc<OnceLock<StopTimes>>,
+    begun: Arc<OnceLock<BegunStop>>,
     /// Number of open connections of callers.
     open: Arc<AtomicUsize>,
     /// Number of requests that have been read and not yet answered.
@@ -34,7 +33,7 @@
     pub(crate) fn new() -> StopState {
         StopState {
             stopping: Arc::default(),
-            end: Arc::default(),
+            begun: Arc::default(),
             open: Arc::default(),
             busy: Arc::default(),
             closing: ReadyLatch::default(),
@@ -42,21 +41,23 @@
         }
     }
 
-    /// Begins the stop: callers are asked to connect elsewhere, and are still served. The process
-    /// ends at `end`, so from `refuse_from` on no request is accepted that could take longer.
-    pub(crate) fn begin(&self, refuse_from: Instant, end: Instant) {
-        self.end.get_or_init(|| StopTimes { begun: Instant::now(), refuse_from, end });
+    /// Begins the stop: callers are asked to connect elsewhere, and are still served.
+    pub(crate) fn begin(&self, schedule: StopSchedule) {
+        self.begun.get_or_init(|| BegunStop { begun: Instant::now(), schedule });
         self.stopping.store(true, Ordering::Release);
     }
 
-    /// Returns whether a planned stop could interrupt a request that may take until `until`.
-    pub(crate) fn could_interrupt(&self, until: Instant) -> bool {
-        self.end.get().is_some_and(|times| Instant::now() >= times.refuse_from && until > times.end)
+    /// Returns whether a planned stop refuses a request that may take until `until`, because it could interrupt it.
+    pub(crate) fn refuses(&self, until: Instant) -> bool {
+        self.begun.get().is_some_and(|stop| {
+            let until = until.saturating_duration_since(stop.begun);
+            stop.schedule.refuses(stop.begun.elapsed(), until)
+        })
     }
 
     /// Returns how long ago the stop began; `None` if none has begun.
     pub(crate) fn elapsed(&self) -> Option<Duration> {
-        self.end.get().map(|times| times.begun.elapsed())
+        self.begun.get().map(|stop| stop.begun.elapsed())
     }
 
     /// Returns whether a stop has begun.
--- /dev/null
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -0,0 +1,102 @@
+//! What comes late in a planned stop is held for all of its time, or refused at once.
+
+mod harness;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use harness::{
+    BoxUnderTest, CallerReply, CallerStandin, Script, StoreStandin, TargetStandin, config, route,
+};
+use wingbridge_gateway::routes::RouteKind;
+
+const STOP_TIME: Duration = Duration::from_secs(4);
+/// Time that each request has, by its route or its caller.
+const REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Longer than the stop.
+const LONG_TIME: Duration = Duration::from_secs(60);
+
+struct LateCase {
+    name: &'static str,
+    route_time: Duration,
+    headers: &'static str,
+    kind: RouteKind,
+}
+
+const LATE_CASES: &[LateCase] = &[
+    LateCase {
+        name: "lookups with the time of their route",
+        route_time: REQUEST_TIME,
+        headers: "",
+        kind: RouteKind::Repeatable,
+    },
+    LateCase {
+        name: "orders with the time of their route",
+        route_time: REQUEST_TIME,
+        headers: "",
+        kind: RouteKind::AtMostOnce,
+    },
+    LateCase {
+        name: "orders with the time of their caller",
+        route_time: LONG_TIME,
+        headers: "X-Left: 1000\r\n",
+        kind: RouteKind::AtMostOnce,
+    },
+];
+
+fn store_with(target: &TargetStandin, case: &LateCase) -> StoreStandin {
+    let store = StoreStandin::default();
+    let mut route = route("r", "service", case.kind);
+    route.timeout = case.route_time;
+    route.max_attempts = 1;
+    store.put_config(config(1, vec![route]));
+    store.put_targets(vec![target.entry.clone()]);
+    store
+}
+
+/// Sends a request on each of `connections`, `gap` after the other, and returns the answers.
+fn send_in_turn(
+    connections: Vec<CallerStandin>,
+    gap: Duration,
+    headers: &'static str,
+) -> Vec<Option<CallerReply>> {
+    let readers: Vec<_> = connections
+        .into_iter()
+        .map(|mut caller| {
+            thread::sleep(gap);
+            caller.send("GET", "/r/x", headers, "");
+            thread::spawn(move || caller.read())
+        })
+        .collect();
+    readers.into_iter().map(|reader| reader.join().expect("a caller does not panic")).collect()
+}
+
+/// Requests whose time ended just before the process were accepted, and ended by the stop with time left.
+#[test]
+fn requests_accepted_late_in_a_stop_have_all_of_their_time() {
+    const REQUESTS: u32 = 40;
+    const GAP: Duration = Duration::from_millis(10);
+    for case in LATE_CASES {
+        let mut target = TargetStandin::start("t", "service", Script::Hangs);
+        // A request that found the target full would be refused for that reason.
+        target.entry.slots = 2 * REQUESTS;
+        let store = store_with(&target, case);
+        let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
+            settings.stop_time = STOP_TIME;
+        });
+        gateway.wait_ready();
+        let connections = (0..REQUESTS).map(|_| gateway.connect()).collect();
+        gateway.begin_stop();
+        let begun = Instant::now();
+        // The last requests have as much time as the process, or somewhat more.
+        let first = STOP_TIME - REQUEST_TIME - GAP * REQUESTS;
+        thread::sleep(first.saturating_sub(begun.elapsed()));
+        let replies = send_in_turn(connections, GAP, case.headers);
+        let statuses: Vec<u16> = replies.iter().flatten().map(|reply| reply.status).collect();
+        let accepted = statuses.iter().filter(|status| **status != 503).count();
+        assert_eq!(target.requests().len(), accepted, "{}: {statuses:?}", case.name);
+        // 504: the time of the request was over; 502: something else ended it.
+        let had_their_time = statuses.iter().filter(|status| **status == 504).count();
+        assert_eq!(had_their_time, accepted, "{}: {statuses:?}", case.name);
+    }
+}
