Planned stop: its times go on while the machine is suspended

Callers of a box whose machine is suspended within a planned stop got closed connections in place of answers: the environment kills the box by its own clock, while the box counted its stop without that time. It went on accepting requests that it could not finish, and ended none.

Requests' deadlines were corrected for suspensions, the stop was not. Beside it, found on the way: ending the requests and the end of the process were two conditions of one loop, so that a task that wakes up 150 ms late ended the process without answering.

Change: the time of a stop is taken from a clock sample like deadlines are; the stop is a sequence (idle connections, last answers, end), and after the last answers callers have their 150 ms however late the task wakes up. Waits end at the next of these times, not up to 50 ms after it.

Evidence: stop_of_a_suspended_machine_ends_in_time failed before ("an answer": a request that could outlast the stop was accepted and held), and is green. It also has an open request answered when the suspension takes the stop past its end, which the loop would have skipped (read in the code).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -206,6 +206,16 @@
         sample.corrected_time(self.port.suspended())
     }
 
+    /// Returns how long ago a planned stop began; `None` if none has begun.
+    pub(crate) fn stop_elapsed(&self) -> Option<Duration> {
+        self.stopping.elapsed(self.port.suspended())
+    }
+
+    /// Returns whether a planned stop refuses a request that may take until `until`.
+    pub(crate) fn stop_refuses(&self, until: Instant) -> bool {
+        self.stopping.refuses(until, self.port.suspended())
+    }
+
     /// Returns whether this machine resumed from a suspension moments ago; the age of data that peers sent in
     /// the meantime is then unknown.
     pub(crate) fn recently_resumed(&self) -> bool {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -208,9 +208,9 @@
         }
     };
     let deadline = answer_deadline(context, request, policy.deadline);
-    if context.stopping.refuses(deadline) {
+    if context.stop_refuses(deadline) {
         let mut refusal = not_run(context, &route.name, "this box ends before it could answer");
-        refusal.trace.record_stop(context.stopping.elapsed());
+        refusal.trace.record_stop(context.stop_elapsed());
         return Err(refusal);
     }
     let service = Name::from(policy.service.as_str());
@@ -237,7 +237,7 @@
     plan: RequestPlan,
 ) -> (CallerAnswer, RequestTrace) {
     let mut trace = new_trace(&plan, request.received_at);
-    trace.record_stop(context.stopping.elapsed());
+    trace.record_stop(context.stop_elapsed());
     let received_at = request.received_at;
     let outgoing = outgoing_request(context, request, &plan);
     trace.record_fingerprint(outgoing.fingerprint);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,7 +23,7 @@
 use crate::quota_manager::QuotaManager;
 use crate::settings::GatewaySettings;
 use crate::steering::credits::{CreditExchange, request_credits};
-use crate::stop_schedule::StopSchedule;
+use crate::stop_schedule::{LAST_ANSWER_TIME, StopSchedule};
 use crate::stopping::StopState;
 use crate::store_sync::StoreSync;
 use crate::view_exchange::serve_peers;
@@ -33,6 +33,8 @@
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(3000);
 /// Time between two checks for open connections during a planned stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two such checks while the last answers are written.
+const LAST_ANSWER_CHECK_PERIOD: Duration = Duration::from_millis(10);
 const METRICS_PATH: &str = "/metrics";
 
 /// Runs a box until `stop` is signalled, and then until the requests in progress have ended or the
@@ -123,10 +125,9 @@
 /// Serves the open connections and new ones, and returns when no connection is left or the stop
 /// time is over. Returns whether all requests were completed.
 async fn drain_connections(context: &BoxContext) -> bool {
-    let started_at = Instant::now();
     let stopping = &context.stopping;
     let schedule = StopSchedule::new(context.settings.stop_time);
-    stopping.begin(schedule);
+    stopping.begin(schedule, context.clock_sample());
     context.waiting.close();
     log::info!(
         open = stopping.open_connections(), busy = stopping.busy_requests(),
@@ -134,21 +135,44 @@
         ends_ms = millis(schedule.end);
         "stopping"
     );
-    while started_at.elapsed() < schedule.end {
-        if started_at.elapsed() >= BALANCER_DRAIN_TIME && stopping.open_connections() == 0 {
-            break;
+    if !wait_drained(context, schedule.idle_close).await {
+        log::info!(open = stopping.open_connections(), after_ms = stop_millis(context); "closing-idle");
+        stopping.close_idle();
+        if !wait_drained(context, schedule.answer_by).await {
+            end_requests(context).await;
         }
-        if started_at.elapsed() >= schedule.idle_close && !stopping.is_closing() {
-            log::info!(open = stopping.open_connections(), after_ms = millis(started_at.elapsed()); "closing-idle");
-            stopping.close_idle();
+    }
+    stopping.busy_requests() == 0
+}
+
+/// Waits until no connection is left or the stop has lasted for `until`. Returns whether none is left.
+async fn wait_drained(context: &BoxContext, until: Duration) -> bool {
+    loop {
+        let elapsed = context.stop_elapsed().unwrap_or_default();
+        if elapsed >= BALANCER_DRAIN_TIME && context.stopping.open_connections() == 0 {
+            return true;
         }
-        if started_at.elapsed() >= schedule.answer_by && !stopping.is_ending() {
-            log::info!(busy = stopping.busy_requests(), after_ms = millis(started_at.elapsed()); "ending-requests");
-            stopping.end_requests();
+        if elapsed >= until {
+            return false;
         }
-        task::sleep(STOP_CHECK_PERIOD).await;
+        task::sleep(STOP_CHECK_PERIOD.min(until - elapsed)).await;
     }
-    stopping.busy_requests() == 0
+}
+
+/// Has all open requests answered, and gives the answers time to reach their callers. They get this time however late
+/// the task wakes up: without it their connections would close with no answer.
+async fn end_requests(context: &BoxContext) {
+    let stopping = &context.stopping;
+    log::info!(busy = stopping.busy_requests(), after_ms = stop_millis(context); "ending-requests");
+    stopping.end_requests();
+    let ended_at = Instant::now();
+    while stopping.open_connections() > 0 && ended_at.elapsed() < LAST_ANSWER_TIME {
+        task::sleep(LAST_ANSWER_CHECK_PERIOD).await;
+    }
+}
+
+fn stop_millis(context: &BoxContext) -> u64 {
+    context.stop_elapsed().map_or(0, millis)
 }
 
 async fn serve_readiness(listener: TcpListener, context: Arc<BoxContext>) {
--- a/crates/gateway/src/stop_schedule.rs
+++ b/crates/gateway/src/stop_schedule.rs
@@ -10,7 +10,7 @@
 /// Time by which the process ends before the environment would kill it.
 const END_LEAD: Duration = Duration::from_millis(150);
 /// Time between the last answers and the end of the process. It is enough for them to reach callers over a slow link.
-const LAST_ANSWER_LEAD: Duration = Duration::from_millis(150);
+pub(crate) const LAST_ANSWER_TIME: Duration = Duration::from_millis(150);
 
 /// The times of a planned stop, each counted from its beginning.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,7 +32,7 @@
         StopSchedule {
             refuse_from: stop_time / 2,
             idle_close: stop_time.saturating_sub(IDLE_CLOSE_LEAD),
-            answer_by: end.saturating_sub(LAST_ANSWER_LEAD),
+            answer_by: end.saturating_sub(LAST_ANSWER_TIME),
             end,
         }
     }
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -6,11 +6,12 @@
 
 use crate::latch::ReadyLatch;
 use crate::stop_schedule::StopSchedule;
+use crate::suspension::ClockSample;
 
 /// A stop that has begun.
 #[derive(Debug, Clone, Copy)]
 struct BegunStop {
-    begun: Instant,
+    clock: ClockSample,
     schedule: StopSchedule,
 }
 
@@ -42,22 +43,25 @@
     }
 
     /// Begins the stop: callers are asked to connect elsewhere, and are still served.
-    pub(crate) fn begin(&self, schedule: StopSchedule) {
-        self.begun.get_or_init(|| BegunStop { begun: Instant::now(), schedule });
+    pub(crate) fn begin(&self, schedule: StopSchedule, clock: ClockSample) {
+        self.begun.get_or_init(|| BegunStop { clock, schedule });
         self.stopping.store(true, Ordering::Release);
     }
 
     /// Returns whether a planned stop refuses a request that may take until `until`, because it could interrupt it.
-    pub(crate) fn refuses(&self, until: Instant) -> bool {
+    /// `suspended` is the total suspended time of the machine.
+    pub(crate) fn refuses(&self, until: Instant, suspended: Duration) -> bool {
         self.begun.get().is_some_and(|stop| {
-            let until = until.saturating_duration_since(stop.begun);
-            stop.schedule.refuses(stop.begun.elapsed(), until)
+            let begun = stop.clock.corrected_time(suspended);
+            stop.schedule.refuses(begun.elapsed(), until.saturating_duration_since(begun))
         })
     }
 
-    /// Returns how long ago the stop began; `None` if none has begun.
-    pub(crate) fn elapsed(&self) -> Option<Duration> {
-        self.begun.get().map(|stop| stop.begun.elapsed())
+    /// Returns how long ago the stop began, with the time for which the machine was suspended since: the
+    /// environment's clock did not stand still. `suspended` is the total suspended time of the machine. `None` if no
+    /// stop has begun.
+    pub(crate) fn elapsed(&self, suspended: Duration) -> Option<Duration> {
+        self.begun.get().map(|stop| stop.clock.corrected_time(suspended).elapsed())
     }
 
     /// Returns whether a stop has begun.
@@ -85,11 +89,6 @@
         self.ending.open();
     }
 
-    /// Returns whether open requests are being ended.
-    pub(crate) fn is_ending(&self) -> bool {
-        self.ending.is_open()
-    }
-
     /// Waits until [`StopState::end_requests`] is called.
     pub(crate) async fn wait_ending(&self) {
         self.ending.wait_open().await;
--- a/crates/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/tests/harness/gateway.rs
@@ -109,6 +109,11 @@
         self.stop.stop();
     }
 
+    /// Returns whether the box has ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
     /// Begins a planned stop, if that has not been done, and waits until the box has ended.
     pub fn wait_end(mut self) -> Outcome {
         self.stop.stop();
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use harness::{
-    BoxUnderTest, CallerReply, CallerStandin, Script, StoreStandin, TargetStandin, config, route,
+    BoxUnderTest, CallerReply, CallerStandin, Script, StoreStandin, TargetStandin, config,
+    eventually, route,
 };
 use wingbridge_gateway::routes::RouteKind;
 
@@ -16,6 +17,7 @@
 /// Longer than the stop.
 const LONG_TIME: Duration = Duration::from_secs(60);
 
+#[derive(Clone, Copy)]
 struct LateCase {
     name: &'static str,
     route_time: Duration,
@@ -100,3 +102,27 @@
         assert_eq!(had_their_time, accepted, "{}: {statuses:?}", case.name);
     }
 }
+
+/// A box whose machine was suspended within its stop went on with requests until it was killed.
+#[test]
+fn stop_of_a_suspended_machine_ends_in_time() {
+    let stop_time = Duration::from_secs(600);
+    let target = TargetStandin::start("t", "service", Script::Hangs);
+    let case = LateCase { route_time: LONG_TIME, ..LATE_CASES[1] };
+    let store = store_with(&target, &case);
+    let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
+        settings.stop_time = stop_time;
+    });
+    gateway.wait_ready();
+    let (mut open, mut late) = (gateway.connect(), gateway.connect());
+    open.send("GET", "/r/open", "", "");
+    eventually("the target has the request", || target.requests().len() == 1);
+    gateway.begin_stop();
+    eventually("the box is not ready", || !gateway.is_ready());
+    store.set_suspended(stop_time - LONG_TIME);
+    assert_eq!(late.request("GET", "/r/late", "").status, 503, "it could outlast the stop");
+    store.set_suspended(stop_time);
+    let reply = open.read().expect("an answer before the end");
+    assert!([502, 504].contains(&reply.status), "{reply:?}");
+    eventually("the box has ended", || gateway.has_ended());
+}
