Planned stop: requests that could outlast it are refused from its first part on

Callers whose request came just after half of a stop could get a 502 while a target was at work: the box learns of its signal up to a tenth of a second late when its processor share is used up, and still counted them as of the first half, in which all are accepted.

Cause: the same class, "half of the stop" counted by two clocks, and a fraction where a time was meant.

Change: the refusals begin after the time that the balancer needs, or half of the stop if that is shorter, less a tenth of a second.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,14 +23,11 @@
 use crate::quota_manager::QuotaManager;
 use crate::settings::GatewaySettings;
 use crate::steering::credits::{CreditExchange, request_credits};
-use crate::stop_schedule::{LAST_ANSWER_TIME, StopSchedule};
+use crate::stop_schedule::{BALANCER_DRAIN_TIME, LAST_ANSWER_TIME, StopSchedule};
 use crate::stopping::StopState;
 use crate::store_sync::StoreSync;
 use crate::view_exchange::serve_peers;
 
-/// Time after the first "not ready" answer until the balancer sends no more callers: two readiness
-/// checks, a second apart, and a margin.
-const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(3000);
 /// Time between two checks for open connections during a planned stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two such checks while the last answers are written.
--- a/crates/gateway/src/stop_schedule.rs
+++ b/crates/gateway/src/stop_schedule.rs
@@ -5,6 +5,12 @@
 
 use std::time::Duration;
 
+/// Time after the first "not ready" answer until the balancer sends no more callers: two readiness
+/// checks, a second apart, and a margin.
+pub(crate) const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(3000);
+/// Time by which a box may learn of its stop late: it waits for the next tenth of a second if its processor share is
+/// used up.
+const SIGNAL_DELAY: Duration = Duration::from_millis(100);
 /// Time before the end of a planned stop at which idle connections are closed.
 const IDLE_CLOSE_LEAD: Duration = Duration::from_millis(900);
 /// Time by which the process ends before the environment would kill it.
@@ -15,7 +21,8 @@
 /// The times of a planned stop, each counted from its beginning.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSchedule {
-    /// From then on requests are refused that could take longer than until [`Self::answer_by`].
+    /// From then on requests are refused that could take longer than until [`Self::answer_by`]. Before that the
+    /// balancer still sends callers, most of which are answered long before.
     pub refuse_from: Duration,
     /// From then on no further request is read.
     pub idle_close: Duration,
@@ -30,7 +37,7 @@
     pub fn new(stop_time: Duration) -> StopSchedule {
         let end = stop_time.saturating_sub(END_LEAD);
         StopSchedule {
-            refuse_from: stop_time / 2,
+            refuse_from: BALANCER_DRAIN_TIME.min(stop_time / 2).saturating_sub(SIGNAL_DELAY),
             idle_close: stop_time.saturating_sub(IDLE_CLOSE_LEAD),
             answer_by: end.saturating_sub(LAST_ANSWER_TIME),
             end,
