Planned stop: requests that no run has begun for are answered at its end too

Callers got closed connections in place of answers when the process ended while their request waited for the box's first configuration, a newer one or a token of its customer's quota, or while its body was still arriving; by way of another box they got 502, though nothing had run.

Cause: the end of a stop answered only requests in the stage of attempts; each earlier stage had a wait of its own, longer than what was left of the stop.

Change: `StopState::before_end` runs a stage of a request until the end; every stage uses it, and answers with 503 and the word that nothing has run.

The newer configuration, the token and the relayed body take the same way (read, no test of their own).

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -20,7 +20,7 @@
 use crate::context::BoxContext;
 use crate::relay::server::{AcceptedRelay, relay_result};
 use crate::routes::CallerLimits;
-use crate::routing::{CallerRequest, answer_relayed, answer_request};
+use crate::routing::{CallerRequest, answer_relayed, answer_request, end_refusal};
 use crate::streamed_body::{BodyPump, PumpEnd, STREAM_BYTES, body_stream};
 
 /// Wait after a failed accept, and while the number of connections is at its limit.
@@ -98,15 +98,22 @@
     let caller = accepted.box_id.clone();
     let mut connection =
         CallerConnection { reader: RawReader::new(stream.clone()), stream: stream.clone(), caller };
-    let ReadRequest { request, mut pump, reservation: _reservation } =
-        match connection.read_request(context, received_at).await {
-            Ok(Some(read)) => read,
-            Ok(None) => return,
-            Err(error) => {
-                log::info!(reason:% = error; "relayed-request-rejected");
-                return;
+    let read = context.stopping.before_end(connection.read_request(context, received_at)).await;
+    let ReadRequest { request, mut pump, reservation: _reservation } = match read {
+        Some(Ok(Some(read))) => read,
+        Some(Ok(None)) => return,
+        Some(Err(error)) => {
+            log::info!(reason:% = error; "relayed-request-rejected");
+            return;
+        }
+        None => {
+            let result = relay_result(CallerOutcome::NotRun, accepted.totals);
+            if send_message(&stream, &result).await.is_ok() {
+                connection.refuse_unread(context).await;
             }
-        };
+            return;
+        }
+    };
     let ended = {
         let work = std::pin::pin!(answer_relayed(context, request, accepted));
         let abort = std::pin::pin!(wait_for_abort(&mut connection.reader, pump.as_mut()));
@@ -157,13 +164,18 @@
     /// Serves one request, or several pipelined ones. Returns whether the connection stays open.
     async fn serve_one(&mut self, context: &Arc<BoxContext>) -> bool {
         let received_at = Instant::now();
-        let read = match self.read_request(context, received_at).await {
-            Ok(Some(read)) => read,
-            Ok(None) => return false,
-            Err(error) => {
+        let stopping = &context.stopping;
+        let read = match stopping.before_end(self.read_request(context, received_at)).await {
+            Some(Ok(Some(read))) => read,
+            Some(Ok(None)) => return false,
+            Some(Err(error)) => {
                 self.reject(context, &error).await;
                 return false;
             }
+            None => {
+                self.refuse_unread(context).await;
+                return false;
+            }
         };
         let ReadRequest { request, mut pump, reservation } = read;
         let closes = request.head.closes;
@@ -356,6 +368,14 @@
         self.write_answer(answer, true).await;
     }
 
+    /// Refuses a request that is still arriving when the process is about to end.
+    async fn refuse_unread(&mut self, context: &BoxContext) {
+        log::info!(reason = "the box ends before all of it has arrived"; "request-rejected");
+        if self.write_answer(end_refusal(context), true).await {
+            self.linger().await;
+        }
+    }
+
     /// Writes an answer. Returns whether it was written completely.
     async fn write_answer(&mut self, answer: CallerAnswer, closes: bool) -> bool {
         let head = answer.encode(closes);
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
@@ -31,7 +30,6 @@
 use crate::routes::RouteKind;
 use crate::routing::RequestPlan;
 use crate::steering::credits::spend_retry;
-use crate::stopping::StopState;
 use crate::suspension::ClockSample;
 use crate::waiting::QueueTicket;
 use final_answers::forwarded_answer;
@@ -169,7 +167,7 @@
     /// Handles the request until its answer is decided.
     pub(crate) async fn run(mut self) -> EndedRun {
         let stopping = self.context.stopping.clone();
-        let answer = answer_before_end(self.run_attempts(), &stopping).await;
+        let answer = stopping.before_end(self.run_attempts()).await;
         let answer = answer.unwrap_or_else(|| self.end_with_process());
         if self.due_return && answer.outcome == CallerOutcome::Answered {
             metrics::counter!("wingbridge_returns_served").increment(1);
@@ -186,8 +184,7 @@
         EndedRun { answer, trace: self.trace, totals }
     }
 
-    /// Returns the answer to a request that is still open when the process is about to end. Without it the caller
-    /// would see a closed connection and could not know whether the request may be sent again.
+    /// Returns the answer to a request that is still open when the process is about to end.
     fn end_with_process(&mut self) -> CallerAnswer {
         let remaining = self.deadline().saturating_duration_since(Instant::now());
         self.trace.record_ended_by_stop(remaining);
@@ -558,19 +555,6 @@
     }
 }
 
-/// Runs `attempts` to their answer. Returns `None` if the process is about to end before that.
-async fn answer_before_end(
-    attempts: impl Future<Output = CallerAnswer>,
-    stopping: &StopState,
-) -> Option<CallerAnswer> {
-    let attempts = std::pin::pin!(attempts);
-    let ending = std::pin::pin!(stopping.wait_ending());
-    match select(attempts, ending).await {
-        Either::Left((answer, _)) => Some(answer),
-        Either::Right(_) => None,
-    }
-}
-
 /// Returns the regions in which targets may be chosen for a request.
 fn home_regions(plan: &RequestPlan) -> HomeRegions<'_> {
     plan.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only)
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -38,6 +38,9 @@
 /// Interval at which a waiting request checks for the newer configuration.
 const NEWER_CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Reason of the refusal of a request that had got to no target when the process was about to end.
+const BOX_ENDS: &str = "this box ends";
+
 /// A request as it was read from its caller.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -80,8 +83,12 @@
     let key = remove_key(context, &mut request.head);
     let id = request_id(context, &request).unwrap_or_else(|| "-".to_string());
     let path = request.head.path().to_string();
-    wait_for_first_view(context, &request).await;
-    let (answer, trace) = match plan_with_newer_config(context, &request, key).await {
+    let plan = async {
+        wait_for_first_view(context, &request).await;
+        plan_with_newer_config(context, &request, key).await
+    };
+    let plan = context.stopping.before_end(plan).await;
+    let (answer, trace) = match plan.unwrap_or_else(|| Err(not_run(context, "", BOX_ENDS))) {
         Err(refusal) => (refusal.answer, refusal.trace),
         Ok(plan) => execute(context, request, plan).await,
     };
@@ -247,7 +254,8 @@
         trace.record_crashes(verdict);
         return (poison_request_answer(context, wait), trace);
     }
-    let token = match reserve_token(context, &plan).await {
+    let token = context.stopping.before_end(reserve_token(context, &plan)).await;
+    let token = match token.unwrap_or_else(|| Err(Box::new(end_refusal(context)))) {
         Ok(token) => token,
         Err(answer) => {
             record_result(context, &plan.service, &answer);
@@ -313,6 +321,11 @@
     }
 }
 
+/// Returns the answer to a request that has got to no target by the end of this box.
+pub(crate) fn end_refusal(context: &BoxContext) -> CallerAnswer {
+    CallerAnswer::not_run(&context.headers.retry_after, BOX_ENDS)
+}
+
 /// Returns the refusal of a request that has not run and may be sent again.
 fn not_run(context: &BoxContext, route: &str, reason: &'static str) -> Box<Refusal> {
     let answer = CallerAnswer::not_run(&context.headers.retry_after, reason);
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use futures::future::{Either, select};
+
 use crate::latch::ReadyLatch;
 use crate::stop_schedule::StopSchedule;
 use crate::suspension::ClockSample;
@@ -89,9 +91,16 @@
         self.ending.open();
     }
 
-    /// Waits until [`StopState::end_requests`] is called.
-    pub(crate) async fn wait_ending(&self) {
-        self.ending.wait_open().await;
+    /// Runs `work`, a stage of a request, to its end. Returns `None` if [`StopState::end_requests`] is called before
+    /// that: the request is to be answered then, or the caller would see a closed connection and could not know
+    /// whether the request may be sent again.
+    pub(crate) async fn before_end<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let work = std::pin::pin!(work);
+        let ending = std::pin::pin!(self.ending.wait_open());
+        match select(work, ending).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(_) => None,
+        }
     }
 
     /// Counts an open connection until the guard is dropped.
