Tests of the end of a stop: requests are begun before the stop

In a stop of 0.4 s idle connections are closed at once, so that one which the box had not taken up yet may close unread.

Both tests now let the box ask for the body (100 Continue) before the stop begins, which shows that it reads the request.

--- a/crates/gateway/tests/harness/gateway.rs
+++ b/crates/gateway/tests/harness/gateway.rs
@@ -22,6 +22,9 @@
 /// UDP port on which a box receives gossip.
 pub const GOSSIP: u16 = 7004;
 
+/// Time for an answer that was written before the end of a box.
+const LAST_READ_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A box that runs on a thread of its own.
 pub struct BoxUnderTest {
     host: IpAddr,
@@ -114,6 +117,14 @@
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
+    /// Returns the answer that `caller` has got by the end of the box. A real process takes its connections with it;
+    /// those of a box under test live on.
+    pub fn answer_before_end(&self, mut caller: CallerStandin) -> Option<CallerReply> {
+        eventually("the box has ended", || self.has_ended());
+        caller.stream.set_read_timeout(Some(LAST_READ_TIMEOUT)).expect("a valid time-out");
+        caller.read()
+    }
+
     /// Begins a planned stop, if that has not been done, and waits until the box has ended.
     pub fn wait_end(mut self) -> Outcome {
         self.stop.stop();
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -73,15 +73,6 @@
     readers.into_iter().map(|reader| reader.join().expect("a caller does not panic")).collect()
 }
 
-/// Returns the answer that a caller has got by the end of the box. A real process takes its connections with it; those
-/// of a box under test live on.
-fn answer_before_end(gateway: &BoxUnderTest, mut caller: CallerStandin) -> Option<CallerReply> {
-    eventually("the box has ended", || gateway.has_ended());
-    let last = Some(Duration::from_millis(200));
-    caller.stream().set_read_timeout(last).expect("a valid time-out");
-    caller.read()
-}
-
 /// Requests whose time ended just before the process were accepted, and ended by the stop with time left.
 #[test]
 fn requests_accepted_late_in_a_stop_have_all_of_their_time() {
@@ -131,10 +122,23 @@
     store.set_suspended(stop_time - LONG_TIME);
     assert_eq!(late.request("GET", "/r/late", "").status, 503, "it could outlast the stop");
     store.set_suspended(stop_time);
-    let reply = answer_before_end(&gateway, open).expect("an answer before the process ends");
+    let reply = gateway.answer_before_end(open).expect("an answer before the process ends");
     assert!([502, 504].contains(&reply.status), "{reply:?}");
 }
 
+/// Length of the body of a request that is begun.
+const BODY_BYTES: usize = 100;
+
+/// Sends the head of a request, and waits until the box has read it and asks for the body.
+fn begin_request(gateway: &BoxUnderTest) -> CallerStandin {
+    let mut caller = gateway.connect();
+    caller.send_raw(&format!(
+        "POST /r/x HTTP/1.1\r\nHost: host.example\r\nX-Id: id-1\r\nContent-Length: {BODY_BYTES}\r\nExpect: 100-continue\r\n\r\n"
+    ));
+    caller.read_beginning("HTTP/1.1 100 Continue\r\n\r\n".len());
+    caller
+}
+
 /// A request that waited for the box's first configuration got a closed connection when the box was stopped.
 #[test]
 fn request_that_waits_for_a_configuration_is_answered_at_the_end_of_a_stop() {
@@ -145,12 +149,10 @@
         settings.stop_time = Duration::from_millis(400);
     });
     eventually("the box reads the store", || store.reads() > 0);
-    let mut caller = gateway.connect();
-    caller.send("GET", "/r/x", "", "");
-    // The box has read the request once it has served a later connection.
-    assert!(!gateway.is_ready());
+    let mut caller = begin_request(&gateway);
+    caller.send_raw(&"x".repeat(BODY_BYTES));
     gateway.begin_stop();
-    let reply = answer_before_end(&gateway, caller).expect("an answer before the process ends");
+    let reply = gateway.answer_before_end(caller).expect("an answer before the process ends");
     assert_eq!(reply.status, 503, "{reply:?}");
 }
 
@@ -163,15 +165,10 @@
         settings.stop_time = Duration::from_secs(2);
     });
     gateway.wait_ready();
-    let mut caller = gateway.connect();
-    let head =
-        "POST /r/x HTTP/1.1\r\nHost: host.example\r\nX-Id: id-1\r\nContent-Length: 1000\r\n\r\n";
-    caller.send_raw(head);
+    let mut caller = begin_request(&gateway);
     caller.send_raw("the beginning");
-    // The box has begun to read it once it has served a later one.
-    assert_eq!(gateway.request("GET", "/r/x").status, 200);
     gateway.begin_stop();
-    let reply = answer_before_end(&gateway, caller).expect("an answer before the process ends");
+    let reply = gateway.answer_before_end(caller).expect("an answer before the process ends");
     assert_eq!(reply.status, 503, "{reply:?}");
-    assert_eq!(target.requests().len(), 1, "the refused request was sent to the target");
+    assert!(target.requests().is_empty(), "the refused request was sent to the target");
 }
