Relays: what a peer may run is not refused as not run at the end of a stop

Cause: at the end of a stop the work on a request is dropped, and what it had begun is counted: the attempts that this box has open. A request that a peer had agreed to handle was none of them.

Change: from the moment a peer has agreed until its result is there, the request counts as open at the peer, and the end of the stop takes it as one that may have run as often as it was allowed, like a relay whose connection breaks. Why it works: the peer runs nothing before the request's bytes, which follow its agreement; after that only its result says what ran.

--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -73,6 +73,8 @@
     deliveries: u32,
     /// Number of open attempts.
     open_attempts: u32,
+    /// Whether a peer that agreed to handle the request has given no result yet.
+    is_open_at_peer: bool,
     /// Failure answer of a target, which the caller gets if no other attempt succeeds.
     fallback: Option<Box<TargetAnswer>>,
     /// Whether the request may still wait for the permit coordinator.
@@ -140,6 +142,7 @@
             possible_runs: 0,
             deliveries: 0,
             open_attempts: 0,
+            is_open_at_peer: false,
             fallback: None,
             is_relayed: false,
             asked_peers: Vec::new(),
@@ -188,10 +191,13 @@
     fn end_with_process(&mut self) -> CallerAnswer {
         let remaining = self.deadline().saturating_duration_since(Instant::now());
         self.trace.record_ended_by_stop(remaining);
-        // The open attempts were dropped, and their targets may complete them.
+        // The open attempts were dropped, and their targets may complete them. So may those of a peer.
         for _ in 0..std::mem::take(&mut self.open_attempts) {
             self.record_possible_run();
         }
+        if std::mem::take(&mut self.is_open_at_peer) {
+            self.record_possible_runs_at_peer();
+        }
         self.give_up_stopping("this box ends")
     }
 
--- a/crates/gateway/src/requests/relaying.rs
+++ b/crates/gateway/src/requests/relaying.rs
@@ -83,7 +83,9 @@
             Err(reason) => return Some(self.handle_declined(peer, &reason)),
         };
         self.trace.record_relayed_to(peer);
+        self.is_open_at_peer = true;
         let end = agreed.handle(&self.outgoing, deadline).await;
+        self.is_open_at_peer = false;
         drop(guard);
         Some(self.handle_relay_end(peer, end))
     }
@@ -141,9 +143,7 @@
             RelayEnd::Broken(reason) => {
                 self.context.paths.record_declined(peer, &self.plan.service);
                 self.trace.record_relay_failure(peer, &reason);
-                // How many targets the peer has sent it to is not known: all that were allowed.
-                self.record_possible_run();
-                self.possible_runs = self.possible_runs.max(self.plan.policy.max_attempts);
+                self.record_possible_runs_at_peer();
                 let reason = "the box that handled it gave no whole answer";
                 ("broken", PeerStep::Answer(self.give_up(reason)))
             }
@@ -177,6 +177,13 @@
         (outcome.as_str(), PeerStep::Answer(answer))
     }
 
+    /// Records that a peer got the request and gave no result. How many targets it has sent it to is not known: all
+    /// that were allowed.
+    pub(super) fn record_possible_runs_at_peer(&mut self) {
+        self.record_possible_run();
+        self.possible_runs = self.possible_runs.max(self.plan.policy.max_attempts);
+    }
+
     /// Takes over the attempts that a peer has made. Each run beyond the first is charged to the customer.
     fn record_totals(&mut self, totals: AttemptTotals) {
         let charged = self.possible_runs.max(1);
--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -26,6 +26,8 @@
     Declines,
     /// Takes it, reads it and closes the connection.
     ClosesAfterRequest,
+    /// Takes it, reads it and says nothing.
+    Holds,
     /// Answers that it reached no target.
     ReachesNoTarget,
     /// Has another fleet key.
@@ -130,6 +132,10 @@
     if let Some(last) = lock(received).last_mut() {
         last.beginning = beginning;
     }
+    if script == RelayScript::Holds {
+        // The read ends when the box closes.
+        stream.read(&mut [0; 16]).await?;
+    }
     let (outcome, runs, head) = match script {
         RelayScript::ReachesNoTarget => {
             (RelayOutcome::NotRun, 0, "HTTP/1.1 503 Unavailable\r\nRetry-After: 0.5\r\n")
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -271,3 +271,49 @@
         assert_eq!(request(&world.boxes[0], "/reads/x").status, 200);
     });
 }
+
+struct StopCase {
+    name: &'static str,
+    script: RelayScript,
+    kind: usize,
+    /// Status that says no more than the box can know.
+    status: u16,
+}
+
+const STOP_CASES: &[StopCase] = &[
+    StopCase { name: "a held order", script: RelayScript::Holds, kind: 1, status: 502 },
+    StopCase { name: "a held lookup", script: RelayScript::Holds, kind: 0, status: 502 },
+    StopCase { name: "a silent peer", script: RelayScript::Silent, kind: 1, status: 503 },
+];
+
+/// Orders that a peer handled when its box was stopped were refused as not run, and ran.
+#[test]
+fn stopping_box_does_not_refuse_what_a_peer_may_run() {
+    for case in STOP_CASES {
+        let targets = targets(Script::Good);
+        let paths = TargetPaths::default();
+        let port = store(&targets).port_with_paths(&paths);
+        let gateway = BoxUnderTest::start_with(port, &[], |settings| {
+            settings.stop_time = Duration::from_millis(600);
+        });
+        gateway.wait_ready();
+        let peer = RelayPeer::start(own_host(), gateway.host(), case.script);
+        paths.set_mode(PathMode::Reset);
+        let path = format!("/{}/x", SERVICES[case.kind].0);
+        let takes = case.script == RelayScript::Holds;
+        let has_it = || peer.received().iter().any(|request| !request.beginning.is_empty());
+        // Until the paths are known to be lost, requests are refused at once.
+        let mut held = None;
+        eventually("a peer has a request", || {
+            let mut caller = gateway.connect();
+            caller.send("GET", &path, &format!("X-Key: {KEY}\r\n"), "");
+            thread::sleep(10 * PAUSE);
+            held = Some(caller);
+            !takes || has_it()
+        });
+        gateway.begin_stop();
+        let reply = gateway.answer_before_end(held.expect("a request was sent"));
+        let reply = reply.unwrap_or_else(|| panic!("{}: closed without an answer", case.name));
+        assert_eq!(reply.status, case.status, "{}: {reply:?}", case.name);
+    }
+}
