Times from outside: one beyond the clock's range ends no task

Cause: `cold_left` of an entry was added to an Instant, which panics beyond its range. The panic ended the task that reads the store.

Behind it, each sum of a clock and a time that targets, peers or operators name goes by `later`, which never panics; a peer of an older build may send on what it accepted.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod customers;
 mod gossip;
 mod incarnations;
+mod instants;
 pub mod invalid_entries;
 mod latch;
 mod limit_reports;
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -17,6 +17,7 @@
 use crate::caller_connections::serve_relayed;
 use crate::context::BoxContext;
 use crate::customers::{KeyDigest, PresentedKey};
+use crate::instants::later;
 use crate::routes::AccessDecision;
 use crate::routing::RequestPlan;
 
@@ -85,7 +86,7 @@
 /// Returns the reason why this box does not handle it.
 fn accept(context: &BoxContext, request: &RelayRequest) -> Result<AcceptedRelay, &'static str> {
     let now = Instant::now();
-    let deadline = now + Duration::from_millis(request.remaining_ms);
+    let deadline = later(now, Duration::from_millis(request.remaining_ms));
     let service = Name::from(request.service.as_str());
     if context.stopping.is_stopping() {
         return Err("it stops");
--- a/crates/gateway/src/requests/queueing.rs
+++ b/crates/gateway/src/requests/queueing.rs
@@ -6,6 +6,7 @@
 
 use super::RequestRun;
 use crate::answers::CallerAnswer;
+use crate::instants::later;
 use crate::waiting::{QueueTicket, Turn};
 
 /// What follows for a request that was checked against the queue of its service.
@@ -94,7 +95,7 @@
         QueueEntry {
             rank: self.plan.rank,
             due_return: self.due_return,
-            goal_at: queues.time_point(self.received_at + route.goal),
+            goal_at: queues.time_point(later(self.received_at, route.goal)),
             deadline: queues.time_point(self.deadline()),
             typical_time: times.typical,
             safe_time: times.safe,
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -14,6 +14,7 @@
 use crate::attempt::OutgoingRequest;
 use crate::context::{BoxContext, millis};
 use crate::customers::{Customer, PresentedKey};
+use crate::instants::later;
 use crate::quota_manager::BeyondQuota;
 use crate::relay::server::AcceptedRelay;
 use crate::request_identity::RequestIdentity;
@@ -336,7 +337,7 @@
 /// `max_time` if that is earlier.
 fn answer_deadline(context: &BoxContext, request: &CallerRequest, max_time: Duration) -> Instant {
     let timeout = caller_timeout(context, request).map(|time| time.saturating_sub(ANSWER_MARGIN));
-    request.received_at + timeout.map_or(max_time, |time| time.min(max_time))
+    later(request.received_at, timeout.map_or(max_time, |time| time.min(max_time)))
 }
 
 /// Returns the time from the first byte of the request for which the caller waits for the answer, if its header
--- a/crates/gateway/src/target_table.rs
+++ b/crates/gateway/src/target_table.rs
@@ -12,6 +12,7 @@
 
 use crate::copy_overrides::CopyOverrides;
 use crate::incarnations::TargetIncarnations;
+use crate::instants::later;
 use crate::listing_history::{ListingDelta, ListingHistory};
 use crate::view::{TargetEntry, ViewChange};
 
@@ -286,7 +287,7 @@
             change.joined.push(target.id.clone());
         }
         if !target.cold_time.is_zero() {
-            self.cold_until.insert(target.id.clone(), time.as_of + target.cold_time);
+            self.cold_until.insert(target.id.clone(), later(time.as_of, target.cold_time));
         } else {
             self.cold_until.remove(&target.id);
         }
