Duties: a background task that panics starts again

Cause: a task that panics ends alone, and nothing started it again. A flag "a read is in progress" of the large configuration stayed set, too.

Change: duties.rs starts all background tasks; one that panics is logged (`duty-failed`, a counter) and begins anew a second later. The box serves on meanwhile, as while the store is away: ending the process would take all boxes down together, since all of them read the same data. The flag is cleared by a guard.

Evidence: box_reads_the_store_again_after_a_panic failed before (the change never came into force), and is green, for both ways of reading. The other duties start in the same way (read, no test of their own).

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -46,7 +46,7 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Accepts connections of callers until the task is dropped.
-pub(crate) async fn accept_callers(listener: TcpListener, context: Arc<BoxContext>) {
+pub(crate) async fn accept_callers(listener: Arc<TcpListener>, context: Arc<BoxContext>) {
     loop {
         if context.stopping.open_connections() >= context.settings.max_connections {
             // Further connections wait in the queue of the listener; an accepted one would count against the limit.
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -61,8 +61,10 @@
         }
         let started_at = Instant::now();
         let sample = self.context.clock_sample();
-        let outcome = self.read(&sample).await;
-        self.reading.store(false, Ordering::Relaxed);
+        let outcome = {
+            let _reading_guard = ReadingGuard(&self.reading);
+            self.read(&sample).await
+        };
         match outcome {
             Ok(Some(config)) => {
                 let (revision, bytes) = (config.revision, config.text.len());
@@ -115,6 +117,15 @@
     }
 }
 
+/// Ends a read when it is dropped, also by a panic: otherwise each later one would take it for one in progress.
+struct ReadingGuard<'a>(&'a AtomicBool);
+
+impl Drop for ReadingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
 /// Background task that keeps a large configuration up to date.
 pub(crate) struct ConfigSync {
     context: Arc<BoxContext>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod copy_overrides;
 mod crash_tracker;
 pub mod customers;
+mod duties;
 mod gossip;
 mod incarnations;
 mod instants;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,4 +1,4 @@
-//! Starts the tasks of a box, and shuts the box down without interrupting requests.
+//! Starts a box, and shuts the box down without interrupting requests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,32 +7,27 @@
 use async_channel::Receiver;
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
-use wingbridge_http::server::{ServerSettings, serve, text_response};
-use wingbridge_process::metrics::render_metrics;
 use wingbridge_process::{Outcome, StopSignal};
 
-use crate::caller_connections::accept_callers;
-use crate::config_sync::{ConfigReader, ConfigSync};
+use crate::config_sync::ConfigReader;
 use crate::context::{BoxContext, TaskHandles, millis};
-use crate::gossip::{Gossip, fetch_listings};
+use crate::duties::{DutyWakeups, Listeners, start_duties};
+use crate::gossip::Gossip;
 use crate::passive_samples::SampleBuffer;
-use crate::paths::{PathTracker, watch_paths};
+use crate::paths::PathTracker;
 use crate::permit_manager::PermitManager;
 use crate::policies::PolicySet;
 use crate::ports::EnvironmentPort;
 use crate::quota_manager::QuotaManager;
 use crate::settings::GatewaySettings;
-use crate::steering::credits::{CreditExchange, request_credits};
+use crate::steering::credits::CreditExchange;
 use crate::stop_schedule::{BALANCER_DRAIN_TIME, LAST_ANSWER_TIME, StopSchedule};
 use crate::stopping::StopState;
-use crate::store_sync::StoreSync;
-use crate::view_exchange::serve_peers;
 
 /// Time between two checks for open connections during a planned stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two such checks while the last answers are written.
 const LAST_ANSWER_CHECK_PERIOD: Duration = Duration::from_millis(10);
-const METRICS_PATH: &str = "/metrics";
 
 /// Runs a box until `stop` is signalled, and then until the requests in progress have ended or the
 /// stop time is over.
@@ -89,26 +84,24 @@
     let context = BoxContext::new(settings, port, policies, stopping, handles, seed);
     let gossip = Gossip::new(Arc::clone(&context), socket, seed, listing_fetches);
     let reader = ConfigReader::new(Arc::clone(&context), Arc::clone(&gossip));
-    let store =
-        StoreSync::new(Arc::clone(&context), Arc::clone(&gossip), Arc::clone(&reader), seed);
-    let config = ConfigSync::new(Arc::clone(&context), Arc::clone(&gossip), reader, seed);
-    let tasks = [
-        task::spawn(serve_readiness(readiness, Arc::clone(&context))),
-        task::spawn(serve_peers(exchange, Arc::clone(&context))),
-        task::spawn(Arc::clone(&gossip).receive()),
-        task::spawn(Arc::clone(&gossip).run_heartbeats()),
-        task::spawn(Arc::clone(&gossip).run_reports(sample_requests)),
-        task::spawn(request_credits(Arc::clone(&context), Arc::clone(&gossip), credit_wakeups)),
-        task::spawn(watch_paths(Arc::clone(&context), Arc::clone(&gossip), path_wakeups)),
-        task::spawn(fetch_listings(Arc::clone(&context), pending_fetches)),
-        task::spawn(QuotaManager::run(Arc::clone(&context), Arc::clone(&gossip), quota_requests)),
-        task::spawn(PermitManager::run(Arc::clone(&gossip), permit_requests)),
-        task::spawn(store.run(view_notifications)),
-        task::spawn(config.run(config_notifications)),
-        task::spawn(log_reloads(reloads)),
-        task::spawn(Arc::clone(&context.waiting).run_guard()),
-        task::spawn(accept_callers(callers, Arc::clone(&context))),
-    ];
+    let tasks = start_duties(
+        &context,
+        &gossip,
+        &reader,
+        Listeners { callers, readiness, exchange },
+        DutyWakeups {
+            views: view_notifications,
+            configs: config_notifications,
+            samples: sample_requests,
+            quotas: quota_requests,
+            permits: permit_requests,
+            paths: path_wakeups,
+            credits: credit_wakeups,
+            listings: pending_fetches,
+            reloads,
+        },
+        seed,
+    );
     stop.wait().await;
     let complete = drain_connections(&context).await;
     gossip.broadcast_stopping().await;
@@ -171,31 +164,3 @@
 fn stop_millis(context: &BoxContext) -> u64 {
     context.stop_elapsed().map_or(0, millis)
 }
-
-async fn serve_readiness(listener: TcpListener, context: Arc<BoxContext>) {
-    serve(listener, ServerSettings::default(), move |request| {
-        let context = Arc::clone(&context);
-        async move {
-            let path = request.incoming.request.url().path().to_string();
-            if path == METRICS_PATH {
-                return text_response(200, &render_metrics());
-            }
-            if path != context.settings.readiness_path {
-                return text_response(404, "no such end point");
-            }
-            if context.is_ready() {
-                text_response(200, "ready")
-            } else {
-                text_response(503, "not ready")
-            }
-        }
-    })
-    .await;
-}
-
-/// Logs reload signals, which have no effect: settings are only read at start-up.
-async fn log_reloads(reloads: Receiver<()>) {
-    while reloads.recv().await.is_ok() {
-        log::info!(outcome = "settings are only read at start-up; reload ignored"; "reload");
-    }
-}
--- a/crates/gateway/src/view_exchange.rs
+++ b/crates/gateway/src/view_exchange.rs
@@ -32,7 +32,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves the requests of peers until the task is dropped.
-pub(crate) async fn serve_peers(listener: TcpListener, context: Arc<BoxContext>) {
+pub(crate) async fn serve_peers(listener: Arc<TcpListener>, context: Arc<BoxContext>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -133,8 +133,8 @@
         last.beginning = beginning;
     }
     if script == RelayScript::Holds {
-        // The read ends when the box closes.
-        stream.read(&mut [0; 16]).await?;
+        // The reading ends when the box closes.
+        while stream.read(&mut [0; 16]).await? > 0 {}
     }
     let (outcome, runs, head) = match script {
         RelayScript::ReachesNoTarget => {
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -54,6 +54,10 @@
     /// The copy from which the store comes back.
     copy: Option<StoreCopy>,
     unreachable: bool,
+    /// Whether calls panic.
+    panics: bool,
+    /// Number of calls that panicked.
+    panicked: usize,
     /// Secret by which boxes recognize each other.
     fleet_secret: String,
     bootstrap_addresses: Vec<IpAddr>,
@@ -171,6 +175,16 @@
         lock(&self.state).unreachable = unreachable;
     }
 
+    /// Sets whether calls panic from now on.
+    pub fn set_panicking(&self, panics: bool) {
+        lock(&self.state).panics = panics;
+    }
+
+    /// Returns the number of calls that panicked.
+    pub fn panicked(&self) -> usize {
+        lock(&self.state).panicked
+    }
+
     /// Adds this number of blanks to each configuration that is written from now on.
     pub fn set_padding(&self, bytes: usize) {
         lock(&self.state).padding = bytes;
@@ -255,6 +269,8 @@
 
     fn access<T>(&self, work: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
         let mut state = lock(&self.store.state);
+        state.panicked += usize::from(state.panics);
+        assert!(!state.panics, "planted by a test");
         if state.unreachable || !self.reachable {
             return Err(StoreError::new(
                 StoreErrorKind::Unreachable,
