--- a/crates/decide/tests/steer.rs
+++ b/crates/decide/tests/steer.rs
@@ -7,8 +7,8 @@
 
 use proptest::prelude::*;
 use steering::{
-    PICKS, ROUTE, SERVICE, WINDOW, at, bounds, core, core_with_healthy_targets, pick_counts,
-    report_failure, report_success, request, target,
+    PICKS, ROUTE, SERVICE, WINDOW, at, bounds, core, core_with_healthy_targets, make_attempt,
+    pick_counts, report_failure, report_success, request, target,
 };
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::steer::ledger::{RetryBounds, RetryCounts, RetryLedger};
@@ -173,6 +173,43 @@
     }
 }
 
+struct SlowAnswerCase {
+    name: &'static str,
+    data_centre: &'static str,
+    /// Duration of one answer of a target that usually takes a millisecond, in milliseconds.
+    slow_ms: u64,
+}
+
+const SLOW_ANSWER_CASES: &[SlowAnswerCase] = &[
+    SlowAnswerCase { name: "in the own data centre", data_centre: "near", slow_ms: 300 },
+    SlowAnswerCase { name: "in another data centre", data_centre: "far", slow_ms: 300 },
+    SlowAnswerCase { name: "very slow, in another one", data_centre: "far", slow_ms: 900 },
+];
+
+/// One slow answer of the only target of a service had orders held back for nearly all of their time, though the target
+/// was idle.
+#[test]
+fn requests_are_not_held_back_for_an_idle_target() {
+    for case in SLOW_ANSWER_CASES {
+        let mut core = core();
+        core.set_targets(at(0), vec![target("a", case.data_centre)]);
+        core.set_boxes(10, 30);
+        for number in 0..40 {
+            let start = at(10_000 + number * 50);
+            make_attempt(&mut core, start, start + Duration::from_millis(1), "a", true);
+        }
+        let start = at(13_000);
+        make_attempt(&mut core, start, start + Duration::from_millis(case.slow_ms), "a", true);
+        let order = SteerRequest { remaining: Duration::from_secs(60), ..request(false, &[]) };
+        let mut held_back = |after: &u64| {
+            let now = at(14_000 + after);
+            core.pick(now, &order) == Err(PickError::Saturated)
+        };
+        let held: Vec<u64> = (0..58_000).step_by(200).filter(|after| held_back(after)).collect();
+        assert!(held.is_empty(), "{}: {} ms after it", case.name, held.len() * 200);
+    }
+}
+
 #[test]
 fn failed_path_is_avoided_for_a_short_time() {
     let now = at(20_000);
