Test of a suspended agent: an agent that has ended is named, with its status

Cause: in the one run that failed the test waited without an end, and standard error of the programs was discarded, so that nothing said why the agent had ended. Now the test fails with its exit status or signal, and panics of the programs stand in the test's output.

--- a/crates/demo/tests/programs/mod.rs
+++ b/crates/demo/tests/programs/mod.rs
@@ -2,7 +2,8 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 
 /// A running program, killed when dropped.
 pub struct Program {
-    child: Child,
+    child: Mutex<Child>,
     pub line: String,
 }
 
@@ -23,7 +24,6 @@
         let mut child = Command::new(program_path(name))
             .args(arguments)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|error| {
                 panic!("can't start {name} (cargo test --workspace builds it): {error}")
@@ -34,7 +34,7 @@
         assert!(!line.is_empty(), "{name} {arguments:?} printed nothing");
         // Further output is discarded, so that it does not fill the pipe.
         thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
-        Program { child, line: line.trim().to_string() }
+        Program { child: Mutex::new(child), line: line.trim().to_string() }
     }
 
     /// Returns the address after `label` in the first line of its output.
@@ -47,21 +47,31 @@
 
     /// Sends the signal `name` to the process.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.child().id().to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
         assert!(status.success());
     }
 
+    /// Returns how it ended; `None` while it runs.
+    pub fn ended(&self) -> Option<ExitStatus> {
+        self.child().try_wait().expect("its state is known")
+    }
+
     /// Waits for its end and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
-        self.child.wait().expect("it ends").code()
+        self.child().wait().expect("it ends").code()
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let mut child = self.child();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
--- a/crates/demo/tests/separate_processes.rs
+++ b/crates/demo/tests/separate_processes.rs
@@ -91,6 +91,7 @@
     fleet.agents[1].signal("CONT");
     let mut status = 200;
     while status != 418 {
+        assert_eq!(fleet.agents[1].ended(), None, "the agent that was to go on has ended");
         status = outcomes(&fleet, 1, 1)[0].0;
     }
 }
