--- a/crates/gateway/tests/times_from_outside.rs
+++ b/crates/gateway/tests/times_from_outside.rs
@@ -16,15 +16,29 @@
 use wingbridge_wire::relay::{RelayDecision, RelayOffer, RelayRequest};
 use wingbridge_wire::{FleetKey, HandshakeSide, receive_exact, send_message};
 
+/// A box with one route to one target.
+struct World {
+    target: TargetStandin,
+    store: StoreStandin,
+    gateway: BoxUnderTest,
+}
+
+impl World {
+    fn start() -> World {
+        let target = TargetStandin::start("t", "service", Script::Good);
+        let store = StoreStandin::default();
+        store.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
+        store.put_targets(vec![target.entry.clone()]);
+        let gateway = BoxUnderTest::start(store.port(true), &[]);
+        gateway.wait_ready();
+        World { target, store, gateway }
+    }
+}
+
 /// One entry of another writer ended the reading of the store in every box, for good.
 #[test]
 fn entry_with_an_impossible_time_does_not_end_the_reading_of_the_store() {
-    let good = TargetStandin::start("good", "service", Script::Good);
-    let store = StoreStandin::default();
-    store.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
-    store.put_targets(vec![good.entry.clone()]);
-    let gateway = BoxUnderTest::start(store.port(true), &[]);
-    gateway.wait_ready();
+    let World { target: good, store, gateway } = World::start();
     let mut odd = entry("odd", "unnamed", "127.0.0.1:9");
     (odd.cold_time, odd.is_cold) = (Duration::MAX, true);
     store.put_targets(vec![good.entry.clone(), odd.clone()]);
@@ -99,7 +113,7 @@
     },
 ];
 
-/// A request with such a time got a closed connection.
+/// Guards against a closed connection in place of an answer, by a panic in the task of the request.
 #[test]
 fn requests_with_an_impossible_time_are_served() {
     for case in TIME_CASES {
@@ -122,16 +136,11 @@
     }
 }
 
-/// The offer of a peer with such a time ended without a decision.
+/// Guards against an offer of a peer that gets no decision, by a panic in the task that serves it.
 #[test]
 fn offer_of_a_peer_with_an_impossible_time_is_decided() {
-    let target = TargetStandin::start("t", "service", Script::Good);
-    let store = StoreStandin::default();
-    store.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
-    store.put_targets(vec![target.entry.clone()]);
-    let gateway = BoxUnderTest::start(store.port(true), &[]);
-    gateway.wait_ready();
-    let mut stream = connect_exchange(gateway.host());
+    let world = World::start();
+    let mut stream = connect_exchange(world.gateway.host());
     let decision: Result<RelayDecision, _> = task::block_on(async {
         let question = Some(ExchangeQuestion::Relay(RelayOffer {}));
         send_message(&stream, &ExchangeRequest { question }).await?;
