Planned stop: whether one has begun is told by its beginning alone

Cause: a flag beside the beginning of a stop said the same, and the context asked the flag first so as to read no clock outside of stops.

Change: the flag is gone; the suspended time is handed over as a call, which is made within a stop alone. Behaviour is as before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -208,12 +208,12 @@
 
     /// Returns how long ago a planned stop began; `None` if none has begun.
     pub(crate) fn stop_elapsed(&self) -> Option<Duration> {
-        self.stopping.is_stopping().then(|| self.stopping.elapsed(self.port.suspended())).flatten()
+        self.stopping.elapsed(|| self.port.suspended())
     }
 
     /// Returns whether a planned stop refuses a request that may take until `until`.
     pub(crate) fn stop_refuses(&self, until: Instant) -> bool {
-        self.stopping.is_stopping() && self.stopping.refuses(until, self.port.suspended())
+        self.stopping.refuses(until, || self.port.suspended())
     }
 
     /// Returns whether this machine resumed from a suspension moments ago; the age of data that peers sent in
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -1,6 +1,6 @@
 //! Progress of a planned stop, shared by all tasks.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,6 @@
 /// Progress of a planned stop. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct StopState {
-    stopping: Arc<AtomicBool>,
     begun: Arc<OnceLock<BegunStop>>,
     /// Number of open connections of callers.
     open: Arc<AtomicUsize>,
@@ -35,7 +34,6 @@
 impl StopState {
     pub(crate) fn new() -> StopState {
         StopState {
-            stopping: Arc::default(),
             begun: Arc::default(),
             open: Arc::default(),
             busy: Arc::default(),
@@ -47,28 +45,27 @@
     /// Begins the stop: callers are asked to connect elsewhere, and are still served.
     pub(crate) fn begin(&self, schedule: StopSchedule, clock: ClockSample) {
         self.begun.get_or_init(|| BegunStop { clock, schedule });
-        self.stopping.store(true, Ordering::Release);
     }
 
     /// Returns whether a planned stop refuses a request that may take until `until`, because it could interrupt it.
-    /// `suspended` is the total suspended time of the machine.
-    pub(crate) fn refuses(&self, until: Instant, suspended: Duration) -> bool {
+    /// `suspended` gives the total suspended time of the machine, and is asked within a stop alone.
+    pub(crate) fn refuses(&self, until: Instant, suspended: impl FnOnce() -> Duration) -> bool {
         self.begun.get().is_some_and(|stop| {
-            let begun = stop.clock.corrected_time(suspended);
+            let begun = stop.clock.corrected_time(suspended());
             stop.schedule.refuses(begun.elapsed(), until.saturating_duration_since(begun))
         })
     }
 
     /// Returns how long ago the stop began, with the time for which the machine was suspended since: the
-    /// environment's clock did not stand still. `suspended` is the total suspended time of the machine. `None` if no
-    /// stop has begun.
-    pub(crate) fn elapsed(&self, suspended: Duration) -> Option<Duration> {
-        self.begun.get().map(|stop| stop.clock.corrected_time(suspended).elapsed())
+    /// environment's clock did not stand still. `suspended` gives the total suspended time of the machine, and is asked
+    /// within a stop alone. `None` if no stop has begun.
+    pub(crate) fn elapsed(&self, suspended: impl FnOnce() -> Duration) -> Option<Duration> {
+        self.begun.get().map(|stop| stop.clock.corrected_time(suspended()).elapsed())
     }
 
     /// Returns whether a stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.begun.get().is_some()
     }
 
     /// Closes idle connections from now on; no further request is read.
