Requests at the end of a stop: one text for both refusals

Cause: the reason "this box ends" stood in the stage of attempts and, as a constant, in the stages before. Now both use the constant; nothing changes for callers or logs.

--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -28,7 +28,7 @@
 use crate::reserved_token::ReservedToken;
 use crate::returns::RefusalSigns;
 use crate::routes::RouteKind;
-use crate::routing::RequestPlan;
+use crate::routing::{BOX_ENDS, RequestPlan};
 use crate::steering::credits::spend_retry;
 use crate::suspension::ClockSample;
 use crate::waiting::QueueTicket;
@@ -198,7 +198,7 @@
         if std::mem::take(&mut self.is_open_at_peer) {
             self.record_possible_runs_at_peer();
         }
-        self.give_up_stopping("this box ends")
+        self.give_up_stopping(BOX_ENDS)
     }
 
     /// Makes attempts one after the other until an answer is decided.
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -39,8 +39,8 @@
 /// Interval at which a waiting request checks for the newer configuration.
 const NEWER_CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Reason of the refusal of a request that had got to no target when the process was about to end.
-const BOX_ENDS: &str = "this box ends";
+/// Reason of an answer to a request that was still open when the process was about to end.
+pub(crate) const BOX_ENDS: &str = "this box ends";
 
 /// A request as it was read from its caller.
 #[derive(Debug)]
