Logs: a target's failure is on record before the wait for a retry

Cause: a request that a stop ends while its retry waits for credit has no entry of the answer that had come, so that its line can't tell this from a target that has not answered. Change: the status goes into the line's `tried` before the wait, also if there is no retry.

--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -479,8 +479,11 @@
             if failed { SteerOutcome::Failed } else { SteerOutcome::Good(open.started.elapsed()) };
         open.end(outcome, load, answer.bytes);
         self.trace.record_target(&open.pick);
-        if failed && (self.open_attempts > 0 || self.may_retry().await) {
-            self.trace.record_failure(&format!("status {}", answer.head.status));
+        if !failed {
+            return NextStep::Answer(forwarded_answer(*answer));
+        }
+        self.trace.record_failure(&format!("status {}", answer.head.status));
+        if self.open_attempts > 0 || self.may_retry().await {
             self.fallback = Some(answer);
             return NextStep::Continue;
         }
