Requests: a target's failure that has come is delivered at the end of a stop

What callers saw: a lookup that a target had failed got 502 of the box in place of the target's answer, if the end of a planned stop came while its retry waited for credit. Cause: the answer was kept for the caller only after that wait; the end of the stop drops the wait, and with it the answer. Change: the answer is kept before the wait. Its stand-ins of peers have an incarnation each, as the box took four for one.

--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -483,11 +483,12 @@
             return NextStep::Answer(forwarded_answer(*answer));
         }
         self.trace.record_failure(&format!("status {}", answer.head.status));
+        // It is kept before the wait for a retry: a stop may end the request in that wait.
+        self.fallback = Some(answer);
         if self.open_attempts > 0 || self.may_retry().await {
-            self.fallback = Some(answer);
             return NextStep::Continue;
         }
-        NextStep::Answer(forwarded_answer(*answer))
+        NextStep::Answer(self.give_up("no further attempt is allowed"))
     }
 
     /// Decides what follows an attempt without an answer: a further attempt or the final answer.
--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -49,6 +49,8 @@
 pub struct RelayPeer {
     /// Number of connections on which a box began an offer.
     offers: Arc<AtomicUsize>,
+    /// Number of datagrams from boxes.
+    datagrams: Arc<AtomicUsize>,
     received: Arc<Mutex<Vec<OfferedRequest>>>,
 }
 
@@ -60,11 +62,14 @@
         thread::spawn(move || {
             let address = SocketAddr::new(known_to, GOSSIP);
             // The box may end before the test does.
-            while sending.send_to(&heartbeat(), address).is_ok() {
+            let heartbeat = datagram(host, DatagramBody::Heartbeat(Heartbeat::default()));
+            while sending.send_to(&heartbeat, address).is_ok() {
                 thread::sleep(Duration::from_millis(200));
             }
         });
-        thread::spawn(move || state_contacts(&socket));
+        let datagrams = Arc::new(AtomicUsize::new(0));
+        let heard = Arc::clone(&datagrams);
+        thread::spawn(move || state_contacts(host, &socket, &heard));
         let listener = task::block_on(TcpListener::bind(SocketAddr::new(host, EXCHANGE)));
         let listener = listener.expect("the address is free");
         let received = Arc::new(Mutex::new(Vec::new()));
@@ -77,7 +82,12 @@
                 let _ = serve(stream, script, &counted, &recorded).await;
             }
         });
-        RelayPeer { offers, received }
+        RelayPeer { offers, datagrams, received }
+    }
+
+    /// Returns the number of datagrams that boxes have sent. A box sends none before it knows the peer.
+    pub fn datagrams(&self) -> usize {
+        self.datagrams.load(Ordering::Acquire)
     }
 
     /// Returns the number of offers that boxes began.
@@ -91,18 +101,20 @@
     }
 }
 
-fn datagram(body: DatagramBody) -> Vec<u8> {
-    let (box_id, data_centre) = ("peer".into(), "centre".into());
-    Datagram { box_id, data_centre, incarnation: 1, body: Some(body), link_mbps: 0 }.encode_to_vec()
-}
-
-fn heartbeat() -> Vec<u8> {
-    datagram(DatagramBody::Heartbeat(Heartbeat::default()))
+fn datagram(host: IpAddr, body: DatagramBody) -> Vec<u8> {
+    let (box_id, data_centre) = (format!("peer-{host}"), "centre".into());
+    // Each peer has an address, and so an incarnation, of its own.
+    let incarnation = match host {
+        IpAddr::V4(host) => u32::from(host).into(),
+        IpAddr::V6(_) => 1,
+    };
+    Datagram { box_id, data_centre, incarnation, body: Some(body), link_mbps: 0 }.encode_to_vec()
 }
 
-fn state_contacts(socket: &UdpSocket) {
+fn state_contacts(host: IpAddr, socket: &UdpSocket, heard: &AtomicUsize) {
     let mut buffer = [0; 4096];
     while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+        heard.fetch_add(1, Ordering::AcqRel);
         let Ok(Datagram { body: Some(DatagramBody::PathQuestion(question)), .. }) =
             Datagram::decode(&buffer[..length])
         else {
@@ -115,7 +127,7 @@
             ..PathStatement::default()
         };
         // A statement that is lost is asked for again.
-        let _ = socket.send_to(&datagram(DatagramBody::PathStatement(statement)), from);
+        let _ = socket.send_to(&datagram(host, DatagramBody::PathStatement(statement)), from);
     }
 }
 
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use harness::{
-    BoxUnderTest, CallerReply, CallerStandin, Script, StoreStandin, TargetStandin, config,
-    eventually, route,
+    BoxUnderTest, CallerReply, CallerStandin, RelayPeer, RelayScript, Script, StoreStandin,
+    TargetStandin, config, eventually, own_host, route,
 };
 use wingbridge_gateway::routes::RouteKind;
 
@@ -172,3 +172,36 @@
     assert_eq!(reply.status, 503, "{reply:?}");
     assert!(target.requests().is_empty(), "the refused request was sent to the target");
 }
+
+/// A target's failure that had come was replaced by an answer of the box if a stop ended the wait for a retry.
+#[test]
+fn answer_that_has_come_is_delivered_at_the_end_of_a_stop() {
+    const ROUNDS: usize = 4;
+    /// Peers that do not reply to the box, so that its retry waits for credit.
+    const SILENT_PEERS: usize = 4;
+    let failures = (0..ROUNDS).filter_map(|_| {
+        let targets = ["one", "two"].map(|id| TargetStandin::start(id, "service", Script::Fails));
+        let store = StoreStandin::default();
+        store.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
+        store.put_targets(targets.iter().map(|target| target.entry.clone()).collect());
+        let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
+            settings.stop_time = Duration::from_millis(300);
+            settings.retry_share = 0.0;
+            settings.retry_slack = 30.0;
+        });
+        gateway.wait_ready();
+        let start_peer = |_| RelayPeer::start(own_host(), gateway.host(), RelayScript::Silent);
+        let peers: Vec<RelayPeer> = (0..SILENT_PEERS).map(start_peer).collect();
+        eventually("the peers hear the box", || peers.iter().all(|peer| peer.datagrams() > 0));
+        let mut caller = gateway.connect();
+        caller.send("GET", "/r/x", "", "");
+        eventually("a target has the request", || {
+            targets.iter().any(|target| !target.requests().is_empty())
+        });
+        gateway.begin_stop();
+        let reply = gateway.answer_before_end(caller).expect("an answer before the process ends");
+        (reply.status != 500).then_some(reply)
+    });
+    let failures: Vec<CallerReply> = failures.collect();
+    assert!(failures.is_empty(), "{failures:?}");
+}
