Relays: a box that is being stopped handles what it accepts from its own callers

Cause: two rules decided what a stopping box accepts. Callers were refused what could outlast the stop; peers were refused everything. Change: one rule for both, whoever asks. A relay counts as open before the peer learns of the agreement, and nothing is accepted once the box has decided to end, so that it can't end between an agreement and the request.

--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -66,10 +66,11 @@
             return send_message(&stream, &RelayDecision { declined: declined.to_string() }).await;
         }
     };
-    send_message(&stream, &RelayDecision::default()).await?;
-    metrics::counter!("wingbridge_relays_served", "result" => "accepted").increment(1);
+    // Counted before the peer learns of it: the box could end between its agreement and the request.
     let _connection_guard = context.stopping.count_connection();
     let _request_guard = context.stopping.count_request();
+    send_message(&stream, &RelayDecision::default()).await?;
+    metrics::counter!("wingbridge_relays_served", "result" => "accepted").increment(1);
     serve_relayed(stream, accepted, context).await;
     Ok(())
 }
@@ -88,8 +89,9 @@
     let now = Instant::now();
     let deadline = later(now, Duration::from_millis(request.remaining_ms));
     let service = Name::from(request.service.as_str());
-    if context.stopping.is_stopping() {
-        return Err("it stops");
+    // A box that stops handles what it would accept from a caller of its own; it may be the last one with paths.
+    if context.stopping.is_closing() || context.stop_refuses(deadline) {
+        return Err("it ends before it could answer");
     }
     if context.stopping.open_connections() >= context.settings.max_connections {
         return Err("it has too many connections");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -132,6 +132,8 @@
             end_requests(context).await;
         }
     }
+    // Nothing is accepted between the last look at open connections and the end of the process.
+    stopping.close_idle();
     stopping.busy_requests() == 0
 }
 
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -12,6 +12,7 @@
 mod paths;
 mod peer;
 mod peer_standin;
+mod relay_caller;
 mod relay_peer;
 mod store;
 mod target;
@@ -32,6 +33,7 @@
 pub use paths::{PathMode, TargetPaths};
 pub use peer::{connect_exchange, exchange_on, fetch_targets, packed, unpacked};
 pub use peer_standin::PeerStandin;
+pub use relay_caller::{RelayCaller, RelayedReply};
 pub use relay_peer::{OfferedRequest, RelayPeer, RelayScript};
 pub use store::StoreStandin;
 pub use target::{
