Relays: a peer that is asked to end a request tells what has run

What callers saw: an order that a peer still held back, as its targets were full, got 502 when the box that had accepted it came to the end of its stop. Cause: the end of the stop dropped the work, and with it all that the peer knew. The first box can't know what has run, and has to say the worst. The peer ends the request and says what may have run: nothing while it holds the request back or has not read all of it, otherwise a run at each target that has it. A peer of an earlier version closes the connection, which still means "unknown"; a box of an earlier version is gone by then and reads nothing. Weighed: what a target that has the order knows of it can't be asked; it stays unknown. A connection that is coming up counts as sent, as before.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -99,31 +99,33 @@
     let mut connection =
         CallerConnection { reader: RawReader::new(stream.clone()), stream: stream.clone(), caller };
     let read = context.stopping.before_end(connection.read_request(context, received_at)).await;
-    let ReadRequest { request, mut pump, reservation: _reservation } = match read {
-        Some(Ok(Some(read))) => read,
-        Some(Ok(None)) => return,
-        Some(Err(error)) => {
-            log::info!(reason:% = error; "relayed-request-rejected");
-            return;
-        }
-        None => {
-            let result = relay_result(CallerOutcome::NotRun, accepted.totals);
-            if send_message(&stream, &result).await.is_ok() {
-                connection.refuse_unread(context).await;
-            }
+    let arrived = match read {
+        Some(Ok(Some(read))) => Ok(read),
+        Some(Ok(None)) => Err("the peer ended it before its first byte".to_string()),
+        Some(Err(error)) => Err(error.to_string()),
+        None => Err("the box ends before all of it has arrived".to_string()),
+    };
+    let ReadRequest { request, mut pump, reservation: _reservation } = match arrived {
+        Ok(read) => read,
+        Err(reason) => {
+            log::info!(reason; "relayed-request-rejected");
+            connection.refuse_relayed(&accepted, context).await;
             return;
         }
     };
     let request_id = logged_id(context, &request);
+    let asked_to_end = accepted.asked_to_end.clone();
     let ended = {
-        let work = std::pin::pin!(answer_relayed(context, request, accepted));
+        let mut work = std::pin::pin!(answer_relayed(context, request, accepted));
         let abort = std::pin::pin!(wait_for_abort(&mut connection.reader, pump.as_mut()));
-        match select(work, abort).await {
+        match select(work.as_mut(), abort).await {
             Either::Left((ended, _)) => ended,
             Either::Right(_) => {
                 let taken_ms = crate::context::millis(received_at.elapsed());
                 log::info!(request = request_id, taken_ms, relayed = true; "caller-hung-up");
-                return;
+                // A peer that is ending waits for what has run.
+                asked_to_end.open();
+                work.await
             }
         }
     };
@@ -378,6 +380,20 @@
         }
     }
 
+    /// Tells a peer that nothing has run of a request that has not arrived completely.
+    async fn refuse_relayed(&mut self, accepted: &AcceptedRelay, context: &BoxContext) {
+        const REASON: &str = "it did not arrive completely";
+        let result = relay_result(CallerOutcome::NotRun, accepted.totals);
+        if let Err(error) = send_message(&self.stream, &result).await {
+            log::info!(reason:% = error; "relayed-answer-not-sent");
+            return;
+        }
+        let answer = CallerAnswer::not_run(&context.headers.retry_after, REASON);
+        if self.write_answer(answer, true).await {
+            self.linger().await;
+        }
+    }
+
     /// Writes an answer. Returns whether it was written completely.
     async fn write_answer(&mut self, answer: CallerAnswer, closes: bool) -> bool {
         let head = answer.encode(closes);
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -1,6 +1,7 @@
 //! Has a peer handle a request.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
@@ -18,7 +19,7 @@
     MAX_HEAD_BYTES, OutgoingRequest, SendResult, TargetAnswer, answer_of, encode_request,
     read_answer_body, send_request,
 };
-use crate::context::BoxContext;
+use crate::context::{BoxContext, lock};
 
 /// Maximum time from connecting to the peer's decision. It takes four round trips, of 24 ms between regions.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,6 +30,12 @@
     stream: TcpStream,
 }
 
+/// The part of a peer in a request, from its agreement until its result. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerPart {
+    connection: Arc<Mutex<Option<TcpStream>>>,
+}
+
 /// How a relay ended that a peer had agreed to.
 #[derive(Debug)]
 pub(crate) enum RelayEnd {
@@ -76,6 +83,30 @@
     }
 }
 
+impl PeerPart {
+    /// Records that a peer has agreed.
+    pub(crate) fn begin(&self, agreed: &AgreedRelay) {
+        *lock(&self.connection) = Some(agreed.stream.clone());
+    }
+
+    /// Records that the peer has given its result, or none will come.
+    pub(crate) fn end(&self) {
+        lock(&self.connection).take();
+    }
+
+    /// Returns whether a peer that has agreed has given no result yet.
+    pub(crate) fn is_open(&self) -> bool {
+        lock(&self.connection).is_some()
+    }
+
+    /// Asks the peer to end the request and to tell what has run. Returns whether its result may come: a peer of an
+    /// earlier version closes the connection.
+    pub(crate) fn ask_to_end(&self) -> bool {
+        let connection = lock(&self.connection);
+        connection.as_ref().is_some_and(|stream| stream.shutdown(Shutdown::Write).is_ok())
+    }
+}
+
 /// Connects to a peer and has it decide on the request. Returns the connection if the peer takes it.
 async fn agree(
     context: &BoxContext,
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -18,6 +18,7 @@
 use crate::context::BoxContext;
 use crate::customers::{KeyDigest, PresentedKey};
 use crate::instants::later;
+use crate::latch::ReadyLatch;
 use crate::routes::AccessDecision;
 use crate::routing::RequestPlan;
 
@@ -36,6 +37,8 @@
     pub(crate) due_return: bool,
     /// Time at which the first byte of the request was read from its caller.
     pub(crate) received_at: Instant,
+    /// Opens when the peer wants the request ended, or is gone.
+    pub(crate) asked_to_end: ReadyLatch,
 }
 
 /// Handles one request of the peer that offered it on `stream`.
@@ -131,6 +134,7 @@
         },
         due_return: request.due_return,
         received_at,
+        asked_to_end: ReadyLatch::default(),
     })
 }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -202,8 +202,8 @@
         self.stop_ms = elapsed.map(|elapsed| millis(elapsed).to_string()).unwrap_or_default();
     }
 
-    /// Records that the stop ended the request, which had `remaining` time left.
-    pub(crate) fn record_ended_by_stop(&mut self, remaining: Duration) {
+    /// Records that the request was ended early, with `remaining` time left.
+    pub(crate) fn record_ended_early(&mut self, remaining: Duration) {
         self.stop_left_ms = millis(remaining).to_string();
     }
 
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
@@ -21,15 +22,18 @@
 use crate::answers::{CallerAnswer, CallerOutcome};
 use crate::attempt::{AttemptResult, CONNECTION_REFUSED, OutgoingRequest, TargetAnswer};
 use crate::context::{BoxContext, log_ended, log_replaced};
+use crate::latch::ReadyLatch;
 use crate::open_attempt::{AttemptRequest, EndedAttempt, OpenAttempt};
 use crate::permit_manager::{CoordinatorWait, NoPermit, SendPermit};
 use crate::relay::AttemptTotals;
+use crate::relay::client::PeerPart;
 use crate::request_log::RequestTrace;
 use crate::reserved_token::ReservedToken;
 use crate::returns::RefusalSigns;
 use crate::routes::RouteKind;
 use crate::routing::{BOX_ENDS, RequestPlan};
 use crate::steering::credits::spend_retry;
+use crate::stop_schedule::PEER_RESULT_TIME;
 use crate::suspension::ClockSample;
 use crate::waiting::QueueTicket;
 use final_answers::forwarded_answer;
@@ -46,6 +50,9 @@
 /// Reason for the refusal of a poison request.
 const TARGETS_ENDED: &str = "targets have ended under it";
 
+/// Reason for the end of a relayed request: the box that accepted it ends, or its caller has left.
+const PEER_ENDS: &str = "the box that accepted it has ended it";
+
 /// Average interval at which a request checks for a free target while all are saturated. It is a fraction of the
 /// time that a target needs for one request.
 const SATURATED_POLL_INTERVAL: Duration = Duration::from_millis(60);
@@ -73,8 +80,10 @@
     deliveries: u32,
     /// Number of open attempts.
     open_attempts: u32,
-    /// Whether a peer that agreed to handle the request has given no result yet.
-    is_open_at_peer: bool,
+    /// The part of a peer that agreed to handle the request and has given no result yet.
+    peer_part: PeerPart,
+    /// Opens when the peer that passed the request on wants it ended; `None` for a request of a caller.
+    asked_to_end: Option<ReadyLatch>,
     /// Failure answer of a target, which the caller gets if no other attempt succeeds.
     fallback: Option<Box<TargetAnswer>>,
     /// Whether the request may still wait for the permit coordinator.
@@ -91,6 +100,16 @@
     trace: RequestTrace,
 }
 
+/// How far a request has come that a peer passes on.
+pub(crate) struct RelayedStart {
+    /// The attempts before.
+    pub(crate) totals: AttemptTotals,
+    /// Whether the caller comes when a box told it to.
+    pub(crate) due_return: bool,
+    /// Opens when the peer wants the request ended.
+    pub(crate) asked_to_end: ReadyLatch,
+}
+
 /// A request whose answer is decided.
 #[derive(Debug)]
 pub(crate) struct EndedRun {
@@ -110,6 +129,14 @@
     Continue,
 }
 
+/// How the work on a request ended.
+enum RunEnd {
+    /// An answer was decided.
+    Answered(CallerAnswer),
+    /// The request was ended early, with the answer that a peer gave for it, if one did.
+    EndedEarly(Option<CallerAnswer>),
+}
+
 /// An event while attempts of a request are open.
 enum RaceEvent {
     /// An attempt has ended.
@@ -142,7 +169,8 @@
             possible_runs: 0,
             deliveries: 0,
             open_attempts: 0,
-            is_open_at_peer: false,
+            peer_part: PeerPart::default(),
+            asked_to_end: None,
             fallback: None,
             is_relayed: false,
             asked_peers: Vec::new(),
@@ -153,25 +181,36 @@
         }
     }
 
-    /// Creates the run of a request that a peer passes on, after the attempts in `totals`.
+    /// Creates the run of a request that a peer passes on.
     pub(crate) fn relayed(
         context: Arc<BoxContext>,
         outgoing: OutgoingRequest,
         plan: RequestPlan,
-        totals: AttemptTotals,
-        due_return: bool,
+        start: RelayedStart,
         trace: RequestTrace,
     ) -> RequestRun {
         let run = RequestRun::new(context, outgoing, plan, None, Instant::now(), trace);
-        let AttemptTotals { possible_runs, deliveries } = totals;
-        RequestRun { possible_runs, deliveries, due_return, is_relayed: true, ..run }
+        RequestRun {
+            possible_runs: start.totals.possible_runs,
+            deliveries: start.totals.deliveries,
+            due_return: start.due_return,
+            asked_to_end: Some(start.asked_to_end),
+            is_relayed: true,
+            ..run
+        }
     }
 
     /// Handles the request until its answer is decided.
     pub(crate) async fn run(mut self) -> EndedRun {
-        let stopping = self.context.stopping.clone();
-        let answer = stopping.before_end(self.run_attempts()).await;
-        let answer = answer.unwrap_or_else(|| self.end_with_process());
+        let answer = match self.run_until_end().await {
+            RunEnd::Answered(answer) => answer,
+            RunEnd::EndedEarly(answer) => {
+                let answer = answer.unwrap_or_else(|| self.end_early());
+                let remaining = self.deadline().saturating_duration_since(Instant::now());
+                self.trace.record_ended_early(remaining);
+                answer
+            }
+        };
         if self.due_return && answer.outcome == CallerOutcome::Answered {
             metrics::counter!("wingbridge_returns_served").increment(1);
         }
@@ -187,18 +226,49 @@
         EndedRun { answer, trace: self.trace, totals }
     }
 
-    /// Returns the answer to a request that is still open when the process is about to end.
-    fn end_with_process(&mut self) -> CallerAnswer {
-        let remaining = self.deadline().saturating_duration_since(Instant::now());
-        self.trace.record_ended_by_stop(remaining);
+    /// Makes attempts until an answer is decided or the request is to be ended early. A peer that handles it then tells
+    /// what has run: this box can't know, and would have to call an order unknown that nobody has begun.
+    async fn run_until_end(&mut self) -> RunEnd {
+        let stopping = self.context.stopping.clone();
+        let asked_to_end = self.asked_to_end.clone();
+        let peer_part = self.peer_part.clone();
+        let mut attempts = std::pin::pin!(self.run_attempts());
+        let process_ends = std::pin::pin!(stopping.wait_ending());
+        let peer_asks = std::pin::pin!(wait_asked(asked_to_end));
+        match select(attempts.as_mut(), select(process_ends, peer_asks)).await {
+            Either::Left((answer, _)) => RunEnd::Answered(answer),
+            Either::Right(_) if peer_part.ask_to_end() => {
+                let answer = async_std::future::timeout(PEER_RESULT_TIME, attempts).await;
+                RunEnd::EndedEarly(answer.ok())
+            }
+            Either::Right(_) => RunEnd::EndedEarly(None),
+        }
+    }
+
+    /// Returns the answer to a request that is still open when it is ended early.
+    fn end_early(&mut self) -> CallerAnswer {
         // The open attempts were dropped, and their targets may complete them. So may those of a peer.
         for _ in 0..std::mem::take(&mut self.open_attempts) {
             self.record_possible_run();
         }
-        if std::mem::take(&mut self.is_open_at_peer) {
+        if self.peer_part.is_open() {
             self.record_possible_runs_at_peer();
         }
-        self.give_up_stopping(BOX_ENDS)
+        self.give_up_stopping(self.end_reason())
+    }
+
+    /// Returns whether the request is to be ended early.
+    fn is_ending(&self) -> bool {
+        self.context.stopping.is_ending() || self.is_asked_to_end()
+    }
+
+    fn is_asked_to_end(&self) -> bool {
+        self.asked_to_end.as_ref().is_some_and(ReadyLatch::is_open)
+    }
+
+    /// Returns why the request is ended early.
+    fn end_reason(&self) -> &'static str {
+        if self.is_asked_to_end() { PEER_ENDS } else { BOX_ENDS }
     }
 
     /// Makes attempts one after the other until an answer is decided.
@@ -570,6 +640,14 @@
     plan.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only)
 }
 
+/// Waits until the peer that passed a request on wants it ended; without an end if no peer did.
+async fn wait_asked(asked_to_end: Option<ReadyLatch>) {
+    match asked_to_end {
+        Some(latch) => latch.wait_open().await,
+        None => futures::future::pending().await,
+    }
+}
+
 /// Waits for the end of one of the `running` attempts, or until a hedge is due.
 async fn next_event<F>(running: &mut FuturesUnordered<F>, hedge_at: Option<Instant>) -> RaceEvent
 where
--- a/crates/gateway/src/requests/relaying.rs
+++ b/crates/gateway/src/requests/relaying.rs
@@ -58,6 +58,10 @@
         while self.asked_peers.len() < MAX_PEERS && !self.outgoing.is_body_consumed() {
             match self.relay_to_one().await? {
                 PeerStep::Answer(answer) => return Some(answer),
+                // The peer was asked to end the request; another one would have no time for it.
+                PeerStep::Next if self.is_ending() => {
+                    return Some(self.give_up_stopping(self.end_reason()));
+                }
                 PeerStep::Next => {}
             }
         }
@@ -83,9 +87,9 @@
             Err(reason) => return Some(self.handle_declined(peer, &reason)),
         };
         self.trace.record_relayed_to(peer);
-        self.is_open_at_peer = true;
+        self.peer_part.begin(&agreed);
         let end = agreed.handle(&self.outgoing, deadline).await;
-        self.is_open_at_peer = false;
+        self.peer_part.end();
         drop(guard);
         Some(self.handle_relay_end(peer, end))
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -19,7 +19,7 @@
 use crate::relay::server::AcceptedRelay;
 use crate::request_identity::RequestIdentity;
 use crate::request_log::{RequestTrace, log_request};
-use crate::requests::{EndedRun, RequestRun, poison_request_answer};
+use crate::requests::{EndedRun, RelayedStart, RequestRun, poison_request_answer};
 use crate::reserved_token::ReservedToken;
 use crate::routes::{AccessDecision, Route, RouteConfig};
 use crate::streamed_body::BodyStream;
@@ -103,7 +103,7 @@
     mut request: CallerRequest,
     accepted: AcceptedRelay,
 ) -> EndedRun {
-    let AcceptedRelay { box_id, plan, totals, due_return, received_at } = accepted;
+    let AcceptedRelay { box_id, plan, totals, due_return, received_at, asked_to_end } = accepted;
     // The first box has removed both headers already; a peer must not be able to add them.
     remove_key(context, &mut request.head);
     let id = logged_id(context, &request);
@@ -113,7 +113,8 @@
     let outgoing = outgoing_request(context, request, &plan);
     trace.record_fingerprint(outgoing.fingerprint);
     context.core().record_relayed_request(context.now(), &plan.service);
-    let run = RequestRun::relayed(Arc::clone(context), outgoing, plan, totals, due_return, trace);
+    let start = RelayedStart { totals, due_return, asked_to_end };
+    let run = RequestRun::relayed(Arc::clone(context), outgoing, plan, start, trace);
     let mut ended = run.run().await;
     let trace = std::mem::take(&mut ended.trace);
     log_request(context, &id, &path, received_at, trace, &ended.answer);
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -88,12 +88,22 @@
         self.ending.open();
     }
 
+    /// Returns whether open requests are to be answered now.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.ending.is_open()
+    }
+
+    /// Waits until [`StopState::end_requests`] is called.
+    pub(crate) async fn wait_ending(&self) {
+        self.ending.wait_open().await;
+    }
+
     /// Runs `work`, a stage of a request, to its end. Returns `None` if [`StopState::end_requests`] is called before
     /// that: the request is to be answered then, or the caller would see a closed connection and could not know
     /// whether the request may be sent again.
     pub(crate) async fn before_end<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         let work = std::pin::pin!(work);
-        let ending = std::pin::pin!(self.ending.wait_open());
+        let ending = std::pin::pin!(self.wait_ending());
         match select(work, ending).await {
             Either::Left((result, _)) => Some(result),
             Either::Right(_) => None,
--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -29,6 +29,10 @@
     ClosesAfterRequest,
     /// Takes it, reads it and says nothing.
     Holds,
+    /// Takes it and tells that nothing has run once it is asked to end it.
+    NotBegunAtEnd,
+    /// Takes it and tells that a target has it once it is asked to end it.
+    BegunAtEnd,
     /// Answers that it reached no target.
     ReachesNoTarget,
     /// Has another fleet key.
@@ -156,14 +160,15 @@
     if let Some(last) = lock(received).last_mut() {
         last.beginning = beginning;
     }
-    if script == RelayScript::Holds {
-        // The reading ends when the box closes.
+    if matches!(script, RelayScript::Holds | RelayScript::NotBegunAtEnd | RelayScript::BegunAtEnd) {
+        // The reading ends when the box closes, or asks for the end.
         while stream.read(&mut [0; 16]).await? > 0 {}
     }
     let (outcome, runs, head) = match script {
-        RelayScript::ReachesNoTarget => {
+        RelayScript::ReachesNoTarget | RelayScript::NotBegunAtEnd => {
             (RelayOutcome::NotRun, 0, "HTTP/1.1 503 Unavailable\r\nRetry-After: 0.5\r\n")
         }
+        RelayScript::BegunAtEnd => (RelayOutcome::Unknown, 1, "HTTP/1.1 502 Unknown\r\n"),
         RelayScript::Answers => (RelayOutcome::Answered, 1, "HTTP/1.1 200 Fine\r\n"),
         _ => return Ok(()),
     };
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -284,9 +284,17 @@
     StopCase { name: "a held order", script: RelayScript::Holds, kind: 1, status: 502 },
     StopCase { name: "a held lookup", script: RelayScript::Holds, kind: 0, status: 502 },
     StopCase { name: "a silent peer", script: RelayScript::Silent, kind: 1, status: 503 },
+    StopCase {
+        name: "an order not begun",
+        script: RelayScript::NotBegunAtEnd,
+        kind: 1,
+        status: 503,
+    },
+    StopCase { name: "an order begun", script: RelayScript::BegunAtEnd, kind: 1, status: 502 },
 ];
 
-/// Orders that a peer handled when its box was stopped were refused as not run, and ran.
+/// Orders that a peer handled when its box was stopped were refused as not run, and ran; or were called unknown though the
+/// peer had not begun them.
 #[test]
 fn stopping_box_does_not_refuse_what_a_peer_may_run() {
     for case in STOP_CASES {
--- a/crates/gateway/tests/relays_in_stops.rs
+++ b/crates/gateway/tests/relays_in_stops.rs
@@ -13,6 +13,10 @@
 
 const ORDER: &str =
     "POST /orders/x HTTP/1.1\r\nHost: host.example\r\nX-Id: id-1\r\nContent-Length: 2\r\n\r\nhi";
+/// Longer than any test.
+const LONG_TIME: Duration = Duration::from_secs(60);
+/// Time in which an order reaches a target that takes it.
+const MOMENT: Duration = Duration::from_millis(300);
 /// Time for an answer that is there already.
 const SOON: Duration = Duration::from_secs(5);
 
@@ -69,7 +73,7 @@
     StopCase {
         name: "a late one that could outlast it",
         after: LATE,
-        time: Duration::from_secs(60),
+        time: LONG_TIME,
         taken: false,
     },
     StopCase {
@@ -113,3 +117,85 @@
         assert_eq!(target.requests().len(), 1, "{}", case.name);
     }
 }
+
+struct EndCase {
+    name: &'static str,
+    /// What the target does with the order.
+    script: Script,
+    /// Whether the box expects a long wait at the target, and holds the order back.
+    is_full: bool,
+    /// The part of the order that is sent before the end.
+    sent: &'static str,
+    outcome: RelayOutcome,
+    runs: u32,
+}
+
+const END_CASES: &[EndCase] = &[
+    EndCase {
+        name: "held back for a full target",
+        script: Script::Good,
+        is_full: true,
+        sent: ORDER,
+        outcome: RelayOutcome::NotRun,
+        runs: 0,
+    },
+    EndCase {
+        name: "at a target",
+        script: Script::Hangs,
+        is_full: false,
+        sent: ORDER,
+        outcome: RelayOutcome::Unknown,
+        runs: 1,
+    },
+    EndCase {
+        name: "still arriving",
+        script: Script::Good,
+        is_full: false,
+        sent: "POST /orders/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 2\r\n\r\n",
+        outcome: RelayOutcome::NotRun,
+        runs: 0,
+    },
+    EndCase {
+        name: "not sent at all",
+        script: Script::Good,
+        is_full: false,
+        sent: "",
+        outcome: RelayOutcome::NotRun,
+        runs: 0,
+    },
+];
+
+/// A box that ended while a peer handled its orders told callers nothing of those that the peer had not begun.
+#[test]
+fn peer_that_is_asked_to_end_tells_what_has_run() {
+    for case in END_CASES {
+        let mut target = TargetStandin::start("t", "orders", Script::WaitsForRelease);
+        if case.is_full {
+            // Cold from its start, so that each order is expected to wait there for long.
+            target.entry.cold_time = Duration::from_secs(1000);
+        }
+        let gateway = start(&target, STOP_TIME);
+        let mut before = gateway.connect();
+        before.send("GET", "/orders/before", "", "");
+        eventually("the target has the request", || target.requests().len() == 1);
+        if case.is_full {
+            // The typical time of the target becomes the duration of this answer.
+            thread::sleep(Duration::from_millis(700));
+        }
+        target.release();
+        assert_eq!(before.read().expect("an answer").status, 200, "{}", case.name);
+        target.set_script(case.script);
+        let mut relay = RelayCaller::offer(gateway.host(), &order(LONG_TIME)).expect("it agrees");
+        relay.send(case.sent);
+        if case.runs > 0 {
+            eventually("the target has the order", || target.requests().len() == 2);
+        } else {
+            thread::sleep(MOMENT);
+        }
+        relay.ask_end();
+        let reply = relay.reply(SOON).unwrap_or_else(|| panic!("{}: no result", case.name));
+        let told = (reply.result.outcome(), reply.result.possible_runs);
+        assert_eq!(told, (case.outcome, case.runs), "{}: {reply:?}", case.name);
+        assert_eq!(target.requests().len() as u32, 1 + case.runs, "{}", case.name);
+    }
+}
