Relays: a request keeps the homes by which it was accepted

An order whose homes the first box's configuration names could be sent to another region by its peer. Cause: the peer holds the homes of both configurations when it agrees, and took its own alone when its configuration changed while the order was held back. Its new one may still be older than the first box's. Change: the homes that came with the request are kept, and both bind at each change.

--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -19,7 +19,7 @@
 use crate::customers::{KeyDigest, PresentedKey};
 use crate::instants::later;
 use crate::latch::ReadyLatch;
-use crate::routes::AccessDecision;
+use crate::routes::{AccessDecision, common_homes};
 use crate::routing::RequestPlan;
 
 /// Time within which a peer must send its request after the handshake.
@@ -112,7 +112,9 @@
     let AccessDecision::Allowed(customer) = config.authorize(&route, key) else {
         return Err("its configuration does not allow the request");
     };
-    let homes = common_homes(request, route.home_regions_for(customer.as_deref()));
+    let homes_of_peer = homes_of_peer(request);
+    let own_homes = route.home_regions_for(customer.as_deref());
+    let homes = common_homes(homes_of_peer.as_ref(), own_homes.as_ref());
     let own_region = context.settings.region_of(&context.settings.data_centre);
     if homes.as_ref().is_some_and(|homes| !homes.contains(&own_region)) {
         return Err("it is in none of the regions of the request");
@@ -127,7 +129,18 @@
         now.checked_sub(Duration::from_millis(request.age_ms)).ok_or("its age is impossible")?;
     Ok(AcceptedRelay {
         box_id: request.box_id.clone(),
-        plan: RequestPlan { config, key, customer, route, service, policy, homes, rank, deadline },
+        plan: RequestPlan {
+            config,
+            key,
+            customer,
+            route,
+            service,
+            policy,
+            homes,
+            homes_of_peer,
+            rank,
+            deadline,
+        },
         totals: AttemptTotals {
             possible_runs: request.possible_runs,
             deliveries: request.deliveries,
@@ -138,15 +151,10 @@
     })
 }
 
-/// Returns the regions that are homes of a request both by the configuration of the box that accepted it and by `own`,
-/// that of this box; `None` for all regions.
-fn common_homes(request: &RelayRequest, own: Option<Arc<[Name]>>) -> Option<Arc<[Name]>> {
-    if !request.has_homes {
-        return own;
-    }
-    let is_own =
-        |home: &&String| own.as_ref().is_none_or(|own| own.iter().any(|one| **one == ***home));
-    Some(request.homes.iter().filter(is_own).map(|home| Name::from(home.as_str())).collect())
+/// Returns the regions in which a request may be served by the configuration of the box that accepted it; `None` for all.
+fn homes_of_peer(request: &RelayRequest) -> Option<Arc<[Name]>> {
+    let homes = request.homes.iter().map(|home| Name::from(home.as_str()));
+    request.has_homes.then(|| homes.collect())
 }
 
 fn presented_key(request: &RelayRequest) -> Result<PresentedKey, &'static str> {
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -7,7 +7,7 @@
 
 use super::RequestRun;
 use crate::permit_manager::{NoPermit, SendPermit};
-use crate::routes::AccessDecision;
+use crate::routes::{AccessDecision, common_homes};
 
 /// Reason why a request that was allowed before is no longer allowed.
 #[derive(Debug, Clone, Copy)]
@@ -51,7 +51,9 @@
         };
         match config.authorize(route, self.plan.key) {
             AccessDecision::Allowed(customer) => {
-                self.plan.homes = route.home_regions_for(customer.as_deref());
+                let own_homes = route.home_regions_for(customer.as_deref());
+                self.plan.homes =
+                    common_homes(self.plan.homes_of_peer.as_ref(), own_homes.as_ref());
                 self.plan.rank = route.priority_for(customer.as_deref());
                 self.plan.customer = customer;
             }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -100,11 +100,19 @@
     /// regions. If both the route and the customer have home regions, only the common ones remain.
     pub fn home_regions_for(&self, customer: Option<&Customer>) -> Option<Arc<[Name]>> {
         let of_customer = customer.and_then(|customer| customer.home_regions.as_ref());
-        match (self.home_regions.as_ref(), of_customer) {
-            (None, regions) | (regions, None) => regions.cloned(),
-            (Some(own), Some(of_customer)) => {
-                Some(own.iter().filter(|region| of_customer.contains(region)).cloned().collect())
-            }
+        common_homes(self.home_regions.as_ref(), of_customer)
+    }
+}
+
+/// Returns the regions that two sources of home regions have in common; `None` stands for all regions.
+pub(crate) fn common_homes(
+    one: Option<&Arc<[Name]>>,
+    other: Option<&Arc<[Name]>>,
+) -> Option<Arc<[Name]>> {
+    match (one, other) {
+        (None, regions) | (regions, None) => regions.cloned(),
+        (Some(one), Some(other)) => {
+            Some(one.iter().filter(|region| other.contains(region)).cloned().collect())
         }
     }
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -68,6 +68,8 @@
     pub(crate) policy: PolicyPlan,
     /// Regions in which the request may be served; `None` for all regions.
     pub(crate) homes: Option<Arc<[Name]>>,
+    /// Regions that the box which passed the request on allows, whose configuration may be a newer one; `None` for all.
+    pub(crate) homes_of_peer: Option<Arc<[Name]>>,
     /// Rank of the request in a waiting queue: the customer's priority, or the route's if the customer has none.
     pub(crate) rank: u32,
     /// Time by which the request must be answered.
@@ -225,7 +227,18 @@
     let service = Name::from(policy.service.as_str());
     let homes = route.home_regions_for(customer.as_deref());
     let rank = priority;
-    Ok(RequestPlan { config, key, customer, route, service, policy, homes, rank, deadline })
+    Ok(RequestPlan {
+        config,
+        key,
+        customer,
+        route,
+        service,
+        policy,
+        homes,
+        homes_of_peer: None,
+        rank,
+        deadline,
+    })
 }
 
 /// Returns the refusal of a request that the configuration does not allow.
