Test of relays at the end of a stop: a peer that does not answer

Cause: since peers are asked what has run, the row of a held order is answered by the peer's closing, and no row was left for a peer that says nothing in time. Change: a row of a peer that hangs; its request counts as possibly run.

--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -27,8 +27,10 @@
     Declines,
     /// Takes it, reads it and closes the connection.
     ClosesAfterRequest,
-    /// Takes it, reads it and says nothing.
+    /// Takes it, reads it and says nothing until the box closes.
     Holds,
+    /// Takes it, reads it and says nothing, whatever the box does.
+    Hangs,
     /// Takes it and tells that nothing has run once it is asked to end it.
     NotBegunAtEnd,
     /// Takes it and tells that a target has it once it is asked to end it.
@@ -160,6 +162,9 @@
     if let Some(last) = lock(received).last_mut() {
         last.beginning = beginning;
     }
+    if script == RelayScript::Hangs {
+        task::sleep(Duration::from_secs(5)).await;
+    }
     if matches!(script, RelayScript::Holds | RelayScript::NotBegunAtEnd | RelayScript::BegunAtEnd) {
         // The reading ends when the box closes, or asks for the end.
         while stream.read(&mut [0; 16]).await? > 0 {}
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -282,6 +282,7 @@
 
 const STOP_CASES: &[StopCase] = &[
     StopCase { name: "a held order", script: RelayScript::Holds, kind: 1, status: 502 },
+    StopCase { name: "a peer that hangs", script: RelayScript::Hangs, kind: 1, status: 502 },
     StopCase { name: "a held lookup", script: RelayScript::Holds, kind: 0, status: 502 },
     StopCase { name: "a silent peer", script: RelayScript::Silent, kind: 1, status: 503 },
     StopCase {
