--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -2,6 +2,7 @@
 //! at the same time.
 
 mod admission;
+mod ending;
 mod final_answers;
 mod queueing;
 mod relaying;
@@ -10,7 +11,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
 use wingbridge_decide::TargetKey;
 use wingbridge_decide::crashes::{CrashVerdict, NO_RETRY_THRESHOLD};
@@ -31,11 +31,11 @@
 use crate::reserved_token::ReservedToken;
 use crate::returns::RefusalSigns;
 use crate::routes::RouteKind;
-use crate::routing::{BOX_ENDS, RequestPlan};
+use crate::routing::RequestPlan;
 use crate::steering::credits::spend_retry;
-use crate::stop_schedule::PEER_RESULT_TIME;
 use crate::suspension::ClockSample;
 use crate::waiting::QueueTicket;
+use ending::RunEnd;
 use final_answers::forwarded_answer;
 use queueing::QueueOutcome;
 
@@ -50,9 +50,6 @@
 /// Reason for the refusal of a poison request.
 const TARGETS_ENDED: &str = "targets have ended under it";
 
-/// Reason for the end of a relayed request: the box that accepted it ends, or its caller has left.
-const PEER_ENDS: &str = "the box that accepted it has ended it";
-
 /// Average interval at which a request checks for a free target while all are saturated. It is a fraction of the
 /// time that a target needs for one request.
 const SATURATED_POLL_INTERVAL: Duration = Duration::from_millis(60);
@@ -129,14 +126,6 @@
     Continue,
 }
 
-/// How the work on a request ended.
-enum RunEnd {
-    /// An answer was decided.
-    Answered(CallerAnswer),
-    /// The request was ended early, with the answer that a peer gave for it, if one did.
-    EndedEarly(Option<CallerAnswer>),
-}
-
 /// An event while attempts of a request are open.
 enum RaceEvent {
     /// An attempt has ended.
@@ -226,51 +215,6 @@
         EndedRun { answer, trace: self.trace, totals }
     }
 
-    /// Makes attempts until an answer is decided or the request is to be ended early. A peer that handles it then tells
-    /// what has run: this box can't know, and would have to call an order unknown that nobody has begun.
-    async fn run_until_end(&mut self) -> RunEnd {
-        let stopping = self.context.stopping.clone();
-        let asked_to_end = self.asked_to_end.clone();
-        let peer_part = self.peer_part.clone();
-        let mut attempts = std::pin::pin!(self.run_attempts());
-        let process_ends = std::pin::pin!(stopping.wait_ending());
-        let peer_asks = std::pin::pin!(wait_asked(asked_to_end));
-        match select(attempts.as_mut(), select(process_ends, peer_asks)).await {
-            Either::Left((answer, _)) => RunEnd::Answered(answer),
-            Either::Right(_) if peer_part.ask_to_end() => {
-                let answer = async_std::future::timeout(PEER_RESULT_TIME, attempts).await;
-                RunEnd::EndedEarly(answer.ok())
-            }
-            Either::Right(_) => RunEnd::EndedEarly(None),
-        }
-    }
-
-    /// Returns the answer to a request that is still open when it is ended early.
-    fn end_early(&mut self) -> CallerAnswer {
-        // The open attempts were dropped, and their targets may complete them. So may those of a peer.
-        for _ in 0..std::mem::take(&mut self.open_attempts) {
-            self.record_possible_run();
-        }
-        if self.peer_part.is_open() {
-            self.record_possible_runs_at_peer();
-        }
-        self.give_up_stopping(self.end_reason())
-    }
-
-    /// Returns whether the request is to be ended early.
-    fn is_ending(&self) -> bool {
-        self.context.stopping.is_ending() || self.is_asked_to_end()
-    }
-
-    fn is_asked_to_end(&self) -> bool {
-        self.asked_to_end.as_ref().is_some_and(ReadyLatch::is_open)
-    }
-
-    /// Returns why the request is ended early.
-    fn end_reason(&self) -> &'static str {
-        if self.is_asked_to_end() { PEER_ENDS } else { BOX_ENDS }
-    }
-
     /// Makes attempts one after the other until an answer is decided.
     async fn run_attempts(&mut self) -> CallerAnswer {
         let mut ticket: Option<QueueTicket> = None;
@@ -640,14 +584,6 @@
     plan.homes.as_deref().map_or(HomeRegions::Any, HomeRegions::Only)
 }
 
-/// Waits until the peer that passed a request on wants it ended; without an end if no peer did.
-async fn wait_asked(asked_to_end: Option<ReadyLatch>) {
-    match asked_to_end {
-        Some(latch) => latch.wait_open().await,
-        None => futures::future::pending().await,
-    }
-}
-
 /// Waits for the end of one of the `running` attempts, or until a hedge is due.
 async fn next_event<F>(running: &mut FuturesUnordered<F>, hedge_at: Option<Instant>) -> RaceEvent
 where
