--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -168,9 +168,10 @@
     /// Returns an error if a process can't be started or signalled.
     pub fn run_plan(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.started = Instant::now();
-        let parts =
-            [&plan.faults, &plan.notices, &plan.limits, &plan.returns, &plan.cuts, &plan.cut_stops];
-        for (at, fault) in parts.into_iter().flatten() {
+        for (at, fault) in [&plan.faults, &plan.notices, &plan.limits, &plan.returns, &plan.cuts]
+            .into_iter()
+            .flatten()
+        {
             self.schedule_at(*at, DriverStep::Begin(*fault));
         }
         while !self.schedule.is_empty() || !self.all_running() || self.started.elapsed() < time {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -92,8 +92,6 @@
     pub returns: Vec<(Duration, PlannedFault)>,
     /// Boxes that lose their paths to the targets, with the times at which that begins.
     pub cuts: Vec<(Duration, PlannedFault)>,
-    /// Boxes that lose their paths and are then stopped while all targets are slow, with the times of each step.
-    pub cut_stops: Vec<(Duration, PlannedFault)>,
     /// Poison requests.
     pub poison_rounds: Vec<PoisonRound>,
 }
@@ -128,10 +126,7 @@
 /// Times per second of faults at which boxes lose their paths to all targets.
 const CUTS_PER_S: f64 = 0.1;
 const CUT_SEED: u64 = 0x0c07;
-/// Boxes per second of faults that lose their paths and are then stopped while all targets are slow.
-const CUT_STOPS_PER_S: f64 = 0.1;
-const CUT_STOP_SEED: u64 = 0x57cc;
-/// Poison requests, like notices, limits, returns, cuts and stops within cuts, are drawn from a random source of their own, so that
+/// Poison requests, like notices, limits, returns and cuts, are drawn from a random source of their own, so that
 /// adding them left the other faults of each seed unchanged.
 const POISON_SEED: u64 = 0xdead;
 
@@ -159,8 +154,8 @@
         faults.sort_by_key(|(at, _)| *at);
         let (notices, poison_rounds) = (draw_notices(seed, size), draw_poison_rounds(seed, size));
         let (limits, returns) = (draw_limits(seed, size), draw_returns(seed, size));
-        let (cuts, cut_stops) = (draw_cuts(seed, size), draw_cut_stops(seed, size));
-        FaultPlan { faults, notices, limits, returns, cuts, cut_stops, poison_rounds }
+        let cuts = draw_cuts(seed, size);
+        FaultPlan { faults, notices, limits, returns, cuts, poison_rounds }
     }
 }
 
@@ -264,31 +259,6 @@
     (0..count).map(&mut draw).collect()
 }
 
-fn draw_cut_stops(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
-    let mut random = StdRng::seed_from_u64(seed ^ CUT_STOP_SEED);
-    let count = (size.time.as_secs_f64() * CUT_STOPS_PER_S).ceil() as usize;
-    let mut steps = Vec::new();
-    for _ in 0..count {
-        let cut_at = size.time.mul_f64(random.random());
-        let index = random.random_range(0..size.boxes);
-        // By then the box has its requests handled by peers.
-        let stopped_at = cut_at + Duration::from_millis(random.random_range(2000..4000));
-        // What comes from then on may still be open at the end of the stop.
-        let slow_at = stopped_at + Duration::from_millis(random.random_range(0..2500));
-        let slow = TargetMode::Slow(random.random_range(10.0..40.0));
-        let cut = PlannedFault::CutBoxes(
-            CutScope::One(index),
-            RelayMode::Silent,
-            Duration::from_millis(random.random_range(9_000..12_000)),
-        );
-        steps.extend([(cut_at, cut), (stopped_at, PlannedFault::StopBox(index))]);
-        let slow_time = Duration::from_millis(random.random_range(2000..5000));
-        let slowed = (0..size.targets).map(|target| PlannedFault::Target(target, slow, slow_time));
-        steps.extend(slowed.map(|fault| (slow_at, fault)));
-    }
-    steps
-}
-
 fn draw_poison_rounds(seed: u64, size: &PlanSize) -> Vec<PoisonRound> {
     let mut random = StdRng::seed_from_u64(seed ^ POISON_SEED);
     let count = (size.time.as_secs_f64() * POISON_ROUNDS_PER_S).ceil() as usize;
