--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -3,6 +3,9 @@
 //! The box offers a relay on the exchange port, both ends prove that they have the fleet key, and the box sends a
 //! [`RelayRequest`]. After an accepting [`RelayDecision`] it sends the request as HTTP, and the peer answers with a
 //! [`RelayResult`] and the answer as HTTP. Until the decision the peer has nothing that it could run.
+//!
+//! A box that is ending closes its direction of the connection, which asks the peer to end the request at once and to send
+//! the result: what may have run by then.
 
 use prost::Message;
 
