Tests: a target at which requests are held back is made in one place

Change: start_cold and release_late of the stand-in; relays_in_stops.rs has no parameter for the one stop time that it uses. Assertions are as before.

--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -73,6 +73,8 @@
 pub const POISON_PATH_PART: &str = "deadly";
 /// Time after which [`Script::GoodInUsualTime`] answers.
 const USUAL_TIME: Duration = Duration::from_millis(40);
+/// Time of a late answer, long enough for a box to hold back what would wait for several of them.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(700);
 /// Length in bytes of the body of a long answer.
 pub const LONG_ANSWER_BYTES: usize = 2 << 20;
 /// Length in bytes of the part that is sent of a long answer that does not complete.
@@ -159,6 +161,21 @@
         }
     }
 
+    /// Starts a target that answers its first request once the test calls [`TargetStandin::release_late`]. From then on a
+    /// box holds back what it would send there.
+    pub fn start_cold(id: &str, service: &str) -> TargetStandin {
+        let mut target = TargetStandin::start(id, service, Script::WaitsForRelease);
+        // Cold from its start, so that each request is expected to wait there for long.
+        target.entry.cold_time = Duration::from_secs(1000);
+        target
+    }
+
+    /// Lets the request that waits continue after [`LATE_ANSWER_TIME`], which becomes the typical time of the target.
+    pub fn release_late(&self) {
+        thread::sleep(LATE_ANSWER_TIME);
+        self.release();
+    }
+
     /// Returns the received requests, each with head and body.
     pub fn requests(&self) -> Vec<String> {
         lock(&self.received).iter().map(|received| received.text.clone()).collect()
--- a/crates/gateway/tests/home_regions.rs
+++ b/crates/gateway/tests/home_regions.rs
@@ -147,9 +147,7 @@
 #[test]
 fn relayed_request_keeps_its_homes_when_the_configuration_of_its_peer_changes() {
     let store = StoreStandin::default();
-    let mut home = TargetStandin::start("home", "service", Script::WaitsForRelease);
-    // Cold from its start, so that each order is expected to wait there for long.
-    home.entry.cold_time = Duration::from_secs(1000);
+    let home = TargetStandin::start_cold("home", "service");
     let mut abroad = TargetStandin::start("abroad", "service", Script::Good);
     abroad.entry.data_centre = "elsewhere".into();
     let orders = || route("r", "service", RouteKind::AtMostOnce);
@@ -166,9 +164,7 @@
         thread::sleep(Duration::from_millis(100));
         !home.requests().is_empty()
     });
-    // The typical time of the target becomes the duration of this answer.
-    thread::sleep(Duration::from_millis(700));
-    home.release();
+    home.release_late();
     let reply = first.and_then(|relay| relay.reply(SOON)).expect("a result");
     assert_eq!(reply.result.outcome(), RelayOutcome::Answered, "{reply:?}");
     let mut relay = RelayCaller::offer(gateway.host(), &order_for_home()).expect("it agrees");
--- a/crates/gateway/tests/lifecycle.rs
+++ b/crates/gateway/tests/lifecycle.rs
@@ -148,18 +148,14 @@
 /// A request that was queued for a saturated service was interrupted by the end of the process.
 #[test]
 fn stopping_box_does_not_queue_requests() {
-    let mut target = TargetStandin::start("t", "service", Script::WaitsForRelease);
-    // Cold from its start, so that each request is expected to wait there for long.
-    target.entry.cold_time = Duration::from_secs(1000);
+    let target = TargetStandin::start_cold("t", "service");
     let store = store_with(&[&target]);
     let gateway = BoxUnderTest::start(store.port(true), &[]);
     gateway.wait_ready();
     let mut caller = gateway.connect();
     caller.send("GET", "/r/x", "", "");
     eventually("the target has the request", || target.requests().len() == 1);
-    // The typical time of the target becomes the duration of this answer.
-    thread::sleep(Duration::from_millis(700));
-    target.release();
+    target.release_late();
     assert_eq!(caller.read().expect("an answer").status, 200);
     gateway.begin_stop();
     eventually("the box is not ready", || !gateway.is_ready());
--- a/crates/gateway/tests/relays_in_stops.rs
+++ b/crates/gateway/tests/relays_in_stops.rs
@@ -20,12 +20,12 @@
 /// Time for an answer that is there already.
 const SOON: Duration = Duration::from_secs(5);
 
-fn start(target: &TargetStandin, stop_time: Duration) -> BoxUnderTest {
+fn start(target: &TargetStandin) -> BoxUnderTest {
     let store = StoreStandin::default();
     store.put_config(config(1, vec![route("orders", "orders", RouteKind::AtMostOnce)]));
     store.put_targets(vec![target.entry.clone()]);
     let gateway = BoxUnderTest::start_with(store.port(true), &[], |settings| {
-        settings.stop_time = stop_time;
+        settings.stop_time = STOP_TIME;
     });
     gateway.wait_ready();
     gateway
@@ -96,7 +96,7 @@
 
 fn check_stop(case: &StopCase) {
     let target = TargetStandin::start("t", "orders", Script::Hangs);
-    let gateway = start(&target, STOP_TIME);
+    let gateway = start(&target);
     // It keeps the box from ending before its time.
     let mut open = gateway.connect();
     open.send("GET", "/orders/open", "", "");
@@ -169,20 +169,18 @@
 #[test]
 fn peer_that_is_asked_to_end_tells_what_has_run() {
     for case in END_CASES {
-        let mut target = TargetStandin::start("t", "orders", Script::WaitsForRelease);
-        if case.is_full {
-            // Cold from its start, so that each order is expected to wait there for long.
-            target.entry.cold_time = Duration::from_secs(1000);
-        }
-        let gateway = start(&target, STOP_TIME);
+        let target = match case.is_full {
+            true => TargetStandin::start_cold("t", "orders"),
+            false => TargetStandin::start("t", "orders", Script::WaitsForRelease),
+        };
+        let gateway = start(&target);
         let mut before = gateway.connect();
         before.send("GET", "/orders/before", "", "");
         eventually("the target has the request", || target.requests().len() == 1);
-        if case.is_full {
-            // The typical time of the target becomes the duration of this answer.
-            thread::sleep(Duration::from_millis(700));
+        match case.is_full {
+            true => target.release_late(),
+            false => target.release(),
         }
-        target.release();
         assert_eq!(before.read().expect("an answer").status, 200, "{}", case.name);
         target.set_script(case.script);
         let mut relay = RelayCaller::offer(gateway.host(), &order(LONG_TIME)).expect("it agrees");
