--- a/review/standins-2/src/cases/pipelines.rs
+++ b/review/standins-2/src/cases/pipelines.rs
@@ -20,12 +20,16 @@
 const PACK_WORK: Duration = Duration::from_millis(190);
 const LOOKUP_WORK: Duration = Duration::from_millis(320);
 const DEADLINE: Duration = Duration::from_secs(5);
-/// Pairs of requests that each client's connection carries in a second.
-const CLIENTS: usize = 16;
+const CLIENTS: usize = 40;
 const PAUSE: Duration = Duration::from_millis(400);
 const RUN_TIME: Duration = Duration::from_secs(70);
-/// The disruption: the part of the answers that a garbling instance breaks off, one in this many.
+/// The disruption: this many of six instances break off one in so many of their answers, in spans of this length that
+/// begin so far apart.
+const GARBLING_INSTANCES: usize = 2;
 const GARBLED_ONE_IN: u64 = 50;
+const SPANS: usize = 7;
+const SPAN: Duration = Duration::from_millis(5500);
+const SPAN_DISTANCE: Duration = Duration::from_millis(9500);
 /// Times that the rule allows.
 const MAX_TIMES: usize = 3;
 
@@ -46,8 +50,7 @@
             if !work_for(connection, PACK_WORK) {
                 return false;
             }
-            // Half of the instances garble.
-            let breaks_off = index % 2 == 0
+            let breaks_off = index < GARBLING_INSTANCES
                 && garbles.load(Ordering::Acquire)
                 && count.fetch_add(1, Ordering::AcqRel).is_multiple_of(GARBLED_ONE_IN);
             if breaks_off {
@@ -85,14 +88,21 @@
     let contracts = "base,drain,config,cost,retry,recover,health,pool,platform";
     let fleet = Fleet::start(&["tatry-a", "tatry-b"], store.address, contracts, &run.logs)?;
     thread::sleep(Duration::from_secs(4));
-    garbles.store(run.trouble, Ordering::Release);
-    run.record.add(format!(
-        "three of the six instances of mapy break off one in {GARBLED_ONE_IN} of their answers: {}",
-        run.trouble
-    ));
     let until = Instant::now() + RUN_TIME;
     let lost: Vec<usize> = thread::scope(|scope| {
         let record = &run.record;
+        scope.spawn(|| {
+            for _ in 0..if run.trouble { SPANS } else { 0 } {
+                garbles.store(true, Ordering::Release);
+                record.add(format!(
+                    "two of six instances of mapy break off one in {GARBLED_ONE_IN} answers"
+                ));
+                thread::sleep(SPAN);
+                garbles.store(false, Ordering::Release);
+                record.add("all instances answer whole".to_string());
+                thread::sleep(SPAN_DISTANCE - SPAN);
+            }
+        });
         let handles: Vec<_> = (0..CLIENTS)
             .map(|client| {
                 let (runs, front) = (Arc::clone(&runs), fleet.boxes[client % 2].front);
