Store: the line of a poll tells which configuration was held, and how fresh it counted

Cause: news-read named the revision polled from alone, so that a box which confirms a configuration that it lacks can't be told from one that was never told of it. Change: the line has the held configuration, its age before the poll, and whether one came. Result: cargo test of the gateway builds; no behaviour changed.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -253,10 +253,17 @@
             log::info!(after:%, era = after.era; "history-forgotten");
             return Ok(false);
         };
+        let (held, config_age) = {
+            let view = self.context.view();
+            (view.config_id(), view.config_as_of().map(|as_of| as_of.elapsed()))
+        };
         log::info!(
             revision:% = changes.revision, era = changes.revision.era, after:%,
-            written = changes.written.len(),
-            gone = changes.removed.len(), taken_ms = millis(started_at.elapsed());
+            written = changes.written.len(), gone = changes.removed.len(),
+            with_config = changes.config.is_some(),
+            held_config:% = held.revision, held_version = held.version,
+            config_age_ms = config_age.map_or(0, millis),
+            taken_ms = millis(started_at.elapsed());
             "news-read"
         );
         self.context.apply_changes(*changes, self.context.corrected_time(sample));
