Configurations: what a box knows of a newer one goes before what a peer takes for the newest

What callers saw: a box, or all of a data centre, kept an older configuration for as long as one peer confirmed it, though another data centre had told of the newer one. Cause: confirmations made the configuration's age small, and boxes of other data centres are asked only once it is large. Change: while a newer configuration is known, no peer confirms the one that is held; and after the time in which the first two readers of the own data centre read, a box that knows of a newer one asks whoever has it.

--- a/crates/gateway/src/change_budget.rs
+++ b/crates/gateway/src/change_budget.rs
@@ -106,6 +106,12 @@
         self.part(REMOTE_SHARE)
     }
 
+    /// Returns the time for which a newer configuration that only boxes of other data centres have reported is
+    /// left to the first two readers of the own data centre.
+    pub(crate) fn remote_wait(self) -> Duration {
+        self.read_age(1, 1.0)
+    }
+
     fn part(self, share: f64) -> Duration {
         self.total.mul_f64(share)
     }
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -176,13 +176,12 @@
 
     /// Fetches a newer configuration from a seeder; returns `None` if no seeder is known.
     async fn fetch_from_seeder(&mut self) -> Option<ConfigFetch> {
-        let allow_remote = self
-            .context
-            .config_age()
-            .is_none_or(|age| age >= self.context.budget.remote_fetch_age());
+        let budget = self.context.budget;
+        let is_old = self.context.config_age().is_none_or(|age| age >= budget.remote_fetch_age());
         let (host, id) = {
             let newer = self.context.newer_config();
-            let (_, id) = newer.pending()?;
+            let (learned_at, id) = newer.pending()?;
+            let allow_remote = is_old || learned_at.elapsed() >= budget.remote_wait();
             (newer.choose_seeder(allow_remote)?, id)
         };
         let fetched = fetch_config(&self.context, host).await;
--- a/crates/gateway/src/gossip/heartbeats.rs
+++ b/crates/gateway/src/gossip/heartbeats.rs
@@ -237,7 +237,10 @@
             StoreRevision { era: version.config_through_era, number: version.config_through };
         let (is_wanted, held) = {
             let mut known = self.context.view();
-            known.confirm_config(config_revision, through, config_as_of);
+            // A peer that takes the configuration held here for the newest is wrong if another one has a newer one.
+            if self.context.newer_config().pending().is_none() {
+                known.confirm_config(config_revision, through, config_as_of);
+            }
             (known.wants_config(config), known.config_id())
         };
         if is_wanted {
