Answers: a status outside 100 to 599 is no answer

Cause: RawResponseHead::parse took any three digits. Change: a head whose status HTTP doesn't define is malformed; the caller gets 502, as for other bytes that are no answer. Evidence: answers_with_an_impossible_status_are_not_passed_on, failed before ("left: 000, right: 502") and passes; 418 and 599 still pass. The store's client goes on through http-types and needs 200, so that nothing is read there.

--- /dev/null
+++ b/crates/gateway/tests/invalid_answers.rs
@@ -0,0 +1,85 @@
+//! Bytes from targets that are no answer, or no complete one: callers never get them as an answer.
+
+mod harness;
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+
+use harness::{BoxUnderTest, StoreStandin, config, entry, own_host, route};
+use wingbridge_gateway::routes::RouteKind;
+
+/// Header lines of a valid answer to a request of a caller stand-in.
+const VALID: &str = "X-Id: id-1\r\nX-Proof: p\r\n";
+
+struct StatusCase {
+    status: &'static str,
+    passed_on: bool,
+}
+
+const STATUSES: &[StatusCase] = &[
+    StatusCase { status: "000", passed_on: false },
+    StatusCase { status: "001", passed_on: false },
+    StatusCase { status: "099", passed_on: false },
+    StatusCase { status: "600", passed_on: false },
+    StatusCase { status: "700", passed_on: false },
+    StatusCase { status: "999", passed_on: false },
+    StatusCase { status: "200", passed_on: true },
+    StatusCase { status: "418", passed_on: true },
+    StatusCase { status: "599", passed_on: true },
+];
+
+#[test]
+fn answers_with_an_impossible_status_are_not_passed_on() {
+    for case in STATUSES {
+        let line =
+            format!("HTTP/1.1 {} Fine\r\n{VALID}Content-Length: 5\r\n\r\nhello", case.status);
+        let gateway = gateway_before(RouteKind::AtMostOnce, move |stream| {
+            read_head(stream);
+            write(stream, line.as_bytes());
+        });
+        let reply = gateway.request("POST", "/r/x");
+        let expected = if case.passed_on { case.status } else { "502" };
+        assert_eq!(format!("{:03}", reply.status), expected, "{}", case.status);
+        assert_eq!(reply.body == "hello", case.passed_on, "{}", case.status);
+    }
+}
+
+/// Starts a box before a single target that serves each connection by `serve` and then closes it. The connection is
+/// reset if the target has not read everything.
+fn gateway_before(
+    kind: RouteKind,
+    serve: impl Fn(&mut TcpStream) + Send + Sync + 'static,
+) -> BoxUnderTest {
+    let listener = TcpListener::bind((own_host(), 0)).expect("an address of its own");
+    let address = listener.local_addr().expect("a bound socket").to_string();
+    thread::spawn(move || {
+        // Ends with the process, as the test's targets do.
+        for stream in listener.incoming() {
+            serve(&mut stream.expect("a connection"));
+        }
+    });
+    let store = StoreStandin::default();
+    store.put_config(config(1, vec![route("r", "service", kind)]));
+    store.put_targets(vec![entry("t", "service", &address)]);
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    gateway.wait_ready();
+    gateway
+}
+
+/// Reads the head of a request, and of its body only what comes with it.
+fn read_head(stream: &mut TcpStream) {
+    let mut bytes = Vec::new();
+    while !bytes.windows(4).any(|window| window == b"\r\n\r\n") {
+        let mut chunk = [0; 1024];
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
+
+/// Writes to the box, which may have closed. Returns whether it has not.
+fn write(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+    stream.write_all(bytes).is_ok()
+}
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -7,6 +7,9 @@
 /// Maximum number of header lines in a message.
 const MAX_HEADERS: usize = 256;
 
+/// Status codes that HTTP defines (RFC 9110, section 15); others are no answer in the protocol.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
+
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 pub const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -242,6 +245,9 @@
         };
         let headers = HeaderList::read(response.headers);
         let status = response.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(malformed(format!("{status:03} is no status code")));
+        }
         let framing = headers.framing()?;
         let bodiless =
             method == "HEAD" || (100..200).contains(&status) || matches!(status, 204 | 304);
