Answers: a connection whose write failed has no clean end

Cause: the system reports a reset once. If the write meets it, the next read gets what looks like a clean end, and an answer without a length is complete at that. Change: a reader has a record of failed writes to its connection; once one is recorded, the end of the stream is a reset to it. Attempts and relays record it. Cost: an answer without a length whose target closes cleanly before it has read all of the request counts as incomplete if a write fails before its end is read. Answers of peers always have a length or chunks; the store's client reads nothing after a failed write.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,6 +142,7 @@
     let _unread =
         UnreadHead { stream: stream.clone(), method: &request.method, notices: &plan.notices };
     let mut reader = RawReader::new(stream.clone());
+    let write_failure = reader.write_failure();
     let answer = {
         let write = std::pin::pin!(send_request(&mut stream, &bytes, request));
         let read = std::pin::pin!(read_answer(&mut reader, request, &plan.notices));
@@ -149,8 +150,12 @@
             Either::Left((SendResult::CallerDisconnected, _)) => {
                 return AttemptResult::CallerDisconnected;
             }
+            Either::Left((SendResult::Complete, read)) => read.await,
             // A target may answer before it has read the request completely, and then stop reading.
-            Either::Left((SendResult::Complete | SendResult::ConnectionFailed, read)) => read.await,
+            Either::Left((SendResult::ConnectionFailed, read)) => {
+                write_failure.record();
+                read.await
+            }
             Either::Right((answer, _)) => answer,
         }
     };
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -136,23 +136,33 @@
 /// Sends the request and reads the answer.
 async fn exchange(stream: &mut TcpStream, request: &OutgoingRequest) -> RelayEnd {
     let bytes = encode_request(request, |_| {});
-    let reading = stream.clone();
+    let reader = RawReader::new(stream.clone());
+    let write_failure = reader.write_failure();
+    let result_stream = stream.clone();
     let write = std::pin::pin!(send_request(stream, &bytes, request));
-    let read = std::pin::pin!(read_relayed(reading, &request.method));
+    let read = std::pin::pin!(read_relayed(result_stream, reader, &request.method));
     let answer = match select(write, read).await {
         Either::Left((SendResult::CallerDisconnected, _)) => {
             return RelayEnd::Broken("its caller left before all of it had come".to_string());
         }
-        Either::Left((SendResult::Complete | SendResult::ConnectionFailed, read)) => read.await,
+        Either::Left((SendResult::Complete, read)) => read.await,
+        Either::Left((SendResult::ConnectionFailed, read)) => {
+            write_failure.record();
+            read.await
+        }
         Either::Right((answer, _)) => answer,
     };
     answer.unwrap_or_else(|error| RelayEnd::Broken(error.to_string()))
 }
 
-async fn read_relayed(mut stream: TcpStream, method: &str) -> Result<RelayEnd, WireError> {
+/// Reads the peer's result from `stream`, and its answer by `reader`, which is of the same connection.
+async fn read_relayed(
+    mut stream: TcpStream,
+    mut reader: RawReader<TcpStream>,
+    method: &str,
+) -> Result<RelayEnd, WireError> {
     let result: RelayResult = receive_exact(&mut stream, MAX_MESSAGE_BYTES).await?;
     let broken = |error| WireError::new(ErrorKind::Io, format!("{error}"));
-    let mut reader = RawReader::new(stream);
     let head = reader.read_response_head(method, MAX_HEAD_BYTES).await.map_err(broken)?;
     let partial = read_answer_body(&mut reader, &head).await.map_err(broken)?;
     let totals =
--- a/crates/gateway/tests/invalid_answers.rs
+++ b/crates/gateway/tests/invalid_answers.rs
@@ -6,9 +6,13 @@
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 
-use harness::{BoxUnderTest, StoreStandin, config, entry, own_host, route};
+use harness::{BoxUnderTest, CallerReply, StoreStandin, config, entry, own_host, route};
 use wingbridge_gateway::routes::RouteKind;
 
+/// Length of an upload that is still being written when its answer comes.
+const UPLOAD_BYTES: usize = 6 << 20;
+/// Uploads of which none may get a part of an answer: whether a write or a read meets the reset is decided anew in each.
+const UPLOADS: usize = 20;
 /// Header lines of a valid answer to a request of a caller stand-in.
 const VALID: &str = "X-Id: id-1\r\nX-Proof: p\r\n";
 
@@ -45,6 +49,19 @@
     }
 }
 
+/// A reset is reported once. A write that met it left the read with what looks like a clean end, and an answer without a
+/// length then counted as complete.
+#[test]
+fn answer_without_a_length_that_is_reset_within_an_upload_is_not_complete() {
+    let gateway = gateway_before(RouteKind::Upload, |stream| {
+        read_head(stream);
+        write(stream, format!("HTTP/1.1 200 Fine\r\n{VALID}\r\nhel").as_bytes());
+    });
+    let replies: Vec<Option<CallerReply>> = (0..UPLOADS).map(|_| upload(&gateway)).collect();
+    let taken = replies.iter().flatten().filter(|reply| reply.status == 200 && reply.complete);
+    assert_eq!(taken.count(), 0, "parts that callers got as complete answers, of {UPLOADS}");
+}
+
 /// Starts a box before a single target that serves each connection by `serve` and then closes it. The connection is
 /// reset if the target has not read everything.
 fn gateway_before(
@@ -83,3 +100,9 @@
 fn write(stream: &mut TcpStream, bytes: &[u8]) -> bool {
     stream.write_all(bytes).is_ok()
 }
+
+fn upload(gateway: &BoxUnderTest) -> Option<CallerReply> {
+    let mut caller = gateway.connect();
+    caller.send("POST", "/r/x", "", &"x".repeat(UPLOAD_BYTES));
+    caller.read()
+}
--- a/crates/http/src/raw/reader.rs
+++ b/crates/http/src/raw/reader.rs
@@ -1,6 +1,8 @@
 //! A reader of raw messages from a connection.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures::io::{AsyncRead, AsyncReadExt};
 
@@ -16,12 +18,34 @@
 pub struct RawReader<S> {
     stream: S,
     buffer: Vec<u8>,
+    write_failure: WriteFailure,
+}
+
+/// Records that a write to the connection of a reader has failed. The system reports a reset once: if a write has met it,
+/// the next read gets what looks like a clean end.
+#[derive(Debug, Clone, Default)]
+pub struct WriteFailure(Arc<AtomicBool>);
+
+impl WriteFailure {
+    /// Records the failure: the end of the connection is a failure for the reader, too, from now on.
+    pub fn record(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    fn is_recorded(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
 }
 
 impl<S: AsyncRead + Unpin> RawReader<S> {
     /// Creates a reader of `stream` with an empty buffer.
     pub fn new(stream: S) -> RawReader<S> {
-        RawReader { stream, buffer: Vec::new() }
+        RawReader { stream, buffer: Vec::new(), write_failure: WriteFailure::default() }
+    }
+
+    /// Returns the record for the writer of the same connection.
+    pub fn write_failure(&self) -> WriteFailure {
+        self.write_failure.clone()
     }
 
     /// Returns whether the buffer holds bytes of the next message.
@@ -157,11 +181,17 @@
         }
     }
 
-    /// Reads into the buffer and returns the number of bytes, 0 at the end of the stream. The
+    /// Reads into the buffer and returns the number of bytes, 0 at a clean end of the stream. The
     /// future is cancel-safe: bytes are either in the buffer or still in the connection.
     async fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0; READ_BYTES];
         let count = self.stream.read(&mut chunk).await?;
+        if count == 0 && self.write_failure.is_recorded() {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionReset,
+                "a write had failed before",
+            ));
+        }
         self.buffer.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
