Answers: heads and trailers without end are given up at once

What callers saw: nothing until their route's time was over, while a target in trouble sent interim answers or trailers without end. Cause: interim responses were skipped without a bound, and so were trailers, of which each line had one. Change: at most 16 interim responses before a final one, in both readers, and 64 KB of trailers. Both readers take only status codes that HTTP defines. Bodies without end are not bounded by this.

--- a/crates/gateway/tests/invalid_answers.rs
+++ b/crates/gateway/tests/invalid_answers.rs
@@ -62,6 +62,47 @@
     assert_eq!(taken.count(), 0, "parts that callers got as complete answers, of {UPLOADS}");
 }
 
+struct EndlessCase {
+    name: &'static str,
+    beginning: &'static str,
+    /// What is sent again and again until the box closes.
+    part: &'static str,
+}
+
+const ENDLESS: &[EndlessCase] = &[
+    EndlessCase { name: "a status line", beginning: "HTTP/1.1 200 ", part: "Fine " },
+    EndlessCase { name: "a field", beginning: "HTTP/1.1 200 Fine\r\nX-Long: ", part: "long " },
+    EndlessCase { name: "fields", beginning: "HTTP/1.1 200 Fine\r\n", part: "X-Kept: k\r\n" },
+    EndlessCase { name: "interim answers", beginning: "", part: "HTTP/1.1 102 Still\r\n\r\n" },
+    EndlessCase {
+        name: "the size of a chunk",
+        beginning: "HTTP/1.1 200 Fine\r\nX-Id: id-1\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+        part: "name=value;",
+    },
+    EndlessCase {
+        name: "trailers",
+        beginning: "HTTP/1.1 200 Fine\r\nX-Id: id-1\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        part: "X-More: m\r\n",
+    },
+];
+
+/// Interim answers and trailers were read until the route's timeout, which is a minute here.
+#[test]
+fn endless_bytes_in_a_head_or_trailers_end_the_attempt() {
+    for case in ENDLESS {
+        let gateway = gateway_before(RouteKind::AtMostOnce, |stream| {
+            read_head(stream);
+            if write(stream, case.beginning.as_bytes()) {
+                while write(stream, case.part.repeat(1000).as_bytes()) {}
+            }
+        });
+        let mut caller = gateway.connect();
+        caller.send("POST", "/r/x", "", "");
+        let reply = caller.read().map(|reply| (reply.status, reply.body == "hello"));
+        assert_eq!(reply, Some((502, false)), "{}", case.name);
+    }
+}
+
 /// Starts a box before a single target that serves each connection by `serve` and then closes it. The connection is
 /// reset if the target has not read everything.
 fn gateway_before(
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -10,6 +10,10 @@
 
 /// Maximum number of header lines in a message; the bound of `async-h1` is 128.
 const MAX_HEADERS: usize = 100;
+/// Status codes that HTTP defines (RFC 9110, section 15); others are no answer in the protocol.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
+/// Maximum number of interim responses before a final one. Without it, a peer could send them without end.
+pub(crate) const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// Bounds on the size of a message.
 #[derive(Debug, Clone)]
@@ -114,7 +118,7 @@
             "the target does not speak HTTP/1.1",
         ));
     }
-    let status = response.code.unwrap_or_default();
+    let status = checked_status(response.code)?;
     let fields = HeaderFields::read(response.headers)?;
     let declared_length = fields.length;
     let bodiless = method == "HEAD" || status < 200 || status == 204 || status == 304;
@@ -129,6 +133,24 @@
     Ok(ResponseHead { status, framing, declared_length, keep_alive: !fields.close })
 }
 
+/// Returns the status code of a response.
+///
+/// # Errors
+/// HTTP does not define it.
+pub(crate) fn checked_status(code: Option<u16>) -> Result<u16, HttpError> {
+    let status = code.unwrap_or_default();
+    if STATUS_CODES.contains(&status) {
+        return Ok(status);
+    }
+    Err(HttpError::new(ErrorKind::Malformed, format!("{status:03} is no status code")))
+}
+
+/// Returns the error of a response that more than [`MAX_INTERIM_RESPONSES`] precede.
+pub(crate) fn too_many_interim_responses() -> HttpError {
+    let reason = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+    HttpError::new(ErrorKind::Malformed, reason)
+}
+
 /// The header fields that determine the body's length and the connection's persistence.
 #[derive(Default)]
 struct HeaderFields {
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -5,6 +5,8 @@
 /// Maximum length of a chunk-size line and of a trailer line. Longer lines have no use and
 /// would let a sender exhaust memory.
 const MAX_LINE_BYTES: usize = 8 * 1024;
+/// Maximum length of all trailers of a body. They are discarded, and could otherwise go on without end.
+const MAX_TRAILER_BYTES: usize = 64 * 1024;
 
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +35,8 @@
     ChunkLine,
     ChunkData(u64),
     ChunkEnd,
-    Trailers,
+    /// Trailers, of which this number of bytes was discarded.
+    Trailers(usize),
 }
 
 impl BodyDecoder {
@@ -108,7 +111,7 @@
                 Ok(httparse::Status::Complete((line, size))) => {
                     input.drain(..line);
                     self.state = if size == 0 {
-                        DecoderState::Trailers
+                        DecoderState::Trailers(0)
                     } else {
                         DecoderState::ChunkData(size)
                     };
@@ -124,13 +127,13 @@
                     return Err(malformed("a chunk has no end"));
                 }
             }
-            DecoderState::Trailers => self.skip_trailer(input)?,
+            DecoderState::Trailers(skipped) => self.skip_trailer(skipped, input)?,
         }
         Ok(())
     }
 
     /// Discards one trailer line: trailers are treated as hop-by-hop and not forwarded.
-    fn skip_trailer(&mut self, input: &mut Vec<u8>) -> Result<(), HttpError> {
+    fn skip_trailer(&mut self, skipped: usize, input: &mut Vec<u8>) -> Result<(), HttpError> {
         let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
             if input.len() >= MAX_LINE_BYTES {
                 return Err(malformed("a trailer is too long"));
@@ -139,9 +142,11 @@
         };
         let last = end == 0 || (end == 1 && input[0] == b'\r');
         input.drain(..=end);
-        if last {
-            self.state = DecoderState::Done;
+        let skipped = skipped + end + 1;
+        if skipped > MAX_TRAILER_BYTES {
+            return Err(malformed("the trailers are too long"));
         }
+        self.state = if last { DecoderState::Done } else { DecoderState::Trailers(skipped) };
         Ok(())
     }
 }
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -1,15 +1,12 @@
 //! Heads of requests and responses, with their headers as the sender wrote them.
 
 use crate::error::{ErrorKind, HttpError};
-use crate::head::agreed_length;
+use crate::head::{agreed_length, checked_status};
 use crate::raw::body::BodyLength;
 
 /// Maximum number of header lines in a message.
 const MAX_HEADERS: usize = 256;
 
-/// Status codes that HTTP defines (RFC 9110, section 15); others are no answer in the protocol.
-const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
-
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 pub const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -244,10 +241,7 @@
             return Ok(None);
         };
         let headers = HeaderList::read(response.headers);
-        let status = response.code.unwrap_or_default();
-        if !STATUS_CODES.contains(&status) {
-            return Err(malformed(format!("{status:03} is no status code")));
-        }
+        let status = checked_status(response.code)?;
         let framing = headers.framing()?;
         let bodiless =
             method == "HEAD" || (100..200).contains(&status) || matches!(status, 204 | 304);
--- a/crates/http/src/raw/reader.rs
+++ b/crates/http/src/raw/reader.rs
@@ -7,6 +7,7 @@
 use futures::io::{AsyncRead, AsyncReadExt};
 
 use crate::error::{ErrorKind, HttpError};
+use crate::head::{MAX_INTERIM_RESPONSES, too_many_interim_responses};
 use crate::raw::body::BodyDecoder;
 use crate::raw::head::{RawRequestHead, RawResponseHead};
 
@@ -75,13 +76,13 @@
     /// Reads the head of the final response to `method` and discards interim responses.
     ///
     /// # Errors
-    /// The head is malformed, longer than `limit` bytes, truncated or missing.
+    /// The head is malformed, longer than `limit` bytes, truncated or missing, or there are too many interim responses.
     pub async fn read_response_head(
         &mut self,
         method: &str,
         limit: usize,
     ) -> Result<RawResponseHead, HttpError> {
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.read_head(limit, |bytes| RawResponseHead::parse(bytes, method)).await?;
             let Some(head) = head else {
                 return Err(HttpError::new(ErrorKind::Truncated, "closed before an answer"));
@@ -95,6 +96,7 @@
                 _ => return Ok(head),
             }
         }
+        Err(too_many_interim_responses())
     }
 
     /// Reads part of a body and appends it to `body`; returns whether the body is complete.
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -13,7 +13,10 @@
 use http_types::{Request, Response};
 
 use crate::error::{ErrorKind, HttpError};
-use crate::head::{self, BodyFraming, MessageLimits, ResponseHead};
+use crate::head::{
+    self, BodyFraming, MAX_INTERIM_RESPONSES, MessageLimits, ResponseHead,
+    too_many_interim_responses,
+};
 use crate::memory::MemoryStream;
 
 /// Size of the read buffer, in bytes.
@@ -166,7 +169,7 @@
         method: &str,
         limits: &MessageLimits,
     ) -> Result<(ResponseHead, usize), HttpError> {
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let Some(head_end) = self.read_head(limits).await? else {
                 return Err(HttpError::new(ErrorKind::Truncated, "closed before an answer"));
             };
@@ -179,6 +182,7 @@
                 _ => return Ok((head, head_end)),
             }
         }
+        Err(too_many_interim_responses())
     }
 
     async fn unread_response(
