Soak: up to 800 targets and 250 boxes, in up to five data centres

Cause: at most 200 targets, so that no soak ever polled the store for changes (above 400 targets), and always two data centres.

--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -35,6 +35,8 @@
     /// Paths from each box to all targets.
     box_paths: ClientPaths,
     instances: u64,
+    /// Number of data centres over which the targets are spread.
+    data_centres: usize,
     config: ConfigHistory,
     /// Number of routes in each configuration that callers do not use.
     extra_routes: usize,
@@ -79,13 +81,18 @@
     ///
     /// # Errors
     /// Returns an error if no port can be bound.
-    pub fn start(targets: usize, extra_routes: usize) -> std::io::Result<SoakEnvironment> {
+    pub fn start(
+        targets: usize,
+        data_centres: usize,
+        extra_routes: usize,
+    ) -> std::io::Result<SoakEnvironment> {
         let mut environment = SoakEnvironment {
             store: StoreStandin::start("127.0.0.1")?,
             arrivals: ArrivalLog::default(),
             slots: Vec::new(),
             box_paths: ClientPaths::default(),
             instances: 0,
+            data_centres,
             config: ConfigHistory::default(),
             extra_routes,
             departures: Vec::new(),
@@ -232,7 +239,7 @@
         let spec = TargetSpec {
             id,
             service: service.to_string(),
-            data_centre: format!("centre-{}", index % 2),
+            data_centre: format!("centre-{}", index % self.data_centres),
             address: relay.address().to_string(),
             slots: SLOTS,
             started_ms: self.instances,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -39,14 +39,14 @@
 }
 
 impl BoxLocation {
-    /// Returns the location of box `index`. The address also depends on `run`, so that runs on one
-    /// machine do not collide.
-    pub fn new(run: u32, index: usize) -> BoxLocation {
+    /// Returns the location of box `index` in one of `data_centres`. The address also depends on `run`, so that runs on
+    /// one machine do not collide.
+    pub fn new(run: u32, index: usize, data_centres: usize) -> BoxLocation {
         let [high, low] = [(run >> 8) as u8 | 0x80, run as u8];
         BoxLocation {
             index,
             host: Ipv4Addr::new(127, high, low, index as u8 + 1).into(),
-            data_centre: format!("centre-{}", index % 2),
+            data_centre: format!("centre-{}", index % data_centres),
         }
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -63,8 +63,13 @@
     One(usize),
     /// All but one box.
     AllBut(usize),
-    /// The boxes of a data centre, those whose number has this remainder when divided by two.
-    DataCentre(usize),
+    /// The boxes of a data centre: those whose number has this remainder when divided by the number of data centres.
+    DataCentre {
+        /// Remainder of the numbers of its boxes.
+        remainder: usize,
+        /// Number of data centres.
+        data_centres: usize,
+    },
 }
 
 impl CutScope {
@@ -73,7 +78,7 @@
         match self {
             CutScope::One(one) => index == one,
             CutScope::AllBut(other) => index != other,
-            CutScope::DataCentre(remainder) => index % 2 == remainder,
+            CutScope::DataCentre { remainder, data_centres } => index % data_centres == remainder,
         }
     }
 }
@@ -137,6 +142,8 @@
     pub time: Duration,
     /// Number of boxes.
     pub boxes: usize,
+    /// Number of data centres.
+    pub data_centres: usize,
     /// Number of targets.
     pub targets: usize,
     /// Average number of faults per second.
@@ -240,7 +247,10 @@
         let scope = match random.random_range(0..3) {
             0 => CutScope::One(index),
             1 => CutScope::AllBut(index),
-            _ => CutScope::DataCentre(index % 2),
+            _ => {
+                let data_centres = size.data_centres;
+                CutScope::DataCentre { remainder: index % data_centres, data_centres }
+            }
         };
         let mode = match random.random_range(0..3) {
             0 => RelayMode::Silent,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -56,9 +56,11 @@
     // The seeds of one process run one after the other, so the process id separates concurrent
     // runs.
     let run = std::process::id();
-    let locations: Vec<BoxLocation> =
-        (0..settings.boxes).map(|index| BoxLocation::new(run, index)).collect();
-    let environment = SoakEnvironment::start(settings.targets, settings.routes)?;
+    let locations: Vec<BoxLocation> = (0..settings.boxes)
+        .map(|index| BoxLocation::new(run, index, settings.data_centres))
+        .collect();
+    let environment =
+        SoakEnvironment::start(settings.targets, settings.data_centres, settings.routes)?;
     let setup = BoxSetup {
         program: settings.program.clone(),
         locations: locations.clone(),
@@ -69,6 +71,7 @@
     let size = PlanSize {
         time: settings.time,
         boxes: settings.boxes,
+        data_centres: settings.data_centres,
         targets: settings.targets,
         faults_per_s: settings.faults_per_s,
     };
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -18,8 +18,10 @@
     pub seeds: u64,
     /// Time for which faults are injected.
     pub time: Duration,
-    /// Number of boxes, spread over two data centres.
+    /// Number of boxes, spread over the data centres.
     pub boxes: usize,
+    /// Number of data centres.
+    pub data_centres: usize,
     /// Number of targets, spread over three services.
     pub targets: usize,
     /// Number of concurrent callers.
@@ -46,8 +48,9 @@
         .arg(setting("seed", "First seed", "0 or more; the same seed plans the same faults.").default_value("1"))
         .arg(setting("seeds", "Number of seeds, run one after the other", "1 to 10000.").default_value("1"))
         .arg(setting("seconds", "Time for which faults are injected, in seconds", "1 to 3600.").default_value("20"))
-        .arg(setting("boxes", "Boxes", "2 to 100, in two data centres.").default_value("5"))
-        .arg(setting("targets", "Targets", "3 to 200, in three services.").default_value("9"))
+        .arg(setting("boxes", "Boxes", "2 to 250.").default_value("5"))
+        .arg(setting("data-centres", "Data centres, over which boxes and targets are spread", "1 to 5.").default_value("2"))
+        .arg(setting("targets", "Targets", "3 to 800, in three services; above 400, boxes poll the store for changes.").default_value("9"))
         .arg(setting("callers", "Number of concurrent callers", "1 to 200.").default_value("12"))
         .arg(
             setting(
@@ -83,8 +86,9 @@
         first_seed: settings::number(matches, "seed", 0..=u64::MAX / 2)?,
         seeds: settings::number(matches, "seeds", 1..=10_000)?,
         time: Duration::from_secs(settings::number(matches, "seconds", 1..=3600)?),
-        boxes: settings::number(matches, "boxes", 2..=100)? as usize,
-        targets: settings::number(matches, "targets", 3..=200)? as usize,
+        boxes: settings::number(matches, "boxes", 2..=250)? as usize,
+        data_centres: settings::number(matches, "data-centres", 1..=5)? as usize,
+        targets: settings::number(matches, "targets", 3..=800)? as usize,
         callers: settings::number(matches, "callers", 1..=200)? as usize,
         routes: settings::number(matches, "routes", 0..=5000)? as usize,
         faults_per_s: settings::number(matches, "faults", 1..=100)? as f64 / 10.0,
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -92,6 +92,7 @@
         seeds: 1,
         time: Duration::from_secs(case.seconds),
         boxes: case.boxes,
+        data_centres: 2,
         targets: case.targets,
         callers: 8,
         routes: case.routes,
@@ -128,7 +129,13 @@
 
 #[test]
 fn a_seed_always_gives_the_same_plan() {
-    let size = PlanSize { time: Duration::from_secs(60), boxes: 5, targets: 9, faults_per_s: 2.0 };
+    let size = PlanSize {
+        time: Duration::from_secs(60),
+        boxes: 5,
+        data_centres: 2,
+        targets: 9,
+        faults_per_s: 2.0,
+    };
     let first = FaultPlan::draw(5, &size).faults;
     assert_eq!(first.len(), 120);
     assert_eq!(first, FaultPlan::draw(5, &size).faults);
