Poison requests: notes in the store reach boxes that poll it for changes

What callers saw: with more than 400 targets, a request under which targets had ended was sent on by boxes that had not heard of it from peers. Cause: there are two ways to read the store, and they did not bring the same: a full listing takes the notes about poison requests, the poll of changes left them out. Change: the poll brings them, too; each is applied once.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -310,11 +310,12 @@
     /// Applies the changes written to the store after the revision `after`, which this box knew.
     pub(crate) fn apply_changes(
         &self,
-        changes: StoreChanges,
+        mut changes: StoreChanges,
         after: StoreRevision,
         as_of: Instant,
     ) {
         let revision = changes.revision;
+        self.crashes.add_notes(std::mem::take(&mut changes.crash_notes));
         let change =
             self.change_view(|cached| cached.apply_changes(changes, after, as_of, &*self.port));
         let learned_at = self.publish_config(Vec::new());
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -20,6 +20,9 @@
 /// Maximum number of requests in a note for the store, about 10 KB.
 const MAX_NOTED: usize = 64;
 
+/// Maximum number of notes that are remembered between two full reads, about four for each data centre.
+const MAX_KNOWN_NOTES: usize = 32;
+
 /// Age of a note above which its suspects no longer count. Failure episodes last some seconds, and the clocks of
 /// writer and reader may differ by a few.
 const MAX_SUSPECT_AGE: Duration = Duration::from_secs(8);
@@ -28,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct CrashTracker {
     ledger: Mutex<CrashLedger>,
-    /// Notes of the last read of the store. Most reads return the same ones.
+    /// Notes of the last full read of the store, and those that polls brought since then. Most reads return the same ones.
     notes: Mutex<Vec<Vec<u8>>>,
     started: Instant,
 }
@@ -94,25 +97,46 @@
             return suspects;
         }
         for note in notes.iter().filter(|note| !known.contains(note)) {
-            let note = match CrashNote::decode(&**note) {
-                Ok(note) => note,
-                Err(error) => {
-                    log::warn!(reason:% = error; "crash-note-malformed");
-                    continue;
-                }
-            };
-            let age_ms = unix_millis().saturating_sub(note.written_ms);
-            if age_ms <= millis(MAX_SUSPECT_AGE) {
-                suspects.extend(note.suspects.into_iter().map(TargetKey));
-            }
-            let aged: Vec<CrashRecord> =
-                note.crashes.into_iter().map(|record| with_age_added(record, age_ms)).collect();
-            self.merge_records(&aged, "store");
+            suspects.extend(self.apply_note(note));
         }
         *known = notes;
         suspects
     }
 
+    /// Applies the notes that were written to the store since the last read. Their suspects are for boxes that start.
+    pub(crate) fn add_notes(&self, notes: Vec<Vec<u8>>) {
+        let mut known = lock(&self.notes);
+        for note in notes {
+            if known.contains(&note) {
+                continue;
+            }
+            self.apply_note(&note);
+            if known.len() >= MAX_KNOWN_NOTES {
+                known.remove(0);
+            }
+            known.push(note);
+        }
+    }
+
+    /// Merges the crashes of a note. Returns its suspects, unless they are too old.
+    fn apply_note(&self, note: &[u8]) -> Vec<TargetKey> {
+        let note = match CrashNote::decode(note) {
+            Ok(note) => note,
+            Err(error) => {
+                log::warn!(reason:% = error; "crash-note-malformed");
+                return Vec::new();
+            }
+        };
+        let age_ms = unix_millis().saturating_sub(note.written_ms);
+        let aged: Vec<CrashRecord> =
+            note.crashes.into_iter().map(|record| with_age_added(record, age_ms)).collect();
+        self.merge_records(&aged, "store");
+        if age_ms > millis(MAX_SUSPECT_AGE) {
+            return Vec::new();
+        }
+        note.suspects.into_iter().map(TargetKey).collect()
+    }
+
     /// Returns the note for the store: a version, which changes with the set of refused requests or the number of
     /// their crashes, and the encoded records of the refused requests with the targets that are `suspects` now.
     pub(crate) fn encode_note(&self, suspects: &[TargetKey]) -> (u64, Vec<u8>) {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -89,6 +89,8 @@
     pub restored: Vec<Name>,
     /// The new configuration, if it was written.
     pub config: Option<ConfigText>,
+    /// Encoded notes about poison requests that were written.
+    pub crash_notes: Vec<Vec<u8>>,
 }
 
 /// The result of polling the store for a change of the configuration after a revision.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -381,7 +381,16 @@
         as_of: Instant,
         port: &dyn EnvironmentPort,
     ) -> ViewChange {
-        let StoreChanges { revision, written, removed, evacuated, restored, config } = changes;
+        // The caller has already applied the crash notes.
+        let StoreChanges {
+            revision,
+            written,
+            removed,
+            evacuated,
+            restored,
+            config,
+            crash_notes: _,
+        } = changes;
         if revision < self.revision {
             return ViewChange::outdated();
         }
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -63,6 +63,8 @@
     bootstrap_addresses: Vec<IpAddr>,
     /// Crash notes by data centre.
     crash_notes: BTreeMap<String, Vec<u8>>,
+    /// Revisions at which the crash notes were written.
+    note_revisions: BTreeMap<String, StoreRevision>,
     reads: usize,
     config_reads: usize,
     config_polls: usize,
@@ -165,6 +167,11 @@
         lock(&self.state).crash_notes.len()
     }
 
+    /// Returns the crash notes in the store.
+    pub fn notes(&self) -> Vec<Vec<u8>> {
+        lock(&self.state).crash_notes.values().cloned().collect()
+    }
+
     /// Returns the number of bootstrap addresses in the store.
     pub fn bootstrap_addresses(&self) -> usize {
         lock(&self.state).bootstrap_addresses.len()
@@ -327,6 +334,11 @@
             let written = last.into_values().flatten().collect();
             let config = state.view.config.clone().filter(|text| text.revision > after);
             let evacuated = state.view.evacuated.clone();
+            let is_new = |(centre, _): &(&String, &Vec<u8>)| {
+                state.note_revisions.get(*centre).is_some_and(|written| *written > after)
+            };
+            let notes = state.crash_notes.iter().filter(is_new);
+            let crash_notes = notes.map(|(_, note)| note.clone()).collect();
             let revision = state.view.revision;
             let changes = StoreChanges {
                 revision,
@@ -334,6 +346,7 @@
                 removed,
                 evacuated,
                 config,
+                crash_notes,
                 ..Default::default()
             };
             StorePoll::Changed(Box::new(changes))
@@ -388,6 +401,7 @@
         let written = self.access(|state| {
             state.crash_notes.insert(data_centre.to_string(), note.to_vec());
             state.view.revision.number += 1;
+            state.note_revisions.insert(data_centre.to_string(), state.view.revision);
             state.view.crash_notes = state.crash_notes.values().cloned().collect();
         });
         Box::pin(async { written })
--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -13,8 +13,9 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::task;
 use harness::{
-    BoxUnderTest, POISON_PATH_PART, Script, StoreStandin, TargetStandin, config, eventually,
+    BoxUnderTest, POISON_PATH_PART, Script, StoreStandin, TargetStandin, config, entry, eventually,
     header, route,
 };
 use wingbridge_gateway::routes::RouteKind;
@@ -24,6 +25,9 @@
 /// Maximum number of poison requests that may reach targets after that time.
 const MAX_LATE_SENDS: usize = 3;
 
+/// Number of targets above which boxes poll the store for changes, with a margin.
+const LONG_LISTING: usize = 700;
+
 /// Targets of two data centres and boxes in both.
 struct World {
     store: StoreStandin,
@@ -164,6 +168,30 @@
     assert_eq!(world.sends_by_all(), 0, "more sends");
 }
 
+/// A box that polls the store for changes got no notes about poison requests: only full reads brought them.
+#[test]
+fn boxes_that_poll_the_store_learn_of_poison_requests() {
+    let elsewhere = World::start(1, 8, Script::CrashesOnPoison);
+    elsewhere.end_three_targets();
+    eventually("the poison request is noted", || elsewhere.store.crash_notes() > 0);
+    let world = World::start(0, 8, Script::CrashesOnPoison);
+    let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
+    let unused = |number| entry(&format!("n{number:05}"), "unused", &address(number));
+    let targets = world.targets.iter().map(|target| target.entry.clone());
+    world.store.put_targets(targets.chain((0..LONG_LISTING).map(unused)).collect());
+    let gateway = BoxUnderTest::start(world.store.port(true), &[]);
+    gateway.wait_ready();
+    eventually("the store is polled", || world.store.change_polls() > 0);
+    for note in elsewhere.store.notes() {
+        let port = world.store.port(true);
+        task::block_on(port.write_crash_note("elsewhere", &note)).expect("the store is there");
+    }
+    let polls = world.store.change_polls();
+    eventually("the note is read", || world.store.change_polls() > polls + 1);
+    assert_eq!(gateway.request("GET", "/r/deadly").status, 503);
+    assert_eq!(world.poison_sends(), 0, "it reaches no target");
+}
+
 /// A waiting request was checked when it arrived, but not again before it was sent.
 #[test]
 fn waiting_request_is_checked_again_before_it_is_sent() {
