Store: full listings come in time, and no poll grows with the absence that it covers

Cause: (1) a box that takes over the reads began its period of 12 s anew, so that a reader that changes often never listed all; (2) a poll covers all that was written since the box last read, heartbeats of targets included: after an absence it could take longer than its 1.5 s, fail, and cover more the next time; (3) the first read of a box that had a listing from a peer was a poll, which lacks the notes that were in the store before. Change: when a full listing is due is decided in listing_schedule.rs; at a take-over the time within the period is drawn. Views older than 5 s are read in full. The first read is a full one. Evidence: full_listings_come_in_time_however_often_the_reader_changes (75 are due in 300 series of 3 s; by the rule before, none comes: no series lasts 12 s); a_long_listing_is_read_in_full_after_a_long_absence_of_the_store fails without the bound.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod latch;
 mod limit_reports;
 mod listing_history;
+pub mod listing_schedule;
 mod listing_source;
 mod newer_config;
 mod notices;
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -20,6 +20,7 @@
 use crate::config_sync::{ConfigReader, is_large};
 use crate::context::{BoxContext, millis};
 use crate::gossip::Gossip;
+use crate::listing_schedule::ListingSchedule;
 use crate::ports::{StoreError, StorePoll};
 use crate::store_backoff::StoreBackoff;
 use crate::store_revision::StoreRevision;
@@ -31,12 +32,9 @@
 /// Maximum number of targets in a listing that is read in full each time. A longer one takes a call
 /// for each of its pages, so the store is polled for its changes instead.
 const MAX_FULL_LISTING: usize = 400;
-/// Time after which a long listing is nevertheless read in full, which adds changes that the polls may
-/// have missed.
-const FULL_LISTING_PERIOD: Duration = Duration::from_secs(12);
-/// Time without own readings after which a reading counts as the start of a new series: this box has
-/// taken over the readings for its data centre.
-const READER_GAP: Duration = Duration::from_secs(5);
+/// Age of the view above which a long listing is read in full. A target's heartbeats are changes, too: those of a longer
+/// time are several times as many bytes as the listing, and a poll that fails for its length would be longer the next time.
+const MAX_POLLED_TIME: Duration = Duration::from_secs(5);
 /// Time since the start after which a box reads bootstrap addresses, if it has no peers, and writes
 /// them.
 const BOOTSTRAP_DELAY: Duration = Duration::from_millis(1500);
@@ -55,10 +53,7 @@
     random: SmallRng,
     backoff: StoreBackoff,
     started: Instant,
-    /// Time at which this box last listed all targets, or took over the readings for its data centre.
-    listed_at: Option<Instant>,
-    /// Time at which this box last read the store.
-    read_at: Option<Instant>,
+    schedule: ListingSchedule,
     bootstrap_read_at: Option<Instant>,
     bootstrap_written: Option<WrittenNote>,
     crash_note_written: Option<WrittenNote>,
@@ -96,8 +91,7 @@
             random: SmallRng::seed_from_u64(seed),
             backoff: StoreBackoff::default(),
             started: Instant::now(),
-            listed_at: None,
-            read_at: None,
+            schedule: ListingSchedule::default(),
             bootstrap_read_at: None,
             bootstrap_written: None,
             crash_note_written: None,
@@ -194,7 +188,6 @@
             return Ok(());
         }
         let port = &self.context.port;
-        self.listed_at = Some(started_at);
         if !is_large(self.context.view().config_text()) {
             let view = port.read_all().await?;
             log::info!(
@@ -202,12 +195,14 @@
                 taken_ms = millis(started_at.elapsed());
                 "view-read"
             );
+            self.schedule.record_listing(started_at);
             self.context.apply_view(view, self.context.corrected_time(&sample), "store");
             return Ok(());
         }
         let reader = Arc::clone(&self.config);
         let reading = task::spawn(async move { reader.refresh().await });
         let listing = port.read_targets().await?;
+        self.schedule.record_listing(started_at);
         log::info!(
             revision:% = listing.revision, era = listing.revision.era, with_config = false,
             taken_ms = millis(started_at.elapsed());
@@ -228,22 +223,20 @@
     /// The revision may be of a listing from a peer, from which polling continues as from an own
     /// listing.
     fn poll_revision(&mut self) -> Option<StoreRevision> {
-        let now = Instant::now();
-        let takes_over = self.read_at.replace(now).is_none_or(|read| now - read >= READER_GAP);
-        if takes_over {
-            self.listed_at = Some(now);
-        }
-        let listed = *self.listed_at.get_or_insert(now);
+        let is_listing_due = self.schedule.begin_read(Instant::now(), self.random.random());
         let view = self.context.view();
-        if view.listed_count() <= MAX_FULL_LISTING || listed.elapsed() >= FULL_LISTING_PERIOD {
+        if view.listed_count() <= MAX_FULL_LISTING || is_listing_due {
             return None;
         }
         let is_newer_known = self.context.newer_config().pending().is_some();
-        if is_newer_known && is_large(view.config_text()) {
+        let (known_at, revision) = if is_newer_known && is_large(view.config_text()) {
             // It is read by a task of its own: targets don't wait for its transfer.
-            return view.target_poll_revision();
-        }
-        view.poll_revision()
+            (view.as_of(), view.target_poll_revision())
+        } else {
+            (view.oldest(), view.poll_revision())
+        };
+        known_at.filter(|known_at| known_at.elapsed() < MAX_POLLED_TIME)?;
+        revision
     }
 
     /// Polls the store for changes after the revision `after` and applies them. Returns `false` if the
--- a/crates/gateway/tests/long_listings.rs
+++ b/crates/gateway/tests/long_listings.rs
@@ -9,6 +9,8 @@
 mod harness;
 
 use std::net::IpAddr;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
 use async_std::task;
@@ -16,6 +18,9 @@
     BoxUnderTest, Script, StoreStandin, TargetStandin, config, connect_exchange, entry, eventually,
     fetch_targets, route, unpacked,
 };
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use wingbridge_gateway::listing_schedule::{FULL_LISTING_PERIOD, ListingSchedule};
 use wingbridge_gateway::routes::RouteKind;
 use wingbridge_gateway::view::TargetEntry;
 use wingbridge_wire::gossip::{ExchangeQuestion, ExchangeRequest, TargetsRequest};
@@ -23,6 +28,8 @@
 
 /// More targets than are listed in full each time, and more than fit into two parts.
 const TARGETS: usize = 1_200;
+/// Time that is longer than the store is polled for, less than a full listing comes in any case.
+const LONG_ABSENCE: Duration = Duration::from_secs(7);
 /// Requests that show whether a box uses the target.
 const REQUESTS: usize = 20;
 
@@ -114,3 +121,47 @@
     drop(unread);
     eventually("a transfer slot is free again", || !fetch_targets(gateway.host(), 0).busy);
 }
+
+/// A box that read the store for some seconds now and then never read a full listing: its period began anew each time
+/// that it took over.
+#[test]
+fn full_listings_come_in_time_however_often_the_reader_changes() {
+    const SERIES: u32 = 300;
+    const READS: u32 = 4;
+    let mut random = SmallRng::seed_from_u64(11);
+    let mut schedule = ListingSchedule::default();
+    let mut now = Instant::now();
+    assert!(schedule.begin_read(now, 0.0), "the first read is a full one");
+    schedule.record_listing(now);
+    let mut full = 0;
+    for _ in 0..SERIES {
+        now += Duration::from_secs(10);
+        for _ in 0..READS {
+            if schedule.begin_read(now, random.random()) {
+                schedule.record_listing(now);
+                full += 1;
+            }
+            now += Duration::from_secs(1);
+        }
+    }
+    // Each series lasts 3 s from its first read to the last.
+    let due = Duration::from_secs(3) * SERIES;
+    let due = due.as_secs_f64() / FULL_LISTING_PERIOD.as_secs_f64();
+    assert!((0.5 * due..1.5 * due).contains(&f64::from(full)), "{full}, {due} are due");
+}
+
+/// What a box missed was polled for whatever its length, so that a poll that failed for its length was longer each time.
+#[test]
+fn a_long_listing_is_read_in_full_after_a_long_absence_of_the_store() {
+    let (store, _target) = start_store_and_target();
+    let gateway = BoxUnderTest::start(store.port(true), &[]);
+    gateway.wait_ready();
+    eventually("the store is polled for changes", || store.change_polls() > 0);
+    store.set_unreachable(true);
+    thread::sleep(LONG_ABSENCE);
+    let polls = store.change_polls();
+    let failed = store.reads();
+    store.set_unreachable(false);
+    eventually("the store is read again", || store.change_polls() > polls + 1);
+    assert!(store.reads() > failed, "the first reading is a full one");
+}
