Pipelining: no request runs behind a long answer that may break off

Cause: up to eight requests of a connection run at once, and a long answer is passed on before all of it is known to come; if it breaks off, the connection must close. Change: behind a request of a download route, or of a route that had a long answer in the life of the box, the next one is taken up once that is through. Such answers return in order anyway: what is lost is work done at the same time.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -1,5 +1,6 @@
 //! Connections of callers: reads requests, writes answers, and cancels the work when a caller disconnects.
 
+use std::collections::VecDeque;
 use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -19,7 +20,7 @@
 };
 use crate::context::BoxContext;
 use crate::relay::server::{AcceptedRelay, relay_result};
-use crate::routes::CallerLimits;
+use crate::routes::{CallerLimits, Route};
 use crate::routing::{CallerRequest, answer_relayed, answer_request, end_refusal, logged_id};
 use crate::streamed_body::{BodyPump, PumpEnd, STREAM_BYTES, body_stream};
 
@@ -183,8 +184,8 @@
         };
         let ReadRequest { request, mut pump, reservation } = read;
         let closes = request.head.closes;
-        if may_be_pipelined(context, &request.head) {
-            return self.answer_pipelined(context, request).await;
+        if let Some(route) = pipelined_route(context, &request.head) {
+            return self.answer_pipelined(context, request, route).await;
         }
         let outcome = {
             let work = std::pin::pin!(answer_request(context, request));
@@ -222,16 +223,28 @@
     /// connection stays open.
     ///
     /// No request is handled after an answer that closes the connection, because the caller would assume that the
-    /// request was not read.
-    async fn answer_pipelined(&mut self, context: &Arc<BoxContext>, first: CallerRequest) -> bool {
+    /// request was not read. None is handled behind one whose answer may be long, either: if that breaks off, the
+    /// connection closes.
+    async fn answer_pipelined(
+        &mut self,
+        context: &Arc<BoxContext>,
+        first: CallerRequest,
+        route: Arc<Route>,
+    ) -> bool {
         let mut answers = FuturesOrdered::new();
+        // The routes of the open requests, in order.
+        let mut routes = VecDeque::from([route]);
         answers.push_back(start_request(context, first));
         loop {
-            let has_room = answers.len() < MAX_PIPELINED_REQUESTS;
+            let may_be_long = |route: &Arc<Route>| context.long_answers.may_be_long(route);
+            let has_room =
+                answers.len() < MAX_PIPELINED_REQUESTS && !routes.iter().any(may_be_long);
             let event = {
                 let next = std::pin::pin!(answers.next());
                 let accepts = |head: &RawRequestHead| {
-                    has_room && !context.stopping.is_stopping() && may_be_pipelined(context, head)
+                    has_room
+                        && !context.stopping.is_stopping()
+                        && pipelined_route(context, head).is_some()
                 };
                 let pipelined = std::pin::pin!(
                     self.reader.read_pipelined_request(MAX_READ_AHEAD_BYTES, accepts)
@@ -244,6 +257,10 @@
             match event {
                 PipelineEvent::Answer(None) => return true,
                 PipelineEvent::Answer(Some(answer)) => {
+                    let route = routes.pop_front();
+                    if let (AnswerBody::Streamed(_), Some(route)) = (&answer.body, route) {
+                        context.long_answers.record(&route.name);
+                    }
                     let is_last = answers.is_empty();
                     let closes = is_last && context.stopping.is_stopping();
                     if !self.write_answer(answer, closes).await || closes {
@@ -255,6 +272,9 @@
                 }
                 PipelineEvent::Request(Some(head)) => {
                     metrics::counter!("wingbridge_requests_ahead").increment(1);
+                    // The configuration may have changed since the head was accepted; the request is handled by
+                    // the new one then.
+                    routes.extend(pipelined_route(context, &head).or(routes.back().cloned()));
                     let (received_at, caller) = (Instant::now(), self.caller.clone());
                     let request = CallerRequest {
                         head,
@@ -491,16 +511,15 @@
     })
 }
 
-/// Returns whether a request may be handled together with others of its connection: it has no body, is repeatable,
-/// and does not close the connection.
-fn may_be_pipelined(context: &BoxContext, head: &RawRequestHead) -> bool {
-    let Some(config) = context.config() else {
-        return false;
-    };
-    let route = config.find(&head.host(), head.path());
-    head.length == BodyLength::None
-        && !head.closes
-        && route.is_some_and(|route| route.kind.is_repeatable())
+/// Returns the route of a request that may be handled together with others of its connection: it has no body, is
+/// repeatable, and does not close the connection.
+fn pipelined_route(context: &BoxContext, head: &RawRequestHead) -> Option<Arc<Route>> {
+    if head.length != BodyLength::None || head.closes {
+        return None;
+    }
+    let config = context.config()?;
+    let route = config.find(&head.host(), head.path())?;
+    route.kind.is_repeatable().then(|| Arc::clone(route))
 }
 
 /// Reason to cancel a request.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -18,6 +18,7 @@
 use crate::invalid_entries::InvalidEntry;
 use crate::latch::ReadyLatch;
 use crate::listing_source::ListingSource;
+use crate::long_answers::LongAnswers;
 use crate::newer_config::NewerConfig;
 use crate::passive_samples::SampleBuffer;
 use crate::paths::PathTracker;
@@ -94,6 +95,8 @@
     pub(crate) config_source: ConfigSource,
     /// Serves the listing of targets to peers.
     pub(crate) listing_source: ListingSource,
+    /// Routes whose answers may be long.
+    pub(crate) long_answers: LongAnswers,
     newer_config: Mutex<NewerConfig>,
     /// Bytes of request bodies that are in memory now.
     pub(crate) held_body_bytes: AtomicUsize,
@@ -140,6 +143,7 @@
             budget: ChangeBudget::new(settings.change_time),
             config_source: ConfigSource::new(settings.link_mbps),
             listing_source: ListingSource::new(settings.link_mbps),
+            long_answers: LongAnswers::default(),
             waiting: WaitingQueues::new(settings.overload.sheds_load()),
             newer_config: Mutex::default(),
             settings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod listing_history;
 pub mod listing_schedule;
 mod listing_source;
+mod long_answers;
 mod newer_config;
 mod notices;
 mod open_attempt;
--- a/crates/gateway/tests/pipelined_requests.rs
+++ b/crates/gateway/tests/pipelined_requests.rs
@@ -150,3 +150,41 @@
     let hang_ups = || world.targets.iter().map(TargetStandin::hang_ups).sum::<usize>();
     eventually("all three attempts are cancelled", || hang_ups() >= 3);
 }
+
+struct LongCase {
+    name: &'static str,
+    kind: RouteKind,
+    /// Number of lookups that may get no answer, as nothing told before that the answers are long.
+    lost: usize,
+}
+
+const LONG_CASES: &[LongCase] = &[
+    LongCase { name: "a download", kind: RouteKind::Download, lost: 0 },
+    LongCase { name: "a lookup with a long answer", kind: RouteKind::Repeatable, lost: 1 },
+];
+
+/// A lookup that was sent behind a long answer was passed on, and got no answer when the long one broke off.
+#[test]
+fn no_request_runs_behind_a_long_answer_that_may_break_off() {
+    const ROUNDS: usize = 4;
+    for case in LONG_CASES {
+        let store = StoreStandin::default();
+        let long = TargetStandin::start("long", "long", Script::LongTruncated);
+        let short = TargetStandin::start("short", "short", Script::Good);
+        let routes =
+            vec![route("l", "long", case.kind), route("s", "short", RouteKind::Repeatable)];
+        store.put_config(config(1, routes));
+        store.put_targets(vec![long.entry.clone(), short.entry.clone()]);
+        let gateway = BoxUnderTest::start(store.port(true), &[]);
+        gateway.wait_ready();
+        for round in 1..=ROUNDS {
+            let mut caller = gateway.connect();
+            caller.send_raw(&format!("{}{}", head(1, "l", ""), head(2, "s", "")));
+            let reply = caller.read().expect("the beginning of the long answer");
+            assert!(!reply.complete, "{}: it breaks off", case.name);
+            assert!(long.requests().len() >= round);
+        }
+        let lost = short.requests().len();
+        assert!(lost <= case.lost, "{}: {lost} lookups ran without an answer", case.name);
+    }
+}
