--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -83,6 +83,17 @@
         cause: "a data centre without paths to the targets while configurations changed and the store was away: \
                 peers that declined a request were forgotten, and orders went over lost paths again",
     },
+    RegressionSeed {
+        seed: 210003,
+        seconds: 10,
+        routes: 0,
+        boxes: 6,
+        targets: 450,
+        faults_per_s: 0.8,
+        overload: "off",
+        cause: "a listing so long that boxes poll the store for its changes; poison requests were sent on for as long \
+                as nobody came back to a target that had ended",
+    },
 ];
 
 fn settings(case: &RegressionSeed) -> SoakSettings {
