Attempts and relays: one piece sends and reads; pipelined heads carry their route

Attempt and relay each chose between writing and reading, and each recorded a failed write; three places moved what is known of a configuration forward; the route of a pipelined request was looked up twice, with a rule for a configuration that changed in between. Change: send_and_read serves attempts and relays; record_config_known is the one place; read_pipelined_request returns what its check found. Result: no behaviour changed but that a pipelined request's route is the one it was accepted by.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use wingbridge_decide::steer::LoadReport;
 use wingbridge_http::HttpError;
 use wingbridge_http::raw::head::write_field;
+use wingbridge_http::raw::reader::WriteFailure;
 use wingbridge_http::raw::{BodyDecoder, BodyLength, HeaderList, RawReader, RawResponseHead};
 
 use crate::answers::{AnswerBody, AnswerStream, LAST_CHUNK, encode_chunk, write_content_length};
@@ -143,21 +144,10 @@
         UnreadHead { stream: stream.clone(), method: &request.method, notices: &plan.notices };
     let mut reader = RawReader::new(stream.clone());
     let write_failure = reader.write_failure();
-    let answer = {
-        let write = std::pin::pin!(send_request(&mut stream, &bytes, request));
-        let read = std::pin::pin!(read_answer(&mut reader, request, &plan.notices));
-        match select(write, read).await {
-            Either::Left((SendResult::CallerDisconnected, _)) => {
-                return AttemptResult::CallerDisconnected;
-            }
-            Either::Left((SendResult::Complete, read)) => read.await,
-            // A target may answer before it has read the request completely, and then stop reading.
-            Either::Left((SendResult::ConnectionFailed, read)) => {
-                write_failure.record();
-                read.await
-            }
-            Either::Right((answer, _)) => answer,
-        }
+    let read = read_answer(&mut reader, request, &plan.notices);
+    let sent = send_and_read(&mut stream, &bytes, request, &write_failure, read).await;
+    let Some(answer) = sent else {
+        return AttemptResult::CallerDisconnected;
     };
     match answer {
         Ok((head, partial)) => classify_answer(request, plan, reader, head, partial),
@@ -166,9 +156,31 @@
     }
 }
 
-/// How far a request was sent to a target.
+/// Writes a request, with `beginning` before the streamed part of its body, while `read` reads the answer on the same
+/// connection. Returns `None` if the caller disconnected before its request had arrived completely.
+pub(crate) async fn send_and_read<T>(
+    stream: &mut TcpStream,
+    beginning: &[u8],
+    request: &OutgoingRequest,
+    write_failure: &WriteFailure,
+    read: impl Future<Output = T>,
+) -> Option<T> {
+    let write = std::pin::pin!(send_request(stream, beginning, request));
+    match select(write, std::pin::pin!(read)).await {
+        Either::Left((SendResult::CallerDisconnected, _)) => None,
+        Either::Left((SendResult::Complete, read)) => Some(read.await),
+        // The other side may answer before it has read the request completely, and then stop reading.
+        Either::Left((SendResult::ConnectionFailed, read)) => {
+            write_failure.record();
+            Some(read.await)
+        }
+        Either::Right((answer, _)) => Some(answer),
+    }
+}
+
+/// How far a request was sent.
 #[derive(Debug)]
-pub(crate) enum SendResult {
+enum SendResult {
     /// The request was written completely.
     Complete,
     /// Writing to the target's connection failed.
@@ -178,7 +190,7 @@
 }
 
 /// Writes `beginning`, then the remainder of a streamed body as it arrives.
-pub(crate) async fn send_request(
+async fn send_request(
     stream: &mut TcpStream,
     beginning: &[u8],
     request: &OutgoingRequest,
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -241,17 +241,16 @@
                 answers.len() < MAX_PIPELINED_REQUESTS && !routes.iter().any(may_be_long);
             let event = {
                 let next = std::pin::pin!(answers.next());
-                let accepts = |head: &RawRequestHead| {
-                    has_room
-                        && !context.stopping.is_stopping()
-                        && pipelined_route(context, head).is_some()
+                let accept = |head: &RawRequestHead| {
+                    let may_accept = has_room && !context.stopping.is_stopping();
+                    may_accept.then(|| pipelined_route(context, head)).flatten()
                 };
                 let pipelined = std::pin::pin!(
-                    self.reader.read_pipelined_request(MAX_READ_AHEAD_BYTES, accepts)
+                    self.reader.read_pipelined_request(MAX_READ_AHEAD_BYTES, accept)
                 );
                 match select(next, pipelined).await {
                     Either::Left((answer, _)) => PipelineEvent::Answer(answer),
-                    Either::Right((head, _)) => PipelineEvent::Request(head),
+                    Either::Right((request, _)) => PipelineEvent::Request(request),
                 }
             };
             match event {
@@ -270,11 +269,9 @@
                         return true;
                     }
                 }
-                PipelineEvent::Request(Some(head)) => {
+                PipelineEvent::Request(Some((head, route))) => {
                     metrics::counter!("wingbridge_requests_ahead").increment(1);
-                    // The configuration may have changed since the head was accepted; the request is handled by
-                    // the new one then.
-                    routes.extend(pipelined_route(context, &head).or(routes.back().cloned()));
+                    routes.push_back(route);
                     let (received_at, caller) = (Instant::now(), self.caller.clone());
                     let request = CallerRequest {
                         head,
@@ -494,8 +491,8 @@
 enum PipelineEvent {
     /// The answer to the oldest request; `None` if no request is open.
     Answer(Option<CallerAnswer>),
-    /// A further request; `None` if the caller has disconnected.
-    Request(Option<RawRequestHead>),
+    /// A further request and its route; `None` if the caller has disconnected.
+    Request(Option<(RawRequestHead, Arc<Route>)>),
 }
 
 /// Returns the future of the answer to a request. The request counts as open until the future is complete or
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -6,7 +6,6 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use futures::future::{Either, select};
 use wingbridge_http::raw::RawReader;
 use wingbridge_wire::gossip::{ExchangeQuestion, ExchangeRequest};
 use wingbridge_wire::handshake::prove;
@@ -16,8 +15,8 @@
 use super::{AttemptTotals, MAX_MESSAGE_BYTES, decode_outcome};
 use crate::answers::CallerOutcome;
 use crate::attempt::{
-    MAX_HEAD_BYTES, OutgoingRequest, SendResult, TargetAnswer, answer_of, encode_request,
-    read_answer_body, send_request,
+    MAX_HEAD_BYTES, OutgoingRequest, TargetAnswer, answer_of, encode_request, read_answer_body,
+    send_and_read,
 };
 use crate::context::{BoxContext, lock};
 
@@ -142,19 +141,9 @@
     let bytes = encode_request(request, |_| {});
     let reader = RawReader::new(stream.clone());
     let write_failure = reader.write_failure();
-    let result_stream = stream.clone();
-    let write = std::pin::pin!(send_request(stream, &bytes, request));
-    let read = std::pin::pin!(read_relayed(result_stream, reader, &request.method, deadline));
-    let answer = match select(write, read).await {
-        Either::Left((SendResult::CallerDisconnected, _)) => {
-            return RelayEnd::Broken("its caller left before all of it had come".to_string());
-        }
-        Either::Left((SendResult::Complete, read)) => read.await,
-        Either::Left((SendResult::ConnectionFailed, read)) => {
-            write_failure.record();
-            read.await
-        }
-        Either::Right((answer, _)) => answer,
+    let read = read_relayed(stream.clone(), reader, &request.method, deadline);
+    let Some(answer) = send_and_read(stream, &bytes, request, &write_failure, read).await else {
+        return RelayEnd::Broken("its caller left before all of it had come".to_string());
     };
     answer.unwrap_or_else(|error| RelayEnd::Broken(error.to_string()))
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -283,8 +283,7 @@
         as_of: Instant,
     ) {
         if self.is_held_or_refused(revision) {
-            self.config_through = self.config_through.max(through);
-            self.record_config_age(as_of);
+            self.record_config_known(through, as_of);
         }
     }
 
@@ -293,11 +292,11 @@
     pub fn record_config_read(&mut self, as_of: Instant) {
         // Changes of the last second may be missing from the reply.
         let through = self.history.revision_before(as_of).unwrap_or_default();
-        self.config_through = self.config_through.max(through);
-        self.record_config_age(as_of);
+        self.record_config_known(through, as_of);
     }
 
-    fn record_config_age(&mut self, as_of: Instant) {
+    fn record_config_known(&mut self, through: StoreRevision, as_of: Instant) {
+        self.config_through = self.config_through.max(through);
         let confirmed = self.config_as_of.map_or(as_of, |before| before.max(as_of));
         self.config_as_of = Some(confirmed);
         // The store is polled for targets from a revision that precedes their last reading, so the
@@ -337,8 +336,7 @@
         // A copy from before the first configuration does not take back a later one.
         let has_none = config_revision == StoreRevision::NONE;
         if includes_config || has_none || self.is_held_or_refused(config_revision) {
-            self.config_through = self.config_through.max(revision);
-            self.record_config_age(as_of);
+            self.record_config_known(revision, as_of);
         }
         let listing = TargetListing { revision, targets, evacuated };
         let listed = self.apply_listing(listing, as_of);
--- a/crates/http/src/raw/reader.rs
+++ b/crates/http/src/raw/reader.rs
@@ -135,21 +135,21 @@
         futures::future::pending::<()>().await
     }
 
-    /// Waits for the head of a pipelined request for which `accepts` returns true; returns `None` if
-    /// the peer closes or the connection fails instead. Other bytes are buffered; once the buffer holds
+    /// Waits for the head of a pipelined request that `accept` takes, and returns it with the result of `accept`; returns
+    /// `None` if the peer closes or the connection fails instead. Other bytes are buffered; once the buffer holds
     /// `limit` bytes, nothing more is read and the wait does not end. The future is cancel-safe.
-    pub async fn read_pipelined_request(
+    pub async fn read_pipelined_request<T>(
         &mut self,
         limit: usize,
-        accepts: impl Fn(&RawRequestHead) -> bool,
-    ) -> Option<RawRequestHead> {
+        accept: impl Fn(&RawRequestHead) -> Option<T>,
+    ) -> Option<(RawRequestHead, T)> {
         loop {
             if !self.buffer.is_empty()
                 && let Ok(Some((head, end))) = RawRequestHead::parse(&self.buffer)
-                && accepts(&head)
+                && let Some(accepted) = accept(&head)
             {
                 self.buffer.drain(..end);
-                return Some(head);
+                return Some((head, accepted));
             }
             if self.buffer.len() >= limit {
                 futures::future::pending::<()>().await;
