--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -38,6 +38,7 @@
 pub use store::StoreStandin;
 pub use target::{
     BEGUN_ANSWER_BYTES, LONG_ANSWER_BYTES, POISON_PATH_PART, Script, TargetStandin, entry,
+    read_message, unused_targets,
 };
 
 /// Number of checks of an expected condition before the test fails.
--- a/crates/gateway/tests/harness/target.rs
+++ b/crates/gateway/tests/harness/target.rs
@@ -392,8 +392,15 @@
     let _ = stream.read(&mut [0; 16]);
 }
 
+/// Returns `count` targets of `service`, which nobody starts.
+pub fn unused_targets(service: &str, count: usize) -> Vec<TargetEntry> {
+    let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
+    let target = |number| entry(&format!("n{number:05}"), service, &address(number));
+    (0..count).map(target).collect()
+}
+
 /// Reads the head of a message and, with `with_body`, a body of the announced length.
-pub(super) fn read_message(stream: &mut TcpStream, with_body: bool) -> Option<(String, String)> {
+pub fn read_message(stream: &mut TcpStream, with_body: bool) -> Option<(String, String)> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
--- a/crates/gateway/tests/invalid_answers.rs
+++ b/crates/gateway/tests/invalid_answers.rs
@@ -2,12 +2,14 @@
 
 mod harness;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
-use harness::{BoxUnderTest, CallerReply, StoreStandin, config, entry, own_host, route};
+use harness::{
+    BoxUnderTest, CallerReply, StoreStandin, config, entry, own_host, read_message, route,
+};
 use wingbridge_gateway::routes::{Route, RouteKind};
 
 /// Length of an upload that is still being written when its answer comes.
@@ -43,7 +45,7 @@
         let line =
             format!("HTTP/1.1 {} Fine\r\n{VALID}Content-Length: 5\r\n\r\nhello", case.status);
         let gateway = gateway_before(RouteKind::AtMostOnce, move |stream| {
-            read_head(stream);
+            read_message(stream, false);
             write(stream, line.as_bytes());
         });
         let reply = gateway.request("POST", "/r/x");
@@ -58,7 +60,7 @@
 #[test]
 fn answer_without_a_length_that_is_reset_within_an_upload_is_not_complete() {
     let gateway = gateway_before(RouteKind::Upload, |stream| {
-        read_head(stream);
+        read_message(stream, false);
         write(stream, format!("HTTP/1.1 200 Fine\r\n{VALID}\r\nhel").as_bytes());
     });
     let replies: Vec<Option<CallerReply>> = (0..UPLOADS).map(|_| upload(&gateway)).collect();
@@ -95,7 +97,7 @@
 fn endless_bytes_in_a_head_or_trailers_end_the_attempt() {
     for case in ENDLESS {
         let gateway = gateway_before(RouteKind::AtMostOnce, |stream| {
-            read_head(stream);
+            read_message(stream, false);
             if write(stream, case.beginning.as_bytes()) {
                 while write(stream, case.part.repeat(1000).as_bytes()) {}
             }
@@ -125,7 +127,7 @@
 fn long_answers_are_held_until_the_deadline_of_their_requests() {
     for case in LONG {
         let target = |stream: &mut TcpStream| {
-            read_head(stream);
+            read_message(stream, false);
             let length = BEGUN_BYTES + case.parts * PART.len();
             let head = format!("HTTP/1.1 200 Fine\r\n{VALID}Content-Length: {length}\r\n\r\n");
             write(stream, head.as_bytes());
@@ -176,18 +178,6 @@
     gateway
 }
 
-/// Reads the head of a request, and of its body only what comes with it.
-fn read_head(stream: &mut TcpStream) {
-    let mut bytes = Vec::new();
-    while !bytes.windows(4).any(|window| window == b"\r\n\r\n") {
-        let mut chunk = [0; 1024];
-        match stream.read(&mut chunk) {
-            Ok(0) | Err(_) => return,
-            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
-        }
-    }
-}
-
 /// Writes to the box, which may have closed. Returns whether it has not.
 fn write(stream: &mut TcpStream, bytes: &[u8]) -> bool {
     stream.write_all(bytes).is_ok()
--- a/crates/gateway/tests/long_listings.rs
+++ b/crates/gateway/tests/long_listings.rs
@@ -15,14 +15,13 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use harness::{
-    BoxUnderTest, Script, StoreStandin, TargetStandin, config, connect_exchange, entry, eventually,
-    fetch_targets, route, unpacked,
+    BoxUnderTest, Script, StoreStandin, TargetStandin, config, connect_exchange, eventually,
+    fetch_targets, route, unpacked, unused_targets,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wingbridge_gateway::listing_schedule::{FULL_LISTING_PERIOD, ListingSchedule};
 use wingbridge_gateway::routes::RouteKind;
-use wingbridge_gateway::view::TargetEntry;
 use wingbridge_wire::gossip::{ExchangeQuestion, ExchangeRequest, TargetsRequest};
 use wingbridge_wire::send_message;
 
@@ -33,17 +32,11 @@
 /// Requests that show whether a box uses the target.
 const REQUESTS: usize = 20;
 
-/// Returns targets of a service that gets no requests.
-fn unused_targets() -> Vec<TargetEntry> {
-    let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
-    (0..TARGETS).map(|number| entry(&format!("n{number:05}"), "other", &address(number))).collect()
-}
-
 fn start_store_and_target() -> (StoreStandin, TargetStandin) {
     let store = StoreStandin::default();
     let target = TargetStandin::start("t", "service", Script::Good);
     store.put_config(config(1, vec![route("r", "service", RouteKind::AtMostOnce)]));
-    let mut targets = unused_targets();
+    let mut targets = unused_targets("other", TARGETS);
     targets.push(target.entry.clone());
     store.put_targets(targets);
     (store, target)
@@ -60,9 +53,9 @@
     gateway.wait_ready();
     assert_eq!(count_served(&gateway), REQUESTS);
     eventually("the store is polled for changes", || store.change_polls() > 0);
-    store.put_targets(unused_targets());
+    store.put_targets(unused_targets("other", TARGETS));
     eventually("the removed target gets no more requests", || count_served(&gateway) == 0);
-    let mut targets = unused_targets();
+    let mut targets = unused_targets("other", TARGETS);
     targets.push(target.entry.clone());
     store.put_targets(targets.clone());
     eventually("the target is used again", || count_served(&gateway) == REQUESTS);
@@ -81,7 +74,7 @@
     let cut_off = BoxUnderTest::start(store.port(false), &[reader.host()]);
     cut_off.wait_ready();
     eventually("the box serves requests", || count_served(&cut_off) == REQUESTS);
-    store.put_targets(unused_targets());
+    store.put_targets(unused_targets("other", TARGETS));
     eventually("the change arrives from the peer", || count_served(&cut_off) == 0);
     assert!(target.requests().len() >= 2);
 }
--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -15,8 +15,8 @@
 
 use async_std::task;
 use harness::{
-    BoxUnderTest, POISON_PATH_PART, Script, StoreStandin, TargetStandin, config, entry, eventually,
-    header, route,
+    BoxUnderTest, POISON_PATH_PART, Script, StoreStandin, TargetStandin, config, eventually,
+    header, route, unused_targets,
 };
 use wingbridge_gateway::routes::RouteKind;
 
@@ -175,10 +175,8 @@
     elsewhere.end_three_targets();
     eventually("the poison request is noted", || elsewhere.store.crash_notes() > 0);
     let world = World::start(0, 8, Script::CrashesOnPoison);
-    let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
-    let unused = |number| entry(&format!("n{number:05}"), "unused", &address(number));
     let targets = world.targets.iter().map(|target| target.entry.clone());
-    world.store.put_targets(targets.chain((0..LONG_LISTING).map(unused)).collect());
+    world.store.put_targets(targets.chain(unused_targets("unused", LONG_LISTING)).collect());
     let gateway = BoxUnderTest::start(world.store.port(true), &[]);
     gateway.wait_ready();
     eventually("the store is polled", || world.store.change_polls() > 0);
--- a/crates/gateway/tests/polled_configurations.rs
+++ b/crates/gateway/tests/polled_configurations.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 
 use harness::{
-    BoxUnderTest, PeerStandin, Script, StoreStandin, TargetStandin, config, entry, eventually,
-    fetch_targets, route,
+    BoxUnderTest, PeerStandin, Script, StoreStandin, TargetStandin, config, eventually,
+    fetch_targets, route, unused_targets,
 };
 use wingbridge_gateway::routes::RouteKind;
-use wingbridge_gateway::view::TargetEntry;
 use wingbridge_wire::gossip::{DatagramBody, Heartbeat, ViewVersion};
 
 /// Time between two heartbeats of a peer.
@@ -91,9 +90,7 @@
     store.set_padding(padding);
     store.put_config(config(1, vec![route("r", "service", RouteKind::Repeatable)]));
     let target = TargetStandin::start("t", "service", Script::Good);
-    let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
-    let unused = |number: usize| entry(&format!("n{number:05}"), "other", &address(number));
-    let mut entries: Vec<TargetEntry> = (0..targets).map(unused).collect();
+    let mut entries = unused_targets("other", targets);
     entries.push(target.entry.clone());
     store.put_targets(entries);
     (store, target)
--- a/crates/gateway/tests/store_returns.rs
+++ b/crates/gateway/tests/store_returns.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use harness::{
-    BoxUnderTest, Script, StoreStandin, TargetStandin, config, entry, eventually, fetch_targets,
-    route, unpacked,
+    BoxUnderTest, Script, StoreStandin, TargetStandin, config, eventually, fetch_targets, route,
+    unpacked, unused_targets,
 };
 use wingbridge_gateway::routes::{RouteConfig, RouteKind};
 use wingbridge_gateway::view::TargetEntry;
@@ -96,8 +96,6 @@
 impl World {
     fn start(case: &ReturnCase) -> World {
         let start = |id, service| TargetStandin::start(id, service, Script::Good);
-        let address = |number: usize| format!("10.0.{}.{}:80", number / 200, number % 200 + 1);
-        let other = |number| entry(&format!("n{number:05}"), "other", &address(number));
         let mut world = World {
             store: StoreStandin::default(),
             before: start("before", "old"),
@@ -105,7 +103,7 @@
             stays: start("stays", "service"),
             leaves: start("leaves", "service"),
             joins: start("joins", "service"),
-            others: (0..case.other_targets).map(other).collect(),
+            others: unused_targets("other", case.other_targets),
             boxes: Vec::new(),
         };
         world.store.set_padding(case.config_bytes);
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -10,6 +10,7 @@
     TargetMode, TargetSetup, TargetSpec, TargetStandin,
 };
 
+use crate::fleet::data_centre_of;
 use crate::lock;
 use crate::relay::{ClientPaths, LoopbackRelay, RelayMode};
 
@@ -239,7 +240,7 @@
         let spec = TargetSpec {
             id,
             service: service.to_string(),
-            data_centre: format!("centre-{}", index % self.data_centres),
+            data_centre: data_centre_of(index, self.data_centres),
             address: relay.address().to_string(),
             slots: SLOTS,
             started_ms: self.instances,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -38,6 +38,11 @@
     pub data_centre: String,
 }
 
+/// Returns the name of the data centre of the box or target with this number.
+pub fn data_centre_of(index: usize, data_centres: usize) -> String {
+    format!("centre-{}", index % data_centres)
+}
+
 impl BoxLocation {
     /// Returns the location of box `index` in one of `data_centres`. The address also depends on `run`, so that runs on
     /// one machine do not collide.
@@ -46,7 +51,7 @@
         BoxLocation {
             index,
             host: Ipv4Addr::new(127, high, low, index as u8 + 1).into(),
-            data_centre: format!("centre-{}", index % data_centres),
+            data_centre: data_centre_of(index, data_centres),
         }
     }
 
