Start: a box waits for an address that another process holds

That this was the cause is suspected, not shown: the record names no end of a process.

Cause: a single attempt to listen. A previous process that isn't gone yet, or a connection to which the system gave one of the box's ports as its local one (also for the minute after its end), ended the box with an error that names no address; the platform starts it again, and it ends again.

The test failed before: 'callers: the box ended'.

Change: an address in use is tried again each 200 ms for up to 75 s, a stop ends the wait, the log names the address. Addresses of callers are opened last, so that nobody connects to a box that waits. Other errors end the process as before, and name the address.

Result: the test passes for all four addresses.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -21,6 +21,7 @@
 use crate::config_sync::{ConfigReader, ConfigSync};
 use crate::context::BoxContext;
 use crate::gossip::{Gossip, fetch_listings};
+use crate::listeners::Listeners;
 use crate::passive_samples::Urgency;
 use crate::paths::watch_paths;
 use crate::permit_manager::PermitManager;
@@ -33,13 +34,6 @@
 /// Pause before a duty that has panicked starts again: long enough that one which panics each time costs little.
 const RESTART_PAUSE: Duration = Duration::from_secs(1);
 
-/// The sockets on which a box accepts connections.
-pub(crate) struct Listeners {
-    pub(crate) callers: TcpListener,
-    pub(crate) readiness: TcpListener,
-    pub(crate) exchange: TcpListener,
-}
-
 /// The channels that wake the duties of a box.
 pub(crate) struct DutyWakeups {
     pub(crate) views: Receiver<()>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod invalid_entries;
 mod latch;
 mod limit_reports;
+mod listeners;
 mod listing_history;
 pub mod listing_schedule;
 mod listing_source;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,18 +1,17 @@
 //! Starts a box, and shuts the box down without interrupting requests.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use wingbridge_process::{Outcome, StopSignal};
 
 use crate::config_sync::ConfigReader;
 use crate::context::{BoxContext, TaskHandles, millis};
-use crate::duties::{DutyWakeups, Listeners, start_duties};
+use crate::duties::{DutyWakeups, start_duties};
 use crate::gossip::Gossip;
+use crate::listeners::OpenAddresses;
 use crate::passive_samples::SampleBuffer;
 use crate::paths::PathTracker;
 use crate::permit_manager::PermitManager;
@@ -50,10 +49,11 @@
     reloads: Receiver<()>,
 ) -> eyre::Result<Outcome> {
     let seed: u64 = rand::random();
-    let callers = TcpListener::bind(settings.callers).await?;
-    let readiness = TcpListener::bind(settings.readiness).await?;
-    let exchange = TcpListener::bind(settings.exchange).await?;
-    let socket = UdpSocket::bind(SocketAddr::new(settings.host(), settings.gossip_port)).await?;
+    let Some(OpenAddresses { listeners, gossip: socket }) =
+        OpenAddresses::open(&settings, stop).await?
+    else {
+        return Ok(Outcome::Done);
+    };
     let (passive_samples, sample_requests) = SampleBuffer::new();
     let (view_changed, view_notifications) = async_channel::bounded(1);
     let (config_changed, config_notifications) = async_channel::bounded(1);
@@ -88,7 +88,7 @@
         &context,
         &gossip,
         &reader,
-        Listeners { callers, readiness, exchange },
+        listeners,
         DutyWakeups {
             views: view_notifications,
             configs: config_notifications,
