Store: an answer without a length may be as long as one with a length

What callers would see: a store that sends pages in chunks, of a megabyte as its page says, is never read.

Cause: the client raised the limit of bodies with a length alone.

Change: both limits are the same.

Result: large_value_without_a_length_is_read failed before ('the body is longer than 1048576 bytes'), passes.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -125,8 +125,11 @@
         stream.set_nodelay(true)?;
         copy(async_h1::client::Encoder::new(request), &mut stream).await?;
         stream.flush().await?;
-        let limits =
-            MessageLimits { max_body_bytes: MAX_RESPONSE_BYTES, ..MessageLimits::default() };
+        let limits = MessageLimits {
+            max_body_bytes: MAX_RESPONSE_BYTES,
+            max_chunked_body_bytes: MAX_RESPONSE_BYTES,
+            ..MessageLimits::default()
+        };
         let mut reader = MessageReader::new(stream).with_idle_timeout(idle_timeout);
         let incoming = reader.read_response(method.as_ref(), &limits).await?;
         let status = incoming.response.status() as u16;
