Heads: what no head can carry is never written

What callers saw: nothing is in a record yet.

Cause: names of headers, values, request lines and status lines were written as they are. Each writer relied on whoever had read the text.

Change: the functions that write the lines of raw messages refuse what the grammar does not allow, and write nothing then. They accept all that the parser of raw messages accepts, so nothing that is forwarded is refused. An attempt whose head can't be written counts as one whose connection did not come up: no byte is sent, and another target may get the request. An answer that can't be written ends its caller's connection; a relay, as the peer has agreed, is of unknown outcome.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -4,7 +4,8 @@
 
 use async_std::net::TcpStream;
 use rand::Rng;
-use wingbridge_http::raw::head::write_field;
+use wingbridge_http::HttpError;
+use wingbridge_http::raw::head::{write_field, write_status_line};
 use wingbridge_http::raw::{BodyDecoder, BodyLength, HeaderList, RawReader};
 
 /// Minimum retry time in the answer to a refused caller.
@@ -168,29 +169,30 @@
 
     /// Encodes the head and, if it is buffered, the body. `closes` adds the header that announces the end of
     /// the connection after the answer.
-    pub(crate) fn encode(&self, closes: bool) -> Vec<u8> {
+    ///
+    /// # Errors
+    /// A head can't carry one of the lines.
+    pub(crate) fn encode(&self, closes: bool) -> Result<Vec<u8>, HttpError> {
         let mut bytes = Vec::with_capacity(512);
-        bytes.extend_from_slice(
-            format!("HTTP/1.1 {} {}\r\n", self.status, self.reason_phrase).as_bytes(),
-        );
-        self.headers.write(&mut bytes);
+        write_status_line(&mut bytes, self.status, &self.reason_phrase)?;
+        self.headers.write(&mut bytes)?;
         match &self.body {
-            AnswerBody::Buffered(body) => write_content_length(&mut bytes, body.len() as u64),
-            AnswerBody::Absent(Some(length)) => write_content_length(&mut bytes, *length),
+            AnswerBody::Buffered(body) => write_content_length(&mut bytes, body.len() as u64)?,
+            AnswerBody::Absent(Some(length)) => write_content_length(&mut bytes, *length)?,
             AnswerBody::Absent(None) => {}
             AnswerBody::Streamed(stream) => match stream.length {
-                BodyLength::Known(length) => write_content_length(&mut bytes, length),
-                _ => write_field(&mut bytes, "Transfer-Encoding", b"chunked"),
+                BodyLength::Known(length) => write_content_length(&mut bytes, length)?,
+                _ => write_field(&mut bytes, "Transfer-Encoding", b"chunked")?,
             },
         }
         if closes {
-            write_field(&mut bytes, "Connection", b"close");
+            write_field(&mut bytes, "Connection", b"close")?;
         }
         bytes.extend_from_slice(b"\r\n");
         if let AnswerBody::Buffered(body) = &self.body {
             bytes.extend_from_slice(body);
         }
-        bytes
+        Ok(bytes)
     }
 }
 
@@ -215,8 +217,8 @@
 }
 
 /// Writes the `Content-Length` header.
-pub(crate) fn write_content_length(bytes: &mut Vec<u8>, length: u64) {
-    write_field(bytes, "Content-Length", length.to_string().as_bytes());
+pub(crate) fn write_content_length(bytes: &mut Vec<u8>, length: u64) -> Result<(), HttpError> {
+    write_field(bytes, "Content-Length", length.to_string().as_bytes())
 }
 
 fn reason_phrase(status: u16) -> &'static str {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use wingbridge_decide::Fingerprint;
 use wingbridge_decide::steer::LoadReport;
 use wingbridge_http::HttpError;
-use wingbridge_http::raw::head::write_field;
+use wingbridge_http::raw::head::{write_field, write_request_line};
 use wingbridge_http::raw::reader::WriteFailure;
 use wingbridge_http::raw::{BodyDecoder, BodyLength, HeaderList, RawReader, RawResponseHead};
 
@@ -30,6 +30,8 @@
 pub(crate) const CONNECTION_REFUSED: &str = "the connection was refused";
 /// Reason of an attempt whose answer has another request id, or none.
 const REQUEST_ID_MISMATCH: &str = "the answer belongs to another request";
+/// Reason of an attempt that was not made, as no head can carry the request or the names of its target and customer.
+const NO_HEAD: &str = "no head can carry the request";
 /// Timeout of the check whether a target that closed a connection still listens. The host of an ended target
 /// refuses the connection within a round trip, which takes about 3 ms between data centres.
 const LISTENING_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
@@ -139,7 +141,9 @@
     if !plan.notices.may_send() {
         return AttemptResult::Withheld;
     }
-    let bytes = encode(request, plan, remaining);
+    let Ok(bytes) = encode(request, plan, remaining) else {
+        return AttemptResult::NotConnected(NO_HEAD);
+    };
     let _unread =
         UnreadHead { stream: stream.clone(), method: &request.method, notices: &plan.notices };
     let mut reader = RawReader::new(stream.clone());
@@ -351,45 +355,51 @@
 }
 
 /// Encodes the head of a request to a target and the buffered part of its body.
-fn encode(request: &OutgoingRequest, plan: &AttemptPlan<'_>, remaining: Duration) -> Vec<u8> {
+fn encode(
+    request: &OutgoingRequest,
+    plan: &AttemptPlan<'_>,
+    remaining: Duration,
+) -> Result<Vec<u8>, HttpError> {
     let names = plan.header_names;
     encode_request(request, |bytes| {
         let remaining = remaining.as_millis().to_string();
-        write_field(bytes, &names.remaining_time, remaining.as_bytes());
-        write_field(bytes, &names.expected_instance, plan.instance.as_bytes());
-        if let Some(customer) = plan.customer {
-            write_field(bytes, &names.customer, customer.as_bytes());
+        write_field(bytes, &names.remaining_time, remaining.as_bytes())?;
+        write_field(bytes, &names.expected_instance, plan.instance.as_bytes())?;
+        match plan.customer {
+            Some(customer) => write_field(bytes, &names.customer, customer.as_bytes()),
+            None => Ok(()),
         }
     })
 }
 
 /// Encodes the head of a request, with the headers that `write_more` adds, and the buffered part of its body.
+///
+/// # Errors
+/// A head can't carry one of the lines.
 pub(crate) fn encode_request(
     request: &OutgoingRequest,
-    write_more: impl FnOnce(&mut Vec<u8>),
-) -> Vec<u8> {
+    write_more: impl FnOnce(&mut Vec<u8>) -> Result<(), HttpError>,
+) -> Result<Vec<u8>, HttpError> {
     let mut bytes = Vec::with_capacity(512 + request.body.len());
-    bytes.extend_from_slice(
-        format!("{} {} HTTP/1.1\r\n", request.method, request.target).as_bytes(),
-    );
-    request.headers.write(&mut bytes);
-    write_more(&mut bytes);
+    write_request_line(&mut bytes, &request.method, &request.target)?;
+    request.headers.write(&mut bytes)?;
+    write_more(&mut bytes)?;
     match request.declared_length {
         BodyLength::None => {}
-        _ if is_chunked(request) => write_field(&mut bytes, "Transfer-Encoding", b"chunked"),
+        _ if is_chunked(request) => write_field(&mut bytes, "Transfer-Encoding", b"chunked")?,
         BodyLength::Known(length) if request.body_stream.is_some() => {
-            write_content_length(&mut bytes, length)
+            write_content_length(&mut bytes, length)?;
         }
-        _ => write_content_length(&mut bytes, request.body.len() as u64),
+        _ => write_content_length(&mut bytes, request.body.len() as u64)?,
     }
-    write_field(&mut bytes, "Connection", b"close");
+    write_field(&mut bytes, "Connection", b"close")?;
     bytes.extend_from_slice(b"\r\n");
     if is_chunked(request) {
         bytes.extend_from_slice(&encode_chunk(&request.body));
     } else {
         bytes.extend_from_slice(&request.body);
     }
-    bytes
+    Ok(bytes)
 }
 
 /// Parses a load report of the form `running,waiting,slots`.
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -411,9 +411,16 @@
         }
     }
 
-    /// Writes an answer. Returns whether it was written completely.
+    /// Writes an answer. Returns whether it was written completely. If a head can't carry the answer, nothing is written:
+    /// the connection ends and the caller knows no outcome.
     async fn write_answer(&mut self, answer: CallerAnswer, closes: bool) -> bool {
-        let head = answer.encode(closes);
+        let head = match answer.encode(closes) {
+            Ok(head) => head,
+            Err(error) => {
+                log::warn!(reason:% = error; "answer-not-encoded");
+                return false;
+            }
+        };
         if !self.write(&head).await {
             return false;
         }
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -138,7 +138,10 @@
     request: &OutgoingRequest,
     deadline: Instant,
 ) -> RelayEnd {
-    let bytes = encode_request(request, |_| {});
+    let bytes = match encode_request(request, |_| Ok(())) {
+        Ok(bytes) => bytes,
+        Err(error) => return RelayEnd::Broken(error.to_string()),
+    };
     let reader = RawReader::new(stream.clone());
     let write_failure = reader.write_failure();
     let read = read_relayed(stream.clone(), reader, &request.method, deadline);
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -7,6 +7,9 @@
 /// Maximum number of header lines in a message.
 const MAX_HEADERS: usize = 256;
 
+/// The control character behind the printable ones.
+const DEL: u8 = 0x7f;
+
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 pub const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -79,10 +82,11 @@
     }
 
     /// Appends all lines to `bytes`, each with its line end.
-    pub fn write(&self, bytes: &mut Vec<u8>) {
-        for field in &self.fields {
-            write_field(bytes, &field.name, &field.value);
-        }
+    ///
+    /// # Errors
+    /// A head can't carry a line (see [`write_field`]). The lines before it are appended.
+    pub fn write(&self, bytes: &mut Vec<u8>) -> Result<(), HttpError> {
+        self.fields.iter().try_for_each(|field| write_field(bytes, &field.name, &field.value))
     }
 
     /// Returns the lines to forward to the next hop: all except hop-by-hop headers, those that
@@ -259,12 +263,61 @@
     }
 }
 
-/// Appends one header line to `bytes`, with its line end.
-pub fn write_field(bytes: &mut Vec<u8>, name: &str, value: &[u8]) {
+/// Appends the first line of a request to `bytes`, with its line end.
+///
+/// # Errors
+/// The method is not a token, or the target is empty or contains a blank or a control character. Nothing is appended.
+pub fn write_request_line(
+    bytes: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+) -> Result<(), HttpError> {
+    let is_target = !target.is_empty() && target.bytes().all(|byte| byte > b' ' && byte != DEL);
+    if !is_token(method) || !is_target {
+        return Err(malformed("no request line can carry the method and the target"));
+    }
+    bytes.extend_from_slice(format!("{method} {target} HTTP/1.1\r\n").as_bytes());
+    Ok(())
+}
+
+/// Appends the first line of a response to `bytes`, with its line end.
+///
+/// # Errors
+/// The reason phrase contains a control character other than a tab. Nothing is appended.
+pub fn write_status_line(bytes: &mut Vec<u8>, status: u16, reason: &str) -> Result<(), HttpError> {
+    if !is_field_value(reason.as_bytes()) {
+        return Err(malformed("no status line can carry the reason phrase"));
+    }
+    bytes.extend_from_slice(format!("HTTP/1.1 {status} {reason}\r\n").as_bytes());
+    Ok(())
+}
+
+/// Appends one header line to `bytes`, with its line end. Names and values may come from others, and one with a line
+/// end would add a line, or end the head, so that the rest would read as another message.
+///
+/// # Errors
+/// The name is not a token, or the value contains a control character other than a tab. Nothing is appended.
+pub fn write_field(bytes: &mut Vec<u8>, name: &str, value: &[u8]) -> Result<(), HttpError> {
+    if !is_token(name) || !is_field_value(value) {
+        return Err(malformed("no header line can carry the name and the value"));
+    }
     bytes.extend_from_slice(name.as_bytes());
     bytes.extend_from_slice(b": ");
     bytes.extend_from_slice(value);
     bytes.extend_from_slice(b"\r\n");
+    Ok(())
+}
+
+/// Returns whether a text is a token (RFC 9110, section 5.6.2), as methods and names of headers are.
+fn is_token(text: &str) -> bool {
+    let is_token_byte =
+        |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !text.is_empty() && text.bytes().all(is_token_byte)
+}
+
+/// Returns whether a header line can carry the bytes as its value (RFC 9110, section 5.5).
+fn is_field_value(value: &[u8]) -> bool {
+    value.iter().all(|byte| !byte.is_ascii_control() || *byte == b'\t')
 }
 
 fn parse_error(error: httparse::Error) -> HttpError {
