Store client: keys are encoded in paths

What operators would see: 'wingctl eject a#b TARGET' reads and writes the key 'hand/a', and a line end in the name is dropped on the way. The names in 'wingctl policy' and 'wingctl config' are checked, that of a service to eject from or drain in is not.

Cause: the key was put into the path as it is. The parser of URLs ends a path at '#' and '?', drops tabs and line ends, takes a backslash for a slash and resolves '.' and '..'. docs/STORE.md didn't say how a key stands in a path, and the stand-in did not decode it.

Evidence: calls_reach_the_key_whatever_it_contains and a_key_that_no_path_can_carry_is_refused failed before, with a stand-in that decodes: a write to 'policy/a#b' wrote 'policy/a'.

Change: keys are percent-encoded, but their slashes, and the characters that travelled unchanged stay as they are. A key with a part '.' or '..', which the parser resolves even if it is escaped, or an empty one is refused with a reason.

The names in use are sent as before.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -5,6 +5,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use http_types::{Method, Response};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use wingbridge_http::server::{ServerSettings, json_response, serve, text_response};
 use wingbridge_http::{IncomingRequest, MessageLimits};
@@ -44,7 +45,7 @@
         (Method::Get, "/v1/keys") => list_keys(&handle, &incoming).await,
         (Method::Get, "/v1/boxes") => list_boxes(&handle, &incoming).await,
         (Method::Put, "/v1/boxes") => put_box(&handle, &incoming),
-        (Method::Get, _) => match path.strip_prefix("/v1/key/").and_then(|key| handle.read(key)) {
+        (Method::Get, _) => match key_of(&path).and_then(|key| handle.read(&key)) {
             Some(record) => to_json(&record),
             None => text_response(404, "no such key"),
         },
@@ -89,14 +90,20 @@
     }
 }
 
+/// Returns the key that a path names; `None` if it is no path of a key, or not of UTF-8 when decoded.
+fn key_of(path: &str) -> Option<String> {
+    let encoded = path.strip_prefix("/v1/key/").filter(|key| !key.is_empty())?;
+    percent_decode_str(encoded).decode_utf8().ok().map(|key| key.into_owned())
+}
+
 fn put_key(handle: &StoreHandle, path: &str, incoming: &IncomingRequest) -> Response {
-    let Some(key) = path.strip_prefix("/v1/key/").filter(|key| !key.is_empty()) else {
+    let Some(key) = key_of(path) else {
         return text_response(404, "no such end point");
     };
     let Ok(value) = std::str::from_utf8(&incoming.body) else {
         return text_response(400, "the value is not UTF-8");
     };
-    let reply = handle.write(key, query_number(incoming, "expect"), value);
+    let reply = handle.write(&key, query_number(incoming, "expect"), value);
     if reply.written && handle.loses_answer() {
         return text_response(504, "the answer is lost");
     }
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -34,6 +34,62 @@
     });
 }
 
+/// Keys that mean something else in the path of a call than as a text.
+const ODD_KEYS: &[&str] = &[
+    "policy/a#b",
+    "policy/a?b",
+    "policy/a?expect=0&b",
+    "policy/a%",
+    "policy/a%2Fb",
+    "policy/a%23",
+    "policy/%2e%2E/a",
+    "policy/a b",
+    "policy/a+b",
+    "policy/zlín",
+    "policy/zl%C3%ADn",
+    "policy/a\\b",
+    "policy/a\tb",
+    "policy/a\r\nX-Evil: 1",
+    "policy/a\u{0}",
+    "policy/a\u{7f}",
+    "policy//a",
+    "policy/a/",
+    "policy/a\"<>`{}|^",
+];
+
+/// Text after a `#` or `?` was cut off and line ends were dropped, so that a call read or wrote another key.
+#[test]
+fn calls_reach_the_key_whatever_it_contains() {
+    task::block_on(async {
+        for key in ODD_KEYS {
+            let (handle, client) = start().await;
+            let reply = client.write(key, 0, "one").await.expect("answered");
+            assert!(reply.written, "{key:?}");
+            let listed = handle.snapshot();
+            assert_eq!(listed.iter().map(|record| &*record.key).collect::<Vec<_>>(), [*key]);
+            let record = client.read_key(key).await.expect("answered").expect("there");
+            assert_eq!((&*record.key, &*record.value), (*key, "one"));
+            let again = client.write(key, 1, "two").await.expect("answered");
+            assert!(again.written, "{key:?}: the revision that is expected arrives");
+        }
+    });
+}
+
+/// The parser of URLs resolves such segments, encoded or not: a call read or wrote another key, or another end point.
+#[test]
+fn a_key_that_no_path_can_carry_is_refused() {
+    task::block_on(async {
+        let (handle, client) = start().await;
+        for key in ["", ".", "..", "policy/../a", "policy/./a", "../keys", "policy/.."] {
+            let written = client.write(key, 0, "one").await;
+            assert!(matches!(written, Err(StoreError::Refused(_))), "{key:?}: {written:?}");
+            let read = client.read_key(key).await;
+            assert!(matches!(read, Err(StoreError::Refused(_))), "{key:?}: {read:?}");
+        }
+        assert!(handle.snapshot().is_empty(), "nothing is written");
+    });
+}
+
 #[test]
 fn a_change_ends_a_waiting_watch() {
     task::block_on(async {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,12 +3,30 @@
 use std::fmt;
 use std::time::Duration;
 
+use percent_encoding::{AsciiSet, CONTROLS, PercentEncode, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 use wingbridge_http::{HttpClient, HttpError, HttpReply};
 
 /// Timeout of a call, in addition to the time for which it asks the store to wait for a change.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Characters that are escaped in the path of a key: those that end a path, escape others or count as a slash, and
+/// those that can't be in a URL. Bytes beyond ASCII are always escaped.
+const PATH_ESCAPED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'<')
+    .add(b'>')
+    .add(b'?')
+    .add(b'\\')
+    .add(b'^')
+    .add(b'`')
+    .add(b'{')
+    .add(b'|')
+    .add(b'}');
+
 /// A listing of keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyListing {
@@ -116,9 +134,10 @@
     /// Returns a key, or `None` if it does not exist.
     ///
     /// # Errors
-    /// The store refused the call or did not answer.
+    /// No path can carry the key, or the store refused the call or did not answer.
     pub async fn read_key(&self, key: &str) -> Result<Option<KeyRecord>, StoreError> {
-        let reply = self.call("GET", &format!("/v1/key/{key}"), Vec::new(), Duration::ZERO).await?;
+        let path = format!("/v1/key/{}", path_of(key)?);
+        let reply = self.call("GET", &path, Vec::new(), Duration::ZERO).await?;
         if reply.status == 404 {
             return Ok(None);
         }
@@ -139,14 +158,14 @@
     /// exist.
     ///
     /// # Errors
-    /// The store refused the call, or it did not answer and the write may have taken effect.
+    /// No path can carry the key, the store refused the call, or it did not answer and the write may have taken effect.
     pub async fn write(
         &self,
         key: &str,
         expected: u64,
         value: &str,
     ) -> Result<WriteReply, StoreError> {
-        let path = format!("/v1/key/{key}?expect={expected}");
+        let path = format!("/v1/key/{}?expect={expected}", path_of(key)?);
         let reply = self.call("PUT", &path, value.as_bytes().to_vec(), Duration::ZERO).await?;
         decode(&reply)
     }
@@ -184,6 +203,17 @@
     }
 }
 
+/// Encodes a key as a part of a path.
+///
+/// # Errors
+/// The key is empty, or the parser of URLs would resolve a part of it, `.` or `..`, even if it were escaped.
+fn path_of(key: &str) -> Result<PercentEncode<'_>, StoreError> {
+    if key.is_empty() || key.split('/').any(|part| matches!(part, "." | "..")) {
+        return Err(StoreError::Refused(format!("no path can carry the key {key:?}")));
+    }
+    Ok(utf8_percent_encode(key, PATH_ESCAPED))
+}
+
 fn decode<T: for<'de> Deserialize<'de>>(reply: &HttpReply) -> Result<T, StoreError> {
     serde_json::from_slice(&reply.body)
         .map_err(|error| StoreError::Indeterminate(error.to_string()))
