wingctl: the service of a manual override is checked before it becomes part of a key

What operators would see: 'wingctl eject a#b TARGET' wrote another key than that of the service, and 'wingctl' then asked the agents for the keys that begin with the part before a '#' or '&'.

Cause: the names of policies and services to read or write were checked, that of the service of an override was not.

Change: the check that the other names have.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -36,7 +36,7 @@
 ) -> eyre::Result<Outcome> {
     let (file, text) = read_file(matches)?;
     compile(&file, &text)?;
-    let key = format!("{POLICY_PREFIX}{}", checked_name(matches)?);
+    let key = format!("{POLICY_PREFIX}{}", checked_name(matches, "name")?);
     let expected = matches.get_one("expect").copied();
     let report = client.change(&key, Some(text), expected).await?;
     Ok(show_reports(&[report], json))
@@ -84,7 +84,7 @@
     matches: &ArgMatches,
     json: bool,
 ) -> eyre::Result<Outcome> {
-    let key = format!("{prefix}{}", checked_name(matches)?);
+    let key = format!("{prefix}{}", checked_name(matches, "name")?);
     let (revision, value) = read_value(store, &key).await?;
     if value.current.deleted {
         bail!("{key} was deleted by {}", value.current.author);
@@ -104,7 +104,7 @@
     matches: &ArgMatches,
     json: bool,
 ) -> eyre::Result<Outcome> {
-    let key = format!("{prefix}{}", checked_name(matches)?);
+    let key = format!("{prefix}{}", checked_name(matches, "name")?);
     read_value(&client.store, &key).await?;
     let report = client.change(&key, None, matches.get_one("expect").copied()).await?;
     Ok(show_reports(&[report], json))
@@ -141,7 +141,7 @@
     matches: &ArgMatches,
     json: bool,
 ) -> eyre::Result<Outcome> {
-    let key = format!("{prefix}{}", checked_name(matches)?);
+    let key = format!("{prefix}{}", checked_name(matches, "name")?);
     let (_, value) = read_value(store, &key).await?;
     let versions: Vec<_> = std::iter::once(&value.current).chain(&value.history).collect();
     print(json, &versions, || {
@@ -169,7 +169,7 @@
 /// Fails if the file can't be read, there is no such policy, or the store does not answer.
 pub async fn diff_policy(store: &StoreClient, matches: &ArgMatches) -> eyre::Result<Outcome> {
     let (file, text) = read_file(matches)?;
-    let key = format!("{POLICY_PREFIX}{}", checked_name(matches)?);
+    let key = format!("{POLICY_PREFIX}{}", checked_name(matches, "name")?);
     let (_, value) = read_value(store, &key).await?;
     if value.current.text == text {
         println!("{file} and {key} are identical");
@@ -224,12 +224,16 @@
     Ok((file, text))
 }
 
-fn checked_name(matches: &ArgMatches) -> eyre::Result<String> {
-    let name: String = matches.get_one::<String>("name").cloned().unwrap_or_default();
+/// Returns the name that an argument gives, which becomes a part of a key.
+///
+/// # Errors
+/// No policy or service can have the name.
+pub(crate) fn checked_name(matches: &ArgMatches, argument: &str) -> eyre::Result<String> {
+    let name: String = matches.get_one::<String>(argument).cloned().unwrap_or_default();
     let is_allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     if (1..=63).contains(&name.len()) && name.bytes().all(is_allowed) {
         return Ok(name);
     }
     let allowed = "1 to 63 lower-case letters, digits and '-'";
-    Err(wingbridge_process::SettingError::new("NAME", &name, allowed).into())
+    Err(wingbridge_process::SettingError::new(&argument.to_uppercase(), &name, allowed).into())
 }
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -11,8 +11,8 @@
 use crate::boxes::{show_boxes, show_status, show_targets};
 use crate::changes::ChangeClient;
 use crate::commands::{
-    check_config, check_policy, delete, diff_policy, get, history, list, put_config, put_policy,
-    show_reports,
+    check_config, check_policy, checked_name, delete, diff_policy, get, history, list, put_config,
+    put_policy, show_reports,
 };
 use crate::event_trace;
 use crate::explain;
@@ -112,10 +112,10 @@
     matches: &ArgMatches,
     kind: Option<OverrideKind>,
 ) -> eyre::Result<Outcome> {
-    let argument = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let service = checked_name(matches, "service")?;
+    let target: String = matches.get_one::<String>("target").cloned().unwrap_or_default();
     let client = change_client(settings, fleet)?;
-    let report =
-        overrides::set_override(&client, &argument("service"), &argument("target"), kind).await?;
+    let report = overrides::set_override(&client, &service, &target, kind).await?;
     Ok(show_reports(&[report], settings.json))
 }
 
