Tests: answers that are cut within their head, on paths, behind a peer and between boxes

Other operators' instances stopped within the head of an answer, and their callers got a 200 with an empty or short body. Nothing here tested it.

Each of 16 heads is cut at every place before its end, by a close and by a reset, for orders and lookups, straight and behind a peer that handles the requests of a box without paths; at three places each within an upload; bodies, chunk lines and trailers at every place, also of answers that are passed on as they arrive; the message of a peer at every byte. Orders must be answered with 502 or 504 after one send, never with 503.

--- a/crates/gateway/tests/harness/relay_peer.rs
+++ b/crates/gateway/tests/harness/relay_peer.rs
@@ -35,6 +35,8 @@
     NotBegunAtEnd,
     /// Takes it and tells that a target has it once it is asked to end it.
     BegunAtEnd,
+    /// Sends the part of a successful answer that the path tells, `/SERVICE/BYTES/RESET/`, and closes, or resets.
+    CutsAnswer,
     /// Answers that it reached no target.
     ReachesNoTarget,
     /// Has another fleet key.
@@ -101,6 +103,17 @@
         self.offers.load(Ordering::Acquire)
     }
 
+    /// Returns the bytes of the answer that [`RelayScript::CutsAnswer`] cuts: the result, which a length precedes, and
+    /// the answer itself.
+    pub fn cut_answer_bytes() -> Vec<u8> {
+        let outcome = RelayOutcome::Answered.into();
+        let result = RelayResult { outcome, possible_runs: 1, deliveries: 1 }.encode_to_vec();
+        let length = u32::try_from(result.len()).expect("a short message").to_be_bytes();
+        let answer =
+            b"HTTP/1.1 200 Fine\r\nX-Id: id-1\r\nX-Proof: p\r\nContent-Length: 5\r\n\r\nhello";
+        [&length[..], &result, answer].concat()
+    }
+
     /// Returns the requests that the peer was offered.
     pub fn received(&self) -> Vec<OfferedRequest> {
         lock(&self.received).clone()
@@ -151,17 +164,26 @@
     let secret = if script == RelayScript::OtherKey { "another" } else { "" };
     prove(&mut stream, &FleetKey::derive(secret), HandshakeSide::Server).await?;
     let offered: RelayRequest = receive_exact(&mut stream, 64 * 1024).await?;
+    let path = offered.path.clone();
     lock(received).push(OfferedRequest { offered, beginning: Vec::new() });
     if script == RelayScript::Declines {
         return send_message(&stream, &RelayDecision { declined: "not now".into() }).await;
     }
     send_message(&stream, &RelayDecision::default()).await?;
-    let mut beginning = vec![0; 4096];
+    // A connection that is closed before everything was read is reset.
+    let resets = script == RelayScript::CutsAnswer && path.split('/').nth(3) == Some("true");
+    let mut beginning = vec![0; if resets { 1 } else { 4096 }];
     let length = stream.read(&mut beginning).await?;
     beginning.truncate(length);
     if let Some(last) = lock(received).last_mut() {
         last.beginning = beginning;
     }
+    if script == RelayScript::CutsAnswer {
+        let length = path.split('/').nth(2).and_then(|text| text.parse().ok());
+        let length: usize = length.expect("the path tells a length");
+        stream.write_all(&RelayPeer::cut_answer_bytes()[..length]).await?;
+        return Ok(());
+    }
     if script == RelayScript::Hangs {
         task::sleep(Duration::from_secs(5)).await;
     }
