Proxy: bytes that nobody asked for are not taken for the next answer

Callers of the demonstration's proxy got the surplus answer of a target to an earlier request as their own, with the status 200 and framed as whole. The proxy of boxes in the gateway makes a connection for each attempt and is not affected.

Cause: a connection was kept after an answer though more bytes had arrived on it, and was taken from the pool without a look at what had arrived meanwhile.

Change: a connection is kept, and used again, only while it is open and no byte has arrived that was not read. Bytes that arrive after the next request was written can't be told from its answer; that is open.

--- a/crates/demo/tests/small/mod.rs
+++ b/crates/demo/tests/small/mod.rs
@@ -1,5 +1,7 @@
 //! Helpers for tests: a small system, load on it, and waiting for events.
 
+#![allow(dead_code, reason = "each test file uses its part of the helpers")]
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
+use futures::FutureExt;
 use futures::io::{AsyncRead, AsyncReadExt};
 use http_types::{Request, Response};
 
@@ -91,6 +92,11 @@
         Ok(!self.buffer.is_empty() || self.fill().await? > 0)
     }
 
+    /// Returns whether the connection is open and nothing has arrived that was not read as part of a message.
+    pub fn is_idle(&self) -> bool {
+        self.buffer.is_empty() && self.stream.peek(&mut [0]).now_or_never().is_none()
+    }
+
     /// Reads the next request; returns `None` if the caller closed between two requests.
     /// `send_continue` is called if the caller waits for `100 Continue` before it sends the body.
     ///
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -36,21 +36,29 @@
 
 impl ConnectionPool {
     /// Removes and returns the connection that was used last, if it has not exceeded
-    /// [`IDLE_TIMEOUT`].
+    /// [`IDLE_TIMEOUT`]. Connections that the target has closed, or on which it has sent something, are dropped: what it
+    /// sent would be taken for the answer to the next request.
     pub(crate) fn take(&self, target: &Name) -> Option<TargetConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(target)?;
-        let (since, connection) = connections.pop()?;
-        if since.elapsed() < IDLE_TIMEOUT {
-            return Some(connection);
+        while let Some((since, connection)) = connections.pop() {
+            if since.elapsed() >= IDLE_TIMEOUT {
+                // The other connections have been idle for even longer.
+                connections.clear();
+                return None;
+            }
+            if connection.reader.is_idle() {
+                return Some(connection);
+            }
         }
-        // The other connections have been idle for even longer.
-        connections.clear();
         None
     }
 
-    /// Adds a connection whose last answer was read completely.
+    /// Adds a connection whose last answer was read completely, unless something has followed that answer.
     pub(crate) fn put(&self, target: &Name, connection: TargetConnection) {
+        if !connection.reader.is_idle() {
+            return;
+        }
         let mut idle = self.lock();
         let connections = idle.entry(target.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_TARGET {
