Soak: another writer's keys and entries, with short pages and a kill of all boxes

What callers saw: as in the tests of boxes beside other writers. The soak could not see it: its store had one page and no keys but its own.

The keys stay until service has returned after the last fault, are removed, and service must return again. No span is recorded, so that all bounds hold beside them. The keys are drawn from a random source of their own, whose number is such that none of the seeds that the short soak keeps for older causes has them (a test checks that): the kill would disturb boxes that their checks need undisturbed.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -168,9 +168,8 @@
     /// Returns an error if a process can't be started or signalled.
     pub fn run_plan(&mut self, plan: &FaultPlan, time: Duration) -> std::io::Result<()> {
         self.started = Instant::now();
-        for (at, fault) in [&plan.faults, &plan.notices, &plan.limits, &plan.returns, &plan.cuts]
-            .into_iter()
-            .flatten()
+        let FaultPlan { faults, notices, limits, returns, cuts, odd_items, .. } = plan;
+        for (at, fault) in [faults, notices, limits, returns, cuts, odd_items].into_iter().flatten()
         {
             self.schedule_at(*at, DriverStep::Begin(*fault));
         }
@@ -377,6 +376,9 @@
                 self.environment.set_limit(index, Some(limit));
                 self.schedule_in(time, DriverStep::EndLimit(index));
             }
+            PlannedFault::WriteOddItems(page_keys) => {
+                self.environment.write_odd_items(page_keys);
+            }
             PlannedFault::LeaveByAnswers(index) => {
                 self.environment.signal_draining(index);
                 self.schedule_in(DRAINING_TIME, DriverStep::EndLeaving(index, false));
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use wingbridge_platform_standins::{
-    ArrivalLog, ConfigEntry, CustomerEntry, EntryState, RouteEntry, RouteMode, StoreStandin,
-    TargetMode, TargetSetup, TargetSpec, TargetStandin,
+    ArrivalLog, ConfigEntry, CustomerEntry, EntryState, PAGE_KEYS, RouteEntry, RouteMode,
+    StoreStandin, TargetMode, TargetSetup, TargetSpec, TargetStandin, odd_items,
 };
 
 use crate::fleet::data_centre_of;
@@ -120,6 +120,22 @@
         config.acknowledged.insert(version, acknowledged);
     }
 
+    /// Writes keys and entries of another writer, and sets the length of pages.
+    pub fn write_odd_items(&self, page_keys: usize) {
+        for (key, value) in odd_items() {
+            self.store.put_raw(&key, &value);
+        }
+        self.store.set_page_keys(page_keys);
+    }
+
+    /// Removes the keys and entries of the other writer, and sets the usual length of pages.
+    pub fn remove_odd_items(&self) {
+        for (key, _) in odd_items() {
+            self.store.remove(&key);
+        }
+        self.store.set_page_keys(PAGE_KEYS);
+    }
+
     /// Returns the acknowledged versions of the configuration.
     pub fn config_history(&self) -> ConfigHistory {
         self.config.clone()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use wingbridge_platform_standins::{POISON_PATH, StoreMode, TargetMode};
+use wingbridge_platform_standins::{MAX_ODD_PAGE_KEYS, POISON_PATH, StoreMode, TargetMode};
 
 use crate::relay::RelayMode;
 
@@ -54,6 +54,9 @@
     /// A target announces this limit in its answers, in millionths of a request per second, for
     /// this time.
     NameLimit(usize, u64, Duration),
+    /// Another writer writes odd keys and entries, and pages of listings have this many keys. They stay until service has
+    /// returned after the last fault.
+    WriteOddItems(usize),
 }
 
 /// The boxes that lose their paths to the targets.
@@ -97,6 +100,8 @@
     pub returns: Vec<(Duration, PlannedFault)>,
     /// Boxes that lose their paths to the targets, with the times at which that begins.
     pub cuts: Vec<(Duration, PlannedFault)>,
+    /// Keys and entries of another writer, with a configuration and a kill of all boxes that follow.
+    pub odd_items: Vec<(Duration, PlannedFault)>,
     /// Poison requests.
     pub poison_rounds: Vec<PoisonRound>,
 }
@@ -131,7 +136,14 @@
 /// Times per second of faults at which boxes lose their paths to all targets.
 const CUTS_PER_S: f64 = 0.1;
 const CUT_SEED: u64 = 0x0c07;
-/// Poison requests, like notices, limits, returns and cuts, are drawn from a random source of their own, so that
+/// Share of the seeds in which another writer has odd keys and entries.
+const ODD_ITEMS_SHARE: f64 = 0.5;
+/// With this number none of the seeds that the short soak keeps for older causes draws odd items: the kill of all boxes
+/// would disturb boxes that its checks need undisturbed.
+const ODD_ITEMS_SEED: u64 = 0xe04;
+/// Time after which a configuration follows these.
+const CHANGE_AFTER_ODD_ITEMS: Duration = Duration::from_millis(200);
+/// Poison requests, like notices, limits, returns, cuts and odd items, are drawn from a random source of their own, so that
 /// adding them left the other faults of each seed unchanged.
 const POISON_SEED: u64 = 0xdead;
 
@@ -161,8 +173,8 @@
         faults.sort_by_key(|(at, _)| *at);
         let (notices, poison_rounds) = (draw_notices(seed, size), draw_poison_rounds(seed, size));
         let (limits, returns) = (draw_limits(seed, size), draw_returns(seed, size));
-        let cuts = draw_cuts(seed, size);
-        FaultPlan { faults, notices, limits, returns, cuts, poison_rounds }
+        let (cuts, odd_items) = (draw_cuts(seed, size), draw_odd_items(seed, size));
+        FaultPlan { faults, notices, limits, returns, cuts, odd_items, poison_rounds }
     }
 }
 
@@ -269,6 +281,22 @@
     (0..count).map(&mut draw).collect()
 }
 
+fn draw_odd_items(seed: u64, size: &PlanSize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ ODD_ITEMS_SEED);
+    if !random.random_bool(ODD_ITEMS_SHARE) {
+        return Vec::new();
+    }
+    let at = size.time.mul_f64(0.5 * random.random::<f64>());
+    let page_keys = random.random_range(2..=MAX_ODD_PAGE_KEYS);
+    // Boxes have time to serve by the configuration, or to miss it, before they are killed.
+    let kill_after = Duration::from_millis(random.random_range(4000..6000));
+    vec![
+        (at, PlannedFault::WriteOddItems(page_keys)),
+        (at + CHANGE_AFTER_ODD_ITEMS, PlannedFault::ChangeConfig(1, Duration::ZERO)),
+        (at + kill_after, PlannedFault::KillAllBoxes),
+    ]
+}
+
 fn draw_poison_rounds(seed: u64, size: &PlanSize) -> Vec<PoisonRound> {
     let mut random = StdRng::seed_from_u64(seed ^ POISON_SEED);
     let count = (size.time.as_secs_f64() * POISON_ROUNDS_PER_S).ceil() as usize;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,7 +84,11 @@
     let monitors = Monitors::start(&locations, &driver.incarnations(), &config_history);
     let callers = CallerPool::start(&locations, settings.callers, seed, &plan.poison_rounds);
     driver.run_plan(&plan, settings.time)?;
-    let recovered = wait_recovered(&mut driver, &callers)?;
+    let mut recovered = wait_recovered(&mut driver, &callers)?;
+    if recovered && !plan.odd_items.is_empty() {
+        driver.environment().remove_odd_items();
+        recovered = wait_recovered(&mut driver, &callers)?;
+    }
     let records = callers.finish();
     let (probes, lateness) = monitors.finish();
     driver.finish()?;
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -19,6 +19,9 @@
     cause: &'static str,
 }
 
+/// The seed in which another writer has odd keys and entries.
+const ODD_ITEMS_SEED: u64 = 81000;
+
 const SEEDS: &[RegressionSeed] = &[
     RegressionSeed {
         seed: 7,
@@ -94,6 +97,17 @@
         cause: "a listing so long that boxes poll the store for its changes; poison requests were sent on for as long \
                 as nobody came back to a target that had ended",
     },
+    RegressionSeed {
+        seed: ODD_ITEMS_SEED,
+        seconds: 6,
+        routes: 0,
+        boxes: 4,
+        targets: 9,
+        faults_per_s: 0.4,
+        overload: "off",
+        cause: "keys of another writer at which pages end: boxes lacked the next configuration, and were never ready \
+                once all had been killed",
+    },
 ];
 
 fn settings(case: &RegressionSeed) -> SoakSettings {
@@ -113,6 +127,16 @@
     }
 }
 
+fn size(case: &RegressionSeed) -> PlanSize {
+    PlanSize {
+        time: Duration::from_secs(case.seconds),
+        boxes: case.boxes,
+        data_centres: 2,
+        targets: case.targets,
+        faults_per_s: case.faults_per_s,
+    }
+}
+
 /// Returns the path of the box's program beside this test's own. `cargo test --workspace` builds
 /// it.
 fn box_program() -> PathBuf {
@@ -138,6 +162,15 @@
     }
 }
 
+/// Odd items disturb all boxes, and a seed that is kept for another cause might no longer show it.
+#[test]
+fn odd_items_are_drawn_by_the_seed_that_is_kept_for_them_alone() {
+    for case in SEEDS {
+        let plan = FaultPlan::draw(case.seed, &size(case));
+        assert_eq!(!plan.odd_items.is_empty(), case.seed == ODD_ITEMS_SEED, "seed {}", case.seed);
+    }
+}
+
 #[test]
 fn a_seed_always_gives_the_same_plan() {
     let size = PlanSize {
