Tests: cut answers of health checks do not bring a draining target back

The demonstration's proxy asks the health end point of a draining target, and takes an answer that names no state as ready. A head of it that is cut at every place must not count. No fault was found: the test passes on the code as it is.

--- a/crates/demo/tests/cut_answers.rs
+++ b/crates/demo/tests/cut_answers.rs
@@ -38,6 +38,10 @@
     delay: Duration,
     /// Number of good answers that were sent with the bytes after them.
     sent: Arc<AtomicUsize>,
+    /// Whether targets tell in their good answers that they drain.
+    drains: bool,
+    /// Number of health checks that got an answer that is cut.
+    checks: Arc<AtomicUsize>,
 }
 
 impl Plan {
@@ -84,8 +88,14 @@
                     return stream.write_all(&cut.bytes).ok();
                 }
             }
+            if path == "/health" {
+                let check = self.checks.fetch_add(1, Ordering::AcqRel);
+                return stream.write_all(&HEALTHY.as_bytes()[..check % HEALTHY.len()]).ok();
+            }
             let length = path.len();
-            let good = format!("HTTP/1.1 200 Fine\r\nContent-Length: {length}\r\n\r\n{path}");
+            let state = if self.drains { "X-Target-State: draining\r\n" } else { "" };
+            let good =
+                format!("HTTP/1.1 200 Fine\r\n{state}Content-Length: {length}\r\n\r\n{path}");
             if self.delay.is_zero() {
                 stream.write_all(format!("{good}{}", self.surplus).as_bytes()).ok()?;
             } else {
@@ -103,6 +113,24 @@
     task::block_on(caller.call(&request, CALL_TIMEOUT)).ok()
 }
 
+/// Cut at every place before its end.
+const HEALTHY: &str = "HTTP/1.1 200 Fine\r\nContent-Length: 0\r\n\r\n";
+
+/// A draining target whose health end point breaks off would get requests again, as an answer without a state means that
+/// it is ready.
+#[test]
+fn health_checks_that_are_cut_do_not_bring_a_draining_target_back() {
+    let plan = Plan { drains: true, ..Plan::default() };
+    let system = plan.start_system();
+    let mut caller = LoadCaller::new(system.boxes[0].proxy.callers);
+    let mut lookup = || call(&mut caller, Method::Get, "/availability/x").expect("an answer");
+    eventually("all targets have told that they drain", || lookup().status != 200);
+    eventually("the health checks were cut at each place", || {
+        assert_ne!(lookup().status, 200, "after {} checks", plan.checks.load(Ordering::Acquire));
+        plan.checks.load(Ordering::Acquire) > HEALTHY.len()
+    });
+}
+
 struct SurplusCase {
     name: &'static str,
     surplus: &'static str,
